Serve the whole path, thin, as separate processes

Cause: nothing existed.

Found on the way, each with its fix: - A request right behind a new configuration was refused as "no endpoint": the cell plug-in followed the configuration only on a tick. It now follows before it handles the next event, and traffic sees a catalogue only after the kernel has it. - Kept pieces vanished from the index one second after the start: a store's room was taken as zero before its first listing, so the next export freed what the last had kept. Unknown room is now unknown, and nothing is freed on a guess.

Ruled out: a lost listing (the store still held the blocks and listed them).

--- /dev/null
+++ b/crates/declare/src/declaration.rs
@@ -0,0 +1,230 @@
+//! What operators declare: client accounts, pools, endpoints, shares and objectives.
+//!
+//! Invariant: a [`Declarations`] value has passed the verifier: names resolve, shares of a pool do
+//! not exceed the whole, and every selector is parsed. [`Catalogue`] is the same with the
+//! selectors applied, so that no request evaluates one.
+
+use crate::{Document, Findings, Labels, Selector, verify};
+use std::collections::{BTreeMap, HashMap};
+
+/// What stands behind an endpoint's address.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EndpointKind {
+    /// A model engine, spoken to by the completions interface.
+    #[default]
+    Engine,
+    /// A plain service, to which calls are passed as they are.
+    Service,
+    /// A store of kept cache.
+    Store,
+}
+
+/// A group that sends requests, with its limits.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ClientAccount {
+    /// The account's name.
+    pub name: String,
+    /// Digests of its bearer keys, as [`key_digest`] gives them; keys themselves are not stored.
+    pub key_digests: Vec<String>,
+    /// Labels for selectors.
+    pub labels: Labels,
+    /// Requests a second over the fleet; zero is no limit.
+    pub rate: f64,
+    /// Requests in flight at one entry VM; zero is no limit.
+    pub concurrency: u32,
+}
+
+/// A pool of endpoints of one kind.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Pool {
+    /// The pool's name.
+    pub name: String,
+    /// What its endpoints are.
+    pub kind: EndpointKind,
+    /// Labels for the shares' selectors.
+    pub labels: Labels,
+    /// Which endpoints belong to it.
+    pub selector: Selector,
+    /// The model that callers name; engines only.
+    pub model: String,
+    /// The model's weight version; engines only.
+    pub version: String,
+    /// Methods that may run at most once; services only.
+    pub not_repeatable: Vec<String>,
+}
+
+/// A back end with an address.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Endpoint {
+    /// The endpoint's name.
+    pub name: String,
+    /// What it is.
+    pub kind: EndpointKind,
+    /// Its address, `IP:PORT`.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Labels for the pools' selectors.
+    pub labels: Labels,
+    /// Requests it works on at once (engine, service), or transfers (store).
+    pub slots: u32,
+    /// Whether it refuses orders with an old fencing number.
+    pub fenced: bool,
+    /// Whether the operator takes it out of service.
+    pub draining: bool,
+}
+
+/// A promise: selected accounts get a share of selected pools.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Share {
+    /// The share's name.
+    pub name: String,
+    /// Which client accounts.
+    pub accounts: Selector,
+    /// Which pools.
+    pub resources: Selector,
+    /// Percent of each pool, divided equally among the accounts.
+    pub percent: f64,
+}
+
+/// What an objective measures.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ObjectiveKind {
+    /// Time from arrival to the first token.
+    #[default]
+    FirstToken,
+    /// Time from arrival to the end of the answer.
+    Answer,
+    /// Whether the request was answered at all.
+    Availability,
+}
+
+/// A service-level objective of selected accounts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Objective {
+    /// The objective's name.
+    pub name: String,
+    /// Which client accounts.
+    pub accounts: Selector,
+    /// What is measured.
+    pub kind: ObjectiveKind,
+    /// The bound in milliseconds; unused for availability.
+    pub threshold_millis: u64,
+    /// The part of requests that must be within the bound, such as 0.95.
+    pub target: f64,
+}
+
+/// All that operators declare, checked.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Declarations {
+    /// Client accounts by name.
+    pub accounts: BTreeMap<String, ClientAccount>,
+    /// Pools by name.
+    pub pools: BTreeMap<String, Pool>,
+    /// Endpoints by name.
+    pub endpoints: BTreeMap<String, Endpoint>,
+    /// Shares by name.
+    pub shares: BTreeMap<String, Share>,
+    /// Objectives by name.
+    pub objectives: BTreeMap<String, Objective>,
+}
+
+impl Declarations {
+    /// Checks a whole document.
+    ///
+    /// # Errors
+    /// All findings, each with file, line and key.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_declare::{Declarations, Document};
+    /// let text = "[pool p]\nkind = engine\nmodel = m\nversion = 1\n";
+    /// let document = Document::parse("a.ini", text).unwrap();
+    /// assert_eq!(Declarations::check(&document).unwrap().pools["p"].model, "m");
+    /// let document = Document::parse("a.ini", "[pool p]\nkind = boat\nspeed = 3\n").unwrap();
+    /// assert!(Declarations::check(&document).unwrap_err().0.len() >= 2);
+    /// ```
+    pub fn check(document: &Document) -> Result<Self, Findings> {
+        verify::check(document)
+    }
+}
+
+/// Declarations with their selectors applied: what the request path looks up.
+#[derive(Clone, Debug, Default)]
+pub struct Catalogue {
+    /// The declarations themselves.
+    pub declarations: Declarations,
+    /// Account names by key digest.
+    pub account_by_digest: HashMap<String, String>,
+    /// Pool names by model.
+    pub pool_by_model: HashMap<String, String>,
+    /// Endpoint names by pool, sorted.
+    pub members: BTreeMap<String, Vec<String>>,
+    /// Weight of each account that may use a pool, as a part of one; by pool and account.
+    pub weights: BTreeMap<String, HashMap<String, f64>>,
+}
+
+impl Catalogue {
+    /// Applies the selectors of `declarations`.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_declare::{Catalogue, Declarations, Document};
+    /// let text = "[pool p]\nkind = engine\nmodel = m\nversion = 1\n\
+    ///     [client-account a]\nlabels = tier=gold\n\
+    ///     [client-account b]\nlabels = tier=gold\n\
+    ///     [share s]\naccounts = tier=gold\nresources =\npercent = 60\n";
+    /// let document = Document::parse("a.ini", text).unwrap();
+    /// let catalogue = Catalogue::new(Declarations::check(&document).unwrap());
+    /// assert_eq!(catalogue.weights["p"]["a"], 0.3);
+    /// ```
+    pub fn new(declarations: Declarations) -> Self {
+        let mut catalogue = Self::default();
+        for account in declarations.accounts.values() {
+            for digest in &account.key_digests {
+                catalogue.account_by_digest.insert(digest.clone(), account.name.clone());
+            }
+        }
+        for pool in declarations.pools.values() {
+            if !pool.model.is_empty() {
+                catalogue.pool_by_model.insert(pool.model.clone(), pool.name.clone());
+            }
+            let members = declarations
+                .endpoints
+                .values()
+                .filter(|endpoint| endpoint.kind == pool.kind && pool.selector.matches(&endpoint.labels))
+                .map(|endpoint| endpoint.name.clone())
+                .collect();
+            catalogue.members.insert(pool.name.clone(), members);
+            catalogue.weights.insert(pool.name.clone(), pool_weights(&declarations, pool));
+        }
+        catalogue.declarations = declarations;
+        catalogue
+    }
+}
+
+fn pool_weights(declarations: &Declarations, pool: &Pool) -> HashMap<String, f64> {
+    let mut weights = HashMap::new();
+    for share in declarations.shares.values().filter(|share| share.resources.matches(&pool.labels)) {
+        let selected: Vec<_> = declarations
+            .accounts
+            .values()
+            .filter(|account| share.accounts.matches(&account.labels))
+            .collect();
+        for account in &selected {
+            *weights.entry(account.name.clone()).or_insert(0.0) +=
+                share.percent / 100.0 / selected.len() as f64;
+        }
+    }
+    weights
+}
+
+/// The digest under which a bearer key is declared: BLAKE3, in hexadecimal.
+///
+/// # Examples
+/// ```
+/// assert_eq!(spanfold_declare::key_digest("secret").len(), 64);
+/// ```
+pub fn key_digest(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
--- /dev/null
+++ b/crates/declare/src/document.rs
@@ -0,0 +1,209 @@
+//! The text form: INI sections of the shape `[kind name]` with `key = value` lines.
+//!
+//! Invariant: printing a document and parsing it again gives the same sections and properties.
+//! The event parser keeps line numbers; a map-based reader would lose them and the duplicates.
+
+use crate::Findings;
+use ini_core::{Item, Parser};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// One `key = value` line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Property {
+    /// The key, trimmed.
+    pub key: String,
+    /// The value, trimmed.
+    pub value: String,
+    /// The line, counted from one.
+    pub line: u32,
+}
+
+/// One `[kind name]` section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Section {
+    /// The header's first word.
+    pub kind: String,
+    /// The rest of the header; empty for a section that stands once.
+    pub name: String,
+    /// The header's line, counted from one.
+    pub line: u32,
+    /// The file that it came from.
+    pub file: String,
+    /// The lines below the header.
+    pub properties: Vec<Property>,
+}
+
+impl Section {
+    /// The header as it is written, without brackets.
+    pub fn header(&self) -> String {
+        if self.name.is_empty() { self.kind.clone() } else { format!("{} {}", self.kind, self.name) }
+    }
+
+    /// The value of `key`, if it is set.
+    pub fn value(&self, key: &str) -> Option<&str> {
+        self.properties.iter().find(|property| property.key == key).map(|property| property.value.as_str())
+    }
+
+    /// Sets `key`, keeping its place if it stands already.
+    pub fn set(&mut self, key: &str, value: &str) {
+        let line = self.line;
+        match self.properties.iter_mut().find(|property| property.key == key) {
+            Some(property) => value.clone_into(&mut property.value),
+            None => {
+                self.properties.push(Property { key: key.to_owned(), value: value.to_owned(), line });
+            }
+        }
+    }
+
+    /// Whether kind, name, keys and values are the same, wherever they stand.
+    fn same_content(&self, other: &Self) -> bool {
+        fn pairs(section: &Section) -> BTreeMap<&str, &str> {
+            section.properties.iter().map(|p| (p.key.as_str(), p.value.as_str())).collect()
+        }
+        self.header() == other.header() && pairs(self) == pairs(other)
+    }
+}
+
+impl fmt::Display for Section {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "[{}]", self.header())?;
+        for property in &self.properties {
+            writeln!(formatter, "{} = {}", property.key, property.value)?;
+        }
+        Ok(())
+    }
+}
+
+/// A whole INI text.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Document {
+    /// The sections, in the order in which they stand.
+    pub sections: Vec<Section>,
+}
+
+impl Document {
+    /// Parses `text`; `file` names it in findings.
+    ///
+    /// # Errors
+    /// All malformed lines, keys outside a section, repeated sections and repeated keys.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_declare::Document;
+    /// let document = Document::parse("a.ini", "[pool p]\nkind = engine\n").unwrap();
+    /// assert_eq!(document.sections[0].name, "p");
+    /// assert_eq!(Document::parse("a.ini", &document.to_string()).unwrap(), document);
+    /// assert_eq!(Document::parse("a.ini", "x = 1\n[oops").unwrap_err().0.len(), 2);
+    /// ```
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        let mut findings = Findings::default();
+        let mut document = Self::default();
+        let mut parser = Parser::new(text).auto_trim(true);
+        loop {
+            let line = parser.line() + 1;
+            let Some(item) = parser.next() else { break };
+            match item {
+                Item::Section(header) => document.sections.push(parse_header(file, line, header)),
+                Item::Property(key, value) => {
+                    let property =
+                        Property { key: key.to_owned(), value: value.unwrap_or_default().to_owned(), line };
+                    match (document.sections.last_mut(), value) {
+                        (_, None) => findings.add(file, line, key, "expected `key = value`"),
+                        (None, _) => findings.add(file, line, key, "stands outside a section"),
+                        (Some(section), _) => section.properties.push(property),
+                    }
+                }
+                Item::Error(text) => findings.add(file, line, text, "malformed section header"),
+                Item::Comment(_) | Item::Blank | Item::SectionEnd => {}
+            }
+        }
+        find_repeats(&document, &mut findings);
+        findings.into_result(document)
+    }
+
+    /// Puts documents of several files together.
+    ///
+    /// # Errors
+    /// Sections that stand in two of them.
+    pub fn join(documents: Vec<Self>) -> Result<Self, Findings> {
+        let document = Self { sections: documents.into_iter().flat_map(|d| d.sections).collect() };
+        let mut findings = Findings::default();
+        find_repeats(&document, &mut findings);
+        findings.into_result(document)
+    }
+
+    /// The section of this kind and name, for change.
+    pub fn section_mut(&mut self, kind: &str, name: &str) -> Option<&mut Section> {
+        self.sections.iter_mut().find(|section| section.kind == kind && section.name == name)
+    }
+}
+
+impl fmt::Display for Document {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (row, section) in self.sections.iter().enumerate() {
+            if row > 0 {
+                writeln!(formatter)?;
+            }
+            write!(formatter, "{section}")?;
+        }
+        Ok(())
+    }
+}
+
+fn parse_header(file: &str, line: u32, header: &str) -> Section {
+    let (kind, name) = header.trim().split_once(char::is_whitespace).unwrap_or((header.trim(), ""));
+    Section {
+        kind: kind.to_owned(),
+        name: name.trim().to_owned(),
+        line,
+        file: file.to_owned(),
+        properties: Vec::new(),
+    }
+}
+
+fn find_repeats(document: &Document, findings: &mut Findings) {
+    let mut headers: BTreeMap<String, (&str, u32)> = BTreeMap::new();
+    for section in &document.sections {
+        if let Some((file, line)) = headers.insert(section.header(), (&section.file, section.line)) {
+            findings.add(
+                &section.file,
+                section.line,
+                section.header(),
+                format!("stands already at {file}:{line}"),
+            );
+        }
+        let mut keys: BTreeMap<&str, u32> = BTreeMap::new();
+        for property in &section.properties {
+            if let Some(line) = keys.insert(&property.key, property.line) {
+                let key = format!("{}/{}", section.header(), property.key);
+                findings.add(&section.file, property.line, key, format!("is set already on line {line}"));
+            }
+        }
+    }
+}
+
+/// The sections that differ between two documents: a sign (`+`, `-`, `~`) and the header.
+///
+/// # Examples
+/// ```
+/// use spanfold_declare::{Document, changed_sections};
+/// let old = Document::parse("a", "[pool p]\nkind = engine\n").unwrap();
+/// let new = Document::parse("b", "[pool p]\nkind = store\n[pool q]\nkind = store\n").unwrap();
+/// let changes = changed_sections(&old, &new);
+/// assert_eq!(changes, [('~', "pool p".to_owned()), ('+', "pool q".to_owned())]);
+/// ```
+pub fn changed_sections(old: &Document, new: &Document) -> Vec<(char, String)> {
+    let old_by: BTreeMap<_, _> = old.sections.iter().map(|s| (s.header(), s)).collect();
+    let new_by: BTreeMap<_, _> = new.sections.iter().map(|s| (s.header(), s)).collect();
+    let mut changes = Vec::new();
+    for (header, section) in &old_by {
+        match new_by.get(header) {
+            None => changes.push(('-', header.clone())),
+            Some(other) if !section.same_content(other) => changes.push(('~', header.clone())),
+            Some(_) => {}
+        }
+    }
+    changes.extend(new_by.keys().filter(|header| !old_by.contains_key(*header)).map(|h| ('+', h.clone())));
+    changes
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,98 @@
+//! JSON over HTTP, with the one distinction that matters to callers.
+//!
+//! Invariant: [`PlatformError::NotSent`] is returned only if no byte of the call left this
+//! process; whatever else goes wrong may have taken effect.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A read that takes longer has failed.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Why a call to the platform failed.
+#[derive(Debug, thiserror::Error)]
+pub enum PlatformError {
+    /// No connection came about: the call was not made.
+    #[error("the platform cannot be reached: {0}")]
+    NotSent(String),
+    /// The call was sent, but no answer came: it may have taken effect.
+    #[error("the platform did not answer: {0}")]
+    Unknown(String),
+    /// The platform answered with an error.
+    #[error("the platform answered {status}: {text}")]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// The answer's text.
+        text: String,
+    },
+}
+
+pub(crate) type JsonClient = Client<HttpConnector, Full<Bytes>>;
+
+pub(crate) fn json_client() -> JsonClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(Duration::from_millis(500)));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+/// Calls `path` with a JSON body (a POST) or without one (a GET).
+pub(crate) async fn call(
+    client: &JsonClient,
+    address: SocketAddr,
+    path: &str,
+    body: Option<&Value>,
+    timeout: Duration,
+) -> Result<Value, PlatformError> {
+    let request = json_request(address, path, body)?;
+    let exchange = async {
+        let response = client.request(request).await.map_err(|error| {
+            if error.is_connect() {
+                PlatformError::NotSent(error.to_string())
+            } else {
+                PlatformError::Unknown(error.to_string())
+            }
+        })?;
+        let status = response.status();
+        let unknown = |error: hyper::Error| PlatformError::Unknown(error.to_string());
+        let bytes = response.into_body().collect().await.map_err(unknown)?.to_bytes();
+        if !status.is_success() {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            return Err(PlatformError::Refused { status: status.as_u16(), text });
+        }
+        serde_json::from_slice(&bytes).map_err(|error| PlatformError::Unknown(error.to_string()))
+    };
+    tokio::time::timeout(timeout, exchange)
+        .await
+        .unwrap_or_else(|_| Err(PlatformError::Unknown("timeout".to_owned())))
+}
+
+pub(crate) fn json_request(
+    address: SocketAddr,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<Request<Full<Bytes>>, PlatformError> {
+    let builder = Request::builder().uri(format!("http://{address}{path}"));
+    let builder = builder.header("content-type", "application/json");
+    let request = match body {
+        Some(body) => builder.method("POST").body(Full::new(Bytes::from(body.to_string()))),
+        None => builder.method("GET").body(Full::new(Bytes::new())),
+    };
+    request.map_err(|error| PlatformError::NotSent(error.to_string()))
+}
+
+/// Reads a JSON resource of `address`, such as a VM's `/status`.
+///
+/// # Errors
+/// If there was no answer, or it is not JSON.
+pub async fn read_json(address: SocketAddr, path: &str) -> Result<Value, PlatformError> {
+    call(&json_client(), address, path, None, READ_TIMEOUT).await
+}
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,63 @@
+//! The VM list: a small JSON resource, `{"vms": [{name, role, address, data_centre, state}]}`.
+//!
+//! Invariant: what is read is what the platform says, lag included; judging it is not done here.
+
+use crate::PlatformError;
+use crate::http::{JsonClient, call, json_client};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// A read that takes longer has failed.
+const READ_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// One row of the VM list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlatformVm {
+    /// The VM's name.
+    pub name: String,
+    /// `entry` or `endpoint`.
+    pub role: String,
+    /// Peer address of an entry VM, service address of an endpoint VM; `IP:PORT`.
+    pub address: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+#[derive(Deserialize)]
+struct ListBody {
+    vms: Vec<PlatformVm>,
+}
+
+/// A client of the VM list.
+#[derive(Clone, Debug)]
+pub struct ListClient {
+    client: JsonClient,
+    address: SocketAddr,
+}
+
+impl ListClient {
+    /// A client of the list at `address`.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_platform::ListClient;
+    /// let _client = ListClient::new("127.0.0.1:2380".parse().unwrap());
+    /// ```
+    pub fn new(address: SocketAddr) -> Self {
+        Self { client: json_client(), address }
+    }
+
+    /// Reads the list.
+    ///
+    /// # Errors
+    /// If the platform did not answer, or the answer is malformed.
+    pub async fn read(&self) -> Result<Vec<PlatformVm>, PlatformError> {
+        let answer = call(&self.client, self.address, "/vms", None, READ_TIMEOUT).await?;
+        let body: ListBody =
+            serde_json::from_value(answer).map_err(|error| PlatformError::Unknown(error.to_string()))?;
+        Ok(body.vms)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/configuration.rs
@@ -0,0 +1,230 @@
+//! Which configuration is in force, and how a newer one spreads.
+//!
+//! Invariant: a VM applies only a generation higher than the one in force. One VM of a data centre
+//! holds a watch on the head record; the others learn the generation from heartbeats and pull
+//! what they lack from whoever said it, so that platform calls grow with data centres, not VMs.
+//! A platform that shows an older head than the one in force has lost it; it is written back.
+
+use crate::membership::GATEWAY_ROLE;
+use spanfold_declare::{Catalogue, Declarations, Document, EndpointKind, chunk_digest};
+use spanfold_entity::Moment;
+use spanfold_kernel::{Context, Effect, Event, Message, World, register_plugin};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// An unanswered pull is repeated after this long, in milliseconds.
+const PULL_MILLIS: u64 = 500;
+
+/// A generation on its way.
+#[derive(Debug, Clone)]
+struct WantedHead {
+    generation: u64,
+    digests: Vec<String>,
+    source: Option<String>,
+    ask_again: Moment,
+    parsing: bool,
+}
+
+/// State of the configuration plug-in: chunks in force and chunks on their way.
+#[derive(Debug)]
+pub struct ConfigurationStore {
+    digests: Vec<String>,
+    chunks: BTreeMap<String, Arc<str>>,
+    wanted: Option<WantedHead>,
+    pulled_until: Moment,
+    watching: bool,
+    told: bool,
+}
+
+impl ConfigurationStore {
+    fn start(_world: &World) -> Self {
+        Self {
+            digests: Vec::new(),
+            chunks: BTreeMap::new(),
+            wanted: None,
+            pulled_until: Moment(0),
+            watching: false,
+            told: false,
+        }
+    }
+
+    /// Bytes of the chunks held, for reports.
+    pub fn chunk_bytes(&self) -> usize {
+        self.chunks.values().map(|text| text.len()).sum()
+    }
+
+    fn handle(&mut self, context: &mut Context<'_>, event: &Event) {
+        match event {
+            Event::HeadRead { generation, digests } => self.read_head(context, *generation, digests),
+            Event::ChunksRead { texts } => self.take_chunks(context, texts),
+            Event::Configured { generation, text, catalogue } => {
+                self.apply(context, *generation, text, catalogue.as_ref());
+            }
+            Event::Receive { from, message } => self.receive(context, from, message),
+            Event::Tick => {
+                self.update_watch(context);
+                self.ask_again(context);
+            }
+            _ => {}
+        }
+    }
+
+    fn receive(&mut self, context: &mut Context<'_>, from: &str, message: &Message) {
+        match message {
+            Message::Beat(beat)
+                if beat.generation > self.newest(context.world) && context.now >= self.pulled_until =>
+            {
+                self.pulled_until = context.now.after_millis(PULL_MILLIS);
+                context.send(from, Message::HeadPull);
+            }
+            Message::HeadPull if context.world.generation > 0 => {
+                let generation = context.world.generation;
+                context.send(from, Message::Head { generation, digests: self.digests.clone() });
+            }
+            Message::Head { generation, digests } => {
+                self.want(context, *generation, digests, Some(from));
+            }
+            Message::ChunkPull { digests } => {
+                let texts: Vec<_> =
+                    digests.iter().filter_map(|digest| self.chunks.get(digest)).cloned().collect();
+                context.send(from, Message::Chunks { texts });
+            }
+            Message::Chunks { texts } => self.take_chunks(context, texts),
+            _ => {}
+        }
+    }
+
+    fn newest(&self, world: &World) -> u64 {
+        self.wanted.as_ref().map_or(world.generation, |wanted| wanted.generation.max(world.generation))
+    }
+
+    fn read_head(&mut self, context: &mut Context<'_>, generation: u64, digests: &[String]) {
+        if generation >= context.world.generation {
+            self.want(context, generation, digests, None);
+            return;
+        }
+        context.log(
+            "configuration.platform_behind",
+            format!("platform {generation}, in force {}", context.world.generation),
+        );
+        let texts = self.digests.iter().filter_map(|digest| self.chunks.get(digest)).cloned().collect();
+        context.emit(Effect::RestoreHead {
+            generation: context.world.generation,
+            digests: self.digests.clone(),
+            texts,
+        });
+    }
+
+    fn want(&mut self, context: &mut Context<'_>, generation: u64, digests: &[String], source: Option<&str>) {
+        if generation <= self.newest(context.world) {
+            return;
+        }
+        self.wanted = Some(WantedHead {
+            generation,
+            digests: digests.to_vec(),
+            source: source.map(str::to_owned),
+            ask_again: context.now,
+            parsing: false,
+        });
+        self.ask_again(context);
+        self.configure_when_whole(context);
+    }
+
+    fn ask_again(&mut self, context: &mut Context<'_>) {
+        let Some(wanted) = &mut self.wanted else { return };
+        if wanted.parsing || context.now < wanted.ask_again {
+            return;
+        }
+        let mut missing: Vec<_> =
+            wanted.digests.iter().filter(|digest| !self.chunks.contains_key(*digest)).cloned().collect();
+        missing.sort();
+        missing.dedup();
+        if missing.is_empty() {
+            return;
+        }
+        wanted.ask_again = context.now.after_millis(PULL_MILLIS);
+        match wanted.source.clone() {
+            Some(source) => context.send(&source, Message::ChunkPull { digests: missing }),
+            None => context.emit(Effect::ReadChunks { digests: missing }),
+        }
+    }
+
+    fn take_chunks(&mut self, context: &mut Context<'_>, texts: &[Arc<str>]) {
+        for text in texts {
+            self.chunks.insert(chunk_digest(text), Arc::clone(text));
+        }
+        self.configure_when_whole(context);
+    }
+
+    fn configure_when_whole(&mut self, context: &mut Context<'_>) {
+        let Some(wanted) = &mut self.wanted else { return };
+        let texts: Option<Vec<_>> =
+            wanted.digests.iter().map(|digest| self.chunks.get(digest).cloned()).collect();
+        if let Some(texts) = texts
+            && !wanted.parsing
+        {
+            wanted.parsing = true;
+            context.emit(Effect::Configure { generation: wanted.generation, texts });
+        }
+    }
+
+    fn apply(
+        &mut self,
+        context: &mut Context<'_>,
+        generation: u64,
+        text: &str,
+        catalogue: Option<&Arc<Catalogue>>,
+    ) {
+        if generation <= context.world.generation {
+            return;
+        }
+        let catalogue = match catalogue {
+            Some(catalogue) => Arc::clone(catalogue),
+            None => {
+                match Document::parse("accepted", text).and_then(|document| Declarations::check(&document)) {
+                    Ok(declarations) => Arc::new(Catalogue::new(declarations)),
+                    Err(findings) => {
+                        context.log("configuration.rejected", findings.to_string());
+                        return;
+                    }
+                }
+            }
+        };
+        if let Some(wanted) = self.wanted.take_if(|wanted| wanted.generation <= generation) {
+            self.digests = wanted.digests;
+            let kept = &self.digests;
+            self.chunks.retain(|digest, _| kept.contains(digest));
+        }
+        context.world.generation = generation;
+        declare_endpoints(context.world, &catalogue);
+        context.world.catalogue = catalogue;
+        context.log("configuration.in_force", generation.to_string());
+    }
+
+    fn update_watch(&mut self, context: &mut Context<'_>) {
+        let world = &*context.world;
+        let hold =
+            !world.stopping && world.holder(GATEWAY_ROLE, &world.data_centre, context.now) == Some(&world.me);
+        if hold != self.watching || !self.told {
+            self.watching = hold;
+            self.told = true;
+            context.emit(Effect::WatchConfiguration { hold });
+        }
+    }
+}
+
+fn declare_endpoints(world: &mut World, catalogue: &Catalogue) {
+    for (_, row) in world.endpoints.iter_mut() {
+        row.declared = false;
+    }
+    for endpoint in catalogue.declarations.endpoints.values() {
+        let index = world.endpoint_names.intern(&endpoint.name);
+        let row = world.endpoints.at_or_default(index);
+        row.declared = true;
+        row.draining = endpoint.draining;
+        endpoint.data_centre.clone_into(&mut row.data_centre);
+        debug_assert!(endpoint.kind != EndpointKind::Store || endpoint.slots > 0, "checked by the verifier");
+    }
+}
+
+register_plugin!("configuration", 20, ConfigurationStore);
--- /dev/null
+++ b/crates/policy/src/layout.rs
@@ -0,0 +1,123 @@
+//! Cells: the endpoints of one pool and data centre, in groups of a bounded size.
+//!
+//! Invariant: the layout is a function of the configuration alone, so that all VMs of one
+//! generation agree on it. A cell has one home VM, which bounds what a home must know: without
+//! cells, one VM would decide for all 324 engines of a data centre.
+
+use spanfold_declare::{Catalogue, EndpointKind};
+use spanfold_kernel::{rendezvous, rendezvous_order};
+use std::collections::{BTreeMap, HashMap};
+
+/// Endpoints that a cell should have.
+pub const CELL_SIZE: usize = 16;
+
+/// A key's group is its highest 16 bits.
+const GROUP_SHIFT: u32 = 48;
+
+/// Which endpoints make up which cell.
+#[derive(Clone, Debug, Default)]
+pub struct CellLayout {
+    /// Cells of a pool, by data centre.
+    cells: HashMap<String, BTreeMap<String, Vec<String>>>,
+    /// Endpoints of a cell.
+    members: BTreeMap<String, Vec<String>>,
+    /// The cell of an endpoint.
+    by_endpoint: HashMap<String, String>,
+}
+
+impl CellLayout {
+    /// The layout of `catalogue`.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_declare::{Catalogue, Declarations, Document};
+    /// use spanfold_policy::CellLayout;
+    /// let text = "[pool p]\nkind = engine\nmodel = m\nversion = 1\n\
+    ///     [endpoint e]\nkind = engine\naddress = 127.0.0.1:1\ndata_centre = d\n";
+    /// let document = Document::parse("a.ini", text).unwrap();
+    /// let catalogue = Catalogue::new(Declarations::check(&document).unwrap());
+    /// let layout = CellLayout::new(&catalogue);
+    /// assert_eq!(layout.cell_of("e"), Some("p/d/0"));
+    /// assert_eq!(layout.members("p/d/0"), ["e"]);
+    /// ```
+    pub fn new(catalogue: &Catalogue) -> Self {
+        let mut layout = Self::default();
+        for (pool, members) in &catalogue.members {
+            if catalogue.declarations.pools[pool].kind == EndpointKind::Store {
+                continue;
+            }
+            let mut centres: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+            for member in members {
+                let centre = catalogue.declarations.endpoints[member].data_centre.as_str();
+                centres.entry(centre).or_default().push(member);
+            }
+            for (centre, endpoints) in centres {
+                layout.add_centre(pool, centre, &endpoints);
+            }
+        }
+        layout
+    }
+
+    fn add_centre(&mut self, pool: &str, centre: &str, endpoints: &[&str]) {
+        let count = endpoints.len().div_ceil(CELL_SIZE);
+        let cells: Vec<String> = (0..count).map(|number| format!("{pool}/{centre}/{number}")).collect();
+        for cell in &cells {
+            self.members.insert(cell.clone(), Vec::new());
+        }
+        for endpoint in endpoints {
+            let Some(cell) = rendezvous(endpoint, cells.iter().map(String::as_str)) else { continue };
+            if let Some(members) = self.members.get_mut(cell) {
+                members.push((*endpoint).to_owned());
+            }
+            self.by_endpoint.insert((*endpoint).to_owned(), cell.to_owned());
+        }
+        // Hashing may leave a cell empty; it would only attract prompts that it cannot serve.
+        let filled = cells.into_iter().filter(|cell| !self.members[cell].is_empty()).collect();
+        self.cells.entry(pool.to_owned()).or_default().insert(centre.to_owned(), filled);
+    }
+
+    /// The cell of `endpoint`; none for stores.
+    pub fn cell_of(&self, endpoint: &str) -> Option<&str> {
+        self.by_endpoint.get(endpoint).map(String::as_str)
+    }
+
+    /// Endpoints of `cell`.
+    pub fn members(&self, cell: &str) -> &[String] {
+        self.members.get(cell).map_or(&[], Vec::as_slice)
+    }
+
+    /// Names of all cells.
+    pub fn cells(&self) -> impl Iterator<Item = &str> {
+        self.members.keys().map(String::as_str)
+    }
+
+    /// The cells of `pool` in `centre`, the one that prompts of `group` belong to first.
+    pub fn order(&self, pool: &str, centre: &str, group: u64) -> Vec<&str> {
+        let Some(cells) = self.cells.get(pool).and_then(|centres| centres.get(centre)) else {
+            return Vec::new();
+        };
+        rendezvous_order(&group.to_string(), cells.iter().map(String::as_str))
+    }
+
+    /// The data centres in which `pool` has cells, `near` first and the rest spread by `group`.
+    pub fn centres(&self, pool: &str, near: &str, group: u64) -> Vec<&str> {
+        let Some(centres) = self.cells.get(pool) else { return Vec::new() };
+        let names = centres.iter().filter(|(_, cells)| !cells.is_empty()).map(|(name, _)| name.as_str());
+        let mut order = rendezvous_order(&group.to_string(), names);
+        order.sort_by_key(|name| *name != near);
+        order
+    }
+}
+
+/// The group of a piece key: the part that all pieces of one prompt share with its first.
+///
+/// A store lists keys without their prompts; the group tells a home which of them are its own.
+pub(crate) const fn group_of(key: u64) -> u64 {
+    key >> GROUP_SHIFT
+}
+
+/// The pool and data centre of a cell's name.
+pub(crate) fn split_cell(cell: &str) -> (&str, &str) {
+    let mut parts = cell.split('/');
+    (parts.next().unwrap_or_default(), parts.next().unwrap_or_default())
+}
--- /dev/null
+++ b/crates/spanfold/src/arguments.rs
@@ -0,0 +1,136 @@
+//! The command line.
+
+use bpaf::Bpaf;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Operates a spanfold deployment by declarations kept in version control.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(command))]
+pub(crate) enum Command {
+    /// Check declarations; all findings are reported together. Needs no platform.
+    #[bpaf(command)]
+    Check {
+        /// Files of declarations
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
+    /// Print the digest under which a bearer key is declared
+    #[bpaf(command)]
+    Digest {
+        /// The key
+        #[bpaf(positional("KEY"))]
+        key: String,
+    },
+    /// Print the declarations in force at the platform
+    #[bpaf(command)]
+    Show {
+        /// Address of the key-value service
+        #[bpaf(long, argument("IP:PORT"))]
+        platform: SocketAddr,
+    },
+    /// Show what applying files would change; exit code 1 if anything
+    #[bpaf(command)]
+    Diff {
+        /// Address of the key-value service
+        #[bpaf(long, argument("IP:PORT"))]
+        platform: SocketAddr,
+        /// Files of declarations
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
+    /// Apply files as the next generation
+    #[bpaf(command)]
+    Apply {
+        /// Address of the key-value service
+        #[bpaf(long, argument("IP:PORT"))]
+        platform: SocketAddr,
+        /// The generation that the change was made for; a lost race is an error
+        #[bpaf(long, argument("GENERATION"), optional)]
+        expect: Option<u64>,
+        /// Who makes the change
+        #[bpaf(long, argument("NAME"), fallback("operator".to_owned()))]
+        author: String,
+        /// Seconds to wait for the VMs named by --vm to have it in force
+        #[bpaf(long, argument("SECONDS"), optional)]
+        wait: Option<u64>,
+        /// Operators' address of a VM; may be repeated
+        #[bpaf(long("vm"), argument("IP:PORT"), many)]
+        vms: Vec<SocketAddr>,
+        /// Files of declarations
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
+    /// Set labels (`key=value`) or take them away (`key-`)
+    #[bpaf(command)]
+    Label {
+        /// Address of the key-value service
+        #[bpaf(long, argument("IP:PORT"))]
+        platform: SocketAddr,
+        /// Who makes the change
+        #[bpaf(long, argument("NAME"), fallback("operator".to_owned()))]
+        author: String,
+        /// `client-account`, `pool` or `endpoint`
+        #[bpaf(positional("KIND"))]
+        kind: String,
+        /// Its name
+        #[bpaf(positional("NAME"))]
+        name: String,
+        /// `key=value` or `key-`
+        #[bpaf(positional("LABEL"), some("name at least one label"))]
+        labels: Vec<String>,
+    },
+    /// Take an endpoint out of service, or back with --undo
+    #[bpaf(command)]
+    Drain {
+        /// Address of the key-value service
+        #[bpaf(long, argument("IP:PORT"))]
+        platform: SocketAddr,
+        /// Who makes the change
+        #[bpaf(long, argument("NAME"), fallback("operator".to_owned()))]
+        author: String,
+        /// Give it work again
+        #[bpaf(long)]
+        undo: bool,
+        /// The endpoint
+        #[bpaf(positional("ENDPOINT"))]
+        endpoint: String,
+    },
+    /// Show VMs, generations, endpoints and queues
+    #[bpaf(command)]
+    Status {
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+        /// Operators' addresses of VMs
+        #[bpaf(positional("IP:PORT"), some("name at least one VM"))]
+        vms: Vec<SocketAddr>,
+    },
+    /// Reports
+    #[bpaf(command("report"))]
+    ReportBurn {
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+        /// Service-level burn of each client account and objective, summed over the VMs named
+        #[bpaf(external(burn_vms))]
+        vms: Vec<SocketAddr>,
+    },
+    /// Replay a recorded session; exit code 1 if the effects differ
+    #[bpaf(command)]
+    Replay {
+        /// The session file
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
+/// `burn IP:PORT...`
+fn burn_vms() -> impl bpaf::Parser<Vec<SocketAddr>> {
+    use bpaf::Parser;
+    let vms = bpaf::positional::<SocketAddr>("IP:PORT").help("Operators' addresses of VMs");
+    vms.some("name at least one VM")
+        .to_options()
+        .descr("Service-level burn: rates over several windows, and the budget left")
+        .command("burn")
+}
--- /dev/null
+++ b/crates/spanfold/src/status_report.rs
@@ -0,0 +1,66 @@
+//! `spanfold status`.
+
+use crate::client::ask_vms;
+use crate::outcome::{NOT_REACHED, Outcome};
+use serde_json::{Value, json};
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+/// Shows what each VM says of itself.
+pub(crate) async fn status(as_json: bool, vms: &[SocketAddr]) -> Outcome {
+    let answers = ask_vms(vms, "/status").await;
+    let code = if answers.iter().any(|(_, answer)| answer.is_err()) { NOT_REACHED } else { 0 };
+    if as_json {
+        let rows: Vec<Value> = answers
+            .iter()
+            .map(|(vm, answer)| match answer {
+                Ok(status) => json!({ "vm": vm.to_string(), "status": status }),
+                Err(error) => json!({ "vm": vm.to_string(), "error": error.to_string() }),
+            })
+            .collect();
+        return Outcome { text: Value::Array(rows).to_string(), code };
+    }
+    let mut text = String::new();
+    for (vm, answer) in &answers {
+        match answer {
+            Ok(status) => write_status(&mut text, *vm, status),
+            Err(error) => {
+                let _ = writeln!(text, "{vm}: {error}");
+            }
+        }
+    }
+    Outcome { text, code }
+}
+
+fn write_status(text: &mut String, vm: SocketAddr, status: &Value) {
+    let word = |key: &str| status[key].as_str().unwrap_or_default().to_owned();
+    let number = |key: &str| status[key].as_u64().unwrap_or(0);
+    let state = if status["stopping"] == true { " stopping" } else { "" };
+    let _ = writeln!(
+        text,
+        "{} ({vm}) in {}: generation {}, {} open, {} kept pieces, {} bypassed{state}",
+        word("name"),
+        word("data_centre"),
+        number("generation"),
+        number("open_requests"),
+        number("kept_pieces"),
+        number("bypassed"),
+    );
+    let rows = |key: &str| status[key].as_array().cloned().unwrap_or_default();
+    for row in rows("vms") {
+        let live = if row["live"] == true { "live" } else { "not live" };
+        let _ = writeln!(
+            text,
+            "  vm {} {live}, generation {}",
+            row["name"].as_str().unwrap_or(""),
+            row["generation"]
+        );
+    }
+    for row in rows("cells") {
+        let name = row["cell"].as_str().unwrap_or("");
+        let _ = writeln!(text, "  cell {name}: {} waiting, {} running", row["queued"], row["running"]);
+    }
+    for row in rows("endpoints").iter().filter(|row| row["takes_work"] == false) {
+        let _ = writeln!(text, "  endpoint {} takes no work", row["name"].as_str().unwrap_or(""));
+    }
+}
--- /dev/null
+++ b/crates/spanfoldd/src/metrics.rs
@@ -0,0 +1,97 @@
+//! The daemon's metrics, in the Prometheus text form.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// One label: what kind.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct KindLabel {
+    pub kind: String,
+}
+
+impl KindLabel {
+    pub(crate) fn new(kind: &str) -> Self {
+        Self { kind: kind.to_owned() }
+    }
+}
+
+/// All metrics of one daemon.
+#[derive(Debug)]
+pub(crate) struct MetricsBook {
+    registry: Registry,
+    pub answers: Family<KindLabel, Counter>,
+    pub refusals: Family<KindLabel, Counter>,
+    pub prompt_tokens: Family<KindLabel, Counter>,
+    pub recoveries: Family<KindLabel, Counter>,
+    pub claims: Family<KindLabel, Counter>,
+    pub platform_calls: Family<KindLabel, Gauge>,
+    pub first_token_seconds: Histogram,
+    pub events_out: Counter,
+    pub exported_pieces: Counter,
+    pub control_micros: Counter,
+    pub control_events: Counter,
+    pub peer_bytes: Gauge,
+    pub peer_messages: Gauge,
+    pub open_requests: Gauge,
+    pub generation: Gauge,
+}
+
+impl MetricsBook {
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("spanfold");
+        let book = Self {
+            registry: Registry::default(),
+            answers: Family::default(),
+            refusals: Family::default(),
+            prompt_tokens: Family::default(),
+            recoveries: Family::default(),
+            claims: Family::default(),
+            platform_calls: Family::default(),
+            first_token_seconds: Histogram::new(exponential_buckets(0.005, 1.6, 18)),
+            events_out: Counter::default(),
+            exported_pieces: Counter::default(),
+            control_micros: Counter::default(),
+            control_events: Counter::default(),
+            peer_bytes: Gauge::default(),
+            peer_messages: Gauge::default(),
+            open_requests: Gauge::default(),
+            generation: Gauge::default(),
+        };
+        registry.register("answers", "Answers to callers, by HTTP status", book.answers.clone());
+        registry.register("refusals", "Requests refused as not run, by reason", book.refusals.clone());
+        registry.register(
+            "prompt_tokens",
+            "Prompt tokens, by where their state came from",
+            book.prompt_tokens.clone(),
+        );
+        registry.register("recoveries", "Streams recovered, by way", book.recoveries.clone());
+        registry.register("claims", "Claims, by verdict", book.claims.clone());
+        registry.register(
+            "platform_calls",
+            "Calls to the key-value service, by kind",
+            book.platform_calls.clone(),
+        );
+        registry.register("first_token_seconds", "Time to first token", book.first_token_seconds.clone());
+        registry.register("events_out", "Streamed events passed on", book.events_out.clone());
+        registry.register("exported_pieces", "Pieces written to stores", book.exported_pieces.clone());
+        registry.register("control_micros", "Busy time of the control thread", book.control_micros.clone());
+        registry.register("control_events", "Events handled by the kernel", book.control_events.clone());
+        registry.register("peer_bytes", "Bytes of messages sent to other VMs", book.peer_bytes.clone());
+        registry.register("peer_messages", "Messages sent to other VMs", book.peer_messages.clone());
+        registry.register("open_requests", "Requests in flight at this VM", book.open_requests.clone());
+        registry.register("configuration_generation", "Generation in force", book.generation.clone());
+        Self { registry, ..book }
+    }
+
+    /// The text form.
+    pub(crate) fn encode(&self) -> String {
+        let mut text = String::new();
+        // Writing to a string does not fail.
+        let _ = prometheus_client::encoding::text::encode(&mut text, &self.registry);
+        text
+    }
+}
--- /dev/null
+++ b/crates/spanfoldd/src/shared.rs
@@ -0,0 +1,150 @@
+//! What the daemon's tasks share.
+
+use crate::burn::BurnBook;
+use crate::control::ControlActor;
+use crate::desk::RequestDesk;
+use crate::endpoint_client::EndpointClient;
+use crate::metrics::MetricsBook;
+use crate::secret::SecretKeys;
+use kameo::actor::ActorRef;
+use spanfold_declare::{Catalogue, Settings};
+use spanfold_entity::Moment;
+use spanfold_kernel::Event;
+use spanfold_peer::PeerNode;
+use spanfold_platform::{KeyValueClient, ListClient};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, RwLock};
+use std::time::Instant;
+use tokio::sync::watch;
+
+/// State that tasks of one daemon share.
+#[derive(Debug)]
+pub(crate) struct SharedState {
+    pub settings: Settings,
+    pub keys: SecretKeys,
+    pub incarnation: u64,
+    origin: Instant,
+    next_request: AtomicU64,
+    catalogue: RwLock<(u64, Arc<Catalogue>)>,
+    pub vm_addresses: RwLock<HashMap<String, SocketAddr>>,
+    pub desk: RequestDesk,
+    pub burn: BurnBook,
+    pub metrics: MetricsBook,
+    pub endpoints: EndpointClient,
+    pub key_value: KeyValueClient,
+    pub vm_list: ListClient,
+    pub peers: PeerNode,
+    pub traffic: tokio::runtime::Handle,
+    control: OnceLock<ActorRef<ControlActor>>,
+    pub watching: watch::Sender<bool>,
+    pub stopping: AtomicBool,
+    pub open_requests: AtomicU64,
+    pub cursors: Mutex<HashMap<String, u64>>,
+    pub report: RwLock<serde_json::Value>,
+}
+
+/// What a [`SharedState`] is made of.
+pub(crate) struct SharedParts {
+    pub settings: Settings,
+    pub keys: SecretKeys,
+    pub incarnation: u64,
+    pub peers: PeerNode,
+    pub origin: Instant,
+}
+
+impl SharedState {
+    pub(crate) fn new(parts: SharedParts) -> Self {
+        let SharedParts { settings, keys, incarnation, peers, origin } = parts;
+        Self {
+            key_value: KeyValueClient::new(settings.key_value),
+            vm_list: ListClient::new(settings.vm_list),
+            settings,
+            keys,
+            incarnation,
+            origin,
+            // Requests of an earlier process of this name must not be taken for this one's.
+            next_request: AtomicU64::new((incarnation & 0xffff_ffff) << 24),
+            catalogue: RwLock::default(),
+            vm_addresses: RwLock::default(),
+            desk: RequestDesk::default(),
+            burn: BurnBook::default(),
+            metrics: MetricsBook::new(),
+            endpoints: EndpointClient::new(),
+            peers,
+            traffic: tokio::runtime::Handle::current(),
+            control: OnceLock::new(),
+            watching: watch::channel(false).0,
+            stopping: AtomicBool::new(false),
+            open_requests: AtomicU64::new(0),
+            cursors: Mutex::default(),
+            report: RwLock::default(),
+        }
+    }
+
+    /// The time, in this process's count.
+    pub(crate) fn now(&self) -> Moment {
+        Moment(self.origin.elapsed().as_micros() as u64)
+    }
+
+    /// How long it is until `moment`.
+    pub(crate) fn until(&self, moment: Moment) -> std::time::Duration {
+        std::time::Duration::from_micros(moment.micros_since(self.now()))
+    }
+
+    pub(crate) fn request_number(&self) -> u64 {
+        self.next_request.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// The configuration in force and its generation.
+    pub(crate) fn catalogue(&self) -> (u64, Arc<Catalogue>) {
+        let held = self.catalogue.read().unwrap_or_else(PoisonError::into_inner);
+        (held.0, Arc::clone(&held.1))
+    }
+
+    pub(crate) fn set_catalogue(&self, generation: u64, catalogue: Arc<Catalogue>) {
+        let mut held = self.catalogue.write().unwrap_or_else(PoisonError::into_inner);
+        if generation > held.0 {
+            *held = (generation, catalogue);
+        }
+    }
+
+    pub(crate) fn set_control(&self, control: ActorRef<ControlActor>) {
+        let _ = self.control.set(control);
+    }
+
+    /// Gives an event to the control thread; false if it is overloaded or gone.
+    pub(crate) fn raise(&self, event: Event) -> bool {
+        let Some(control) = self.control.get() else { return false };
+        control.tell(event).try_send().is_ok()
+    }
+
+    /// Gives an event that must not be lost to the control thread.
+    pub(crate) async fn raise_surely(&self, event: Event) {
+        if let Some(control) = self.control.get() {
+            let _ = control.tell(event).send().await;
+        }
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+}
+
+/// Counts one request as in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct FlightGuard(Arc<SharedState>);
+
+impl FlightGuard {
+    pub(crate) fn new(shared: &Arc<SharedState>) -> Self {
+        shared.open_requests.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/spanfoldd/tests/support/mod.rs
@@ -0,0 +1,59 @@
+//! What the tests of whole processes share.
+#![allow(dead_code, unreachable_pub, reason = "each test binary uses a part of it")]
+
+use spanfold_standin::{Deployment, DeploymentPlan, EnginePlan, EngineRates, PIECE_BYTES};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// The daemon's binary.
+pub fn binary() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_spanfoldd"))
+}
+
+/// The cache salt of an account of a test deployment.
+pub fn salt(account: &str) -> String {
+    spanfoldd::cache_salt(Deployment::SECRET, account)
+}
+
+/// A prompt of a number of whole pieces and a little more, unlike that of another subject.
+pub fn long_prompt(pieces: usize, subject: &str) -> String {
+    let mut text = String::new();
+    for line in 0.. {
+        if text.len() >= pieces * PIECE_BYTES + 40 {
+            break;
+        }
+        text.push_str(&format!("{subject}, rule {line}: an applicant brings form {}.\n", line * 7 % 97));
+    }
+    text
+}
+
+/// Two data centres with two VMs and two engines each.
+pub fn two_centres(binary: PathBuf) -> DeploymentPlan {
+    let vms = [("vm-a1", "dc-a"), ("vm-a2", "dc-a"), ("vm-b1", "dc-b"), ("vm-b2", "dc-b")];
+    let engines =
+        [("engine-a1", "dc-a"), ("engine-a2", "dc-a"), ("engine-b1", "dc-b"), ("engine-b2", "dc-b")];
+    DeploymentPlan {
+        vms: vms.map(|(name, centre)| (name.to_owned(), centre.to_owned())).to_vec(),
+        engines: engines
+            .map(|(name, centre)| EnginePlan {
+                name: name.to_owned(),
+                data_centre: centre.to_owned(),
+                rates: EngineRates::default(),
+            })
+            .to_vec(),
+        services: vec![("desk-a1".to_owned(), "dc-a".to_owned()), ("desk-b1".to_owned(), "dc-b".to_owned())],
+        binary: Some(binary),
+        ..DeploymentPlan::default()
+    }
+}
+
+/// Waits until `holds`, for as long as a slow machine may need.
+pub async fn eventually<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
+    for _ in 0..600 {
+        if holds().await {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("not within 30 s: {what}");
+}
