Prove the promises by process tests; probe a silent engine before giving up on it

Cause: a crowd of long prompts was refused to the last one. The entry VM gave an engine half of the time left, at least 3 s, for its first token; a prefill of 4 s looked like a dead engine, was cancelled and begun elsewhere, so every engine worked and none answered.

Ruled out: the home's refusals (it had admitted the first two), slots (8 each, 2 used).

Change: a silent engine is probed each time it has been silent for stall_ms, and given up on when the probe fails or the deadline passes. The home refuses what waits as soon as even the best case is late, looking the pieces up only where computing them all would be too late.

--- a/crates/policy/src/cell.rs
+++ b/crates/policy/src/cell.rs
@@ -274,7 +274,7 @@
     fn cull(&mut self, context: &mut Context<'_>) {
         let now = context.now;
         for cell in self.cells.values_mut() {
-            let hopeless = cell.queue.remove_if(|waiting| now >= waiting.deadline);
+            let hopeless = cell.take_hopeless(context.world, now, &self.kept);
             for waiting in hopeless {
                 let name = context.world.vm_names.name(waiting.key.0).to_owned();
                 refuse_ask(context, &name, &waiting.ask, RefusalKind::Deadline, RETRY_LEAST_MILLIS);
--- a/crates/policy/src/cell_state.rs
+++ b/crates/policy/src/cell_state.rs
@@ -407,6 +407,33 @@
         }
     }
 
+    /// Takes out of the queue what can no longer meet its deadline, were it granted at once.
+    pub(crate) fn take_hopeless(
+        &mut self,
+        world: &World,
+        now: Moment,
+        kept: &BTreeMap<String, KeptIndex>,
+    ) -> Vec<WaitingRequest> {
+        let usable = self.loads.iter().filter(|load| world.endpoints[load.index].takes_work(now));
+        let fastest = usable.map(|load| load.token.micros).fold(f64::MAX, f64::min);
+        let kept = kept.get(&self.pool);
+        let loads = &self.loads;
+        self.queue.remove_if(|waiting| {
+            let whole = fastest * f64::from(waiting.ask.prompt_tokens);
+            // Looking up the pieces is dear: it is done only where computing them all is too late.
+            if fastest == f64::MAX || now.after_micros(whole as u64) <= waiting.deadline {
+                return now >= waiting.deadline;
+            }
+            let there = |key: &&u64| {
+                kept.is_some_and(|kept| kept.holds(**key))
+                    || loads.iter().any(|load| load.held.contains(*key))
+            };
+            let run = waiting.ask.keys.iter().take_while(there).count() as u32;
+            let missing = waiting.ask.prompt_tokens.saturating_sub(run * PIECE_TOKENS);
+            now.after_micros((fastest * f64::from(missing)) as u64) > waiting.deadline
+        })
+    }
+
     /// When a new request of `account` should have its first token, by what waits before it.
     pub(crate) fn expected_start(
         &self,
--- a/crates/spanfoldd/src/caller/completion.rs
+++ b/crates/spanfoldd/src/caller/completion.rs
@@ -25,6 +25,8 @@
 
 /// Endpoints that one request is tried at.
 const ATTEMPTS: usize = 3;
+/// An engine that does not answer a probe for this long has failed.
+const LIFE_SIGN: Duration = Duration::from_secs(1);
 /// Events that wait for a slow caller.
 const EVENT_LINE: usize = 64;
 
@@ -158,11 +160,7 @@
         .header("content-type", "application/json")
         .body(Full::new(Bytes::from(body.to_string())))
         .map_err(|error| CallError::NotSent(error.to_string()))?;
-    // Half of what is left, so that another endpoint still has a chance.
-    let left = shared.until(call.deadline);
-    let stall = Duration::from_millis(shared.settings.stall_millis);
-    let patience = (left / 2).max(stall).min(left.max(Duration::from_millis(1)));
-    let Ok(answer) = tokio::time::timeout(patience, shared.endpoints.send(request)).await else {
+    let Some(answer) = first_answer(shared, call, &address, request).await else {
         cancel(shared, place).await;
         return Err(CallError::Unknown("no first token in time".to_owned()));
     };
@@ -177,6 +175,32 @@
     Ok(StartedRun { place: place.clone(), reader: FrameReader::new(response.into_body()), usage })
 }
 
+/// Waits for the first token until the deadline, as long as the engine shows signs of life.
+///
+/// A long prompt keeps a healthy engine silent for seconds, and a frozen one looks the same: so
+/// each time it has been silent for a while it is probed, and given up on if the probe fails.
+async fn first_answer(
+    shared: &SharedState,
+    call: &CompletionCall,
+    address: &str,
+    request: Request<Full<Bytes>>,
+) -> Option<Result<Response<Incoming>, CallError>> {
+    let stall = Duration::from_millis(shared.settings.stall_millis);
+    let answer = shared.endpoints.send(request);
+    tokio::pin!(answer);
+    loop {
+        let left = shared.until(call.deadline);
+        if left.is_zero() {
+            return None;
+        }
+        if let Ok(answer) = tokio::time::timeout(stall.min(left), &mut answer).await {
+            return Some(answer);
+        }
+        let probe = Request::get(format!("http://{address}/healthz")).body(Full::default()).ok()?;
+        shared.endpoints.read(probe, LIFE_SIGN).await.ok()?;
+    }
+}
+
 /// The caller's body with what the engine needs beyond it.
 fn engine_body(
     shared: &SharedState,
--- /dev/null
+++ b/crates/spanfoldd/tests/promises/configuration.rs
@@ -0,0 +1,125 @@
+//! An accepted configuration comes into force everywhere and never reverts.
+
+use crate::support::{binary, eventually, two_centres};
+use spanfold_platform::{AcceptError, ConfigurationHead, KeyValueClient};
+use spanfold_standin::Deployment;
+
+async fn generation(deployment: &Deployment, vm: &str) -> u64 {
+    deployment.status(vm).await["generation"].as_u64().unwrap_or(0)
+}
+
+async fn in_force(deployment: &Deployment, vms: &[&str], wanted: u64) {
+    for vm in vms {
+        eventually(vm, || async { generation(deployment, vm).await >= wanted }).await;
+    }
+}
+
+const ALL: [&str; 4] = ["vm-a1", "vm-a2", "vm-b1", "vm-b2"];
+
+fn with_account(deployment: &Deployment, name: &str) -> String {
+    format!("{}[client-account {name}]\nlabels = tier=new\n", deployment.declarations())
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_change_comes_into_force_at_every_vm() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    let wanted = deployment.apply(&with_account(&deployment, "fresh")).await.unwrap();
+    in_force(&deployment, &ALL, wanted).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn of_racing_operators_one_wins_and_the_others_hear_of_it() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    let texts: Vec<String> = (0..6).map(|n| with_account(&deployment, &format!("racer-{n}"))).collect();
+    let client = KeyValueClient::new(deployment.platform.key_value());
+    let (head, _) = ConfigurationHead::read(&client).await.unwrap();
+    let mut tasks = tokio::task::JoinSet::new();
+    for (number, text) in texts.into_iter().enumerate() {
+        let (client, expected) = (client.clone(), head.generation);
+        tasks.spawn(async move {
+            let document = spanfold_declare::Document::parse("race", &text).unwrap();
+            let bundle = spanfold_declare::Bundle::cut(&document);
+            let (author, nonce) = (format!("operator-{number}"), number.to_string());
+            spanfold_platform::accept_bundle(
+                &client,
+                expected,
+                &bundle.digests,
+                &bundle.chunks,
+                &author,
+                &nonce,
+            )
+            .await
+        });
+    }
+    let results = tasks.join_all().await;
+    let won: Vec<_> = results.iter().flatten().collect();
+    assert_eq!(won.len(), 1);
+    for result in &results {
+        if let Err(AcceptError::Lost { head, .. }) = result {
+            assert_eq!(head.author, won[0].author, "the loser is told who won");
+        }
+    }
+    in_force(&deployment, &ALL, won[0].generation).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_whose_reply_is_lost_is_known_as_ones_own() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    let text = with_account(&deployment, "fresh");
+    let before = generation(&deployment, "vm-a1").await;
+    for lost in 1..6 {
+        deployment.platform.faults().lose_replies(lost);
+        if let Ok(accepted) = deployment.apply(&text).await {
+            in_force(&deployment, &ALL, accepted).await;
+        }
+        deployment.platform.faults().lose_replies(0);
+    }
+    assert!(deployment.apply(&text).await.unwrap() > before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_platform_rolled_back_does_not_revert_anything() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    let old = deployment.platform.snapshot();
+    let wanted = deployment.apply(&with_account(&deployment, "fresh")).await.unwrap();
+    in_force(&deployment, &ALL, wanted).await;
+    deployment.platform.roll_back(old);
+    let client = KeyValueClient::new(deployment.platform.key_value());
+    eventually("the head is written back", || async {
+        ConfigurationHead::read(&client).await.is_ok_and(|(head, _)| head.generation == wanted)
+    })
+    .await;
+    for vm in ALL {
+        assert_eq!(generation(&deployment, vm).await, wanted, "{vm}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_vm_that_starts_while_the_platform_is_out_learns_from_its_peers() {
+    let mut deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    let wanted = deployment.apply(&with_account(&deployment, "fresh")).await.unwrap();
+    in_force(&deployment, &ALL, wanted).await;
+    deployment.platform.faults().cut(true);
+    deployment.start_vm("vm-a3", "dc-a").await.unwrap();
+    in_force(&deployment, &["vm-a3"], wanted).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn twenty_four_thousand_accounts_fit() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    let mut text = deployment.declarations();
+    for number in 0..24_000 {
+        text.push_str(&format!(
+            "[client-account tenant-{number}]\nkey_digests = {}\nlabels = tier=mass, number=n{number}\nrate = 5\n",
+            spanfold_declare::key_digest(&number.to_string())
+        ));
+    }
+    let wanted = deployment.apply(&text).await.unwrap();
+    in_force(&deployment, &ALL, wanted).await;
+    let largest = deployment.platform.snapshot().values().map(|(value, _)| value.len()).max().unwrap();
+    assert!(largest < 1_000_000, "{largest}");
+    // One more account changes one chunk and the head.
+    let writes = deployment.platform.call_counts().0;
+    deployment.apply(&format!("{text}[client-account one-more]\nlabels = tier=mass\n")).await.unwrap();
+    assert_eq!(deployment.platform.call_counts().0 - writes, 2);
+}
--- /dev/null
+++ b/crates/spanfoldd/tests/promises/leaving.rs
@@ -0,0 +1,116 @@
+//! Leaving endpoints get no new work; planned stops cut off nothing.
+
+use crate::support::{binary, eventually, salt, two_centres};
+use spanfold_platform::PlatformVm;
+use spanfold_standin::{Caller, Deployment, EngineRates, expected_answer};
+use std::time::Duration;
+
+async fn takes_work(deployment: &Deployment, endpoint: &str) -> bool {
+    // The home of the endpoint's cell is the VM that gives it work.
+    for vm in ["vm-a1", "vm-a2"] {
+        let status = deployment.status(vm).await;
+        let empty = Vec::new();
+        let homes = status["cells"].as_array().unwrap_or(&empty);
+        if homes
+            .iter()
+            .any(|row| row["cell"].as_str().is_some_and(|cell| cell.starts_with("assistants/dc-a")))
+        {
+            let rows = status["endpoints"].as_array().unwrap_or(&empty);
+            return rows.iter().any(|row| row["name"] == endpoint && row["takes_work"] == true);
+        }
+    }
+    true
+}
+
+/// No new work goes to engine-a1 once it is known to leave, though calls go on.
+async fn gets_no_more_work(deployment: &Deployment) {
+    eventually("the sign is seen", || async { !takes_work(deployment, "engine-a1").await }).await;
+    let before = deployment.engines["engine-a1"].started().len();
+    for number in 0..12 {
+        let prompt = format!("after the sign {number}");
+        let to = deployment.callers(if number % 2 == 0 { "vm-a1" } else { "vm-a2" });
+        let answer = Caller::new("key-small").complete(to, "visa-7b", &prompt, 2, &[]).await.unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text);
+    }
+    assert_eq!(deployment.engines["engine-a1"].started().len(), before);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn its_own_readiness_alone_is_enough() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    deployment.engines["engine-a1"].faults().say_leaving(true);
+    gets_no_more_work(&deployment).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_vm_list_alone_is_enough() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    deployment.platform.change_vms(|vms| {
+        vms.push(PlatformVm {
+            name: "engine-a1".to_owned(),
+            role: "endpoint".to_owned(),
+            address: String::new(),
+            data_centre: "dc-a".to_owned(),
+            state: "leaving".to_owned(),
+        });
+    });
+    gets_no_more_work(&deployment).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn refused_connections_alone_are_enough() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    deployment.engines["engine-a1"].kill();
+    gets_no_more_work(&deployment).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_operators_word_alone_is_enough() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    let text = deployment.declarations();
+    let place = text.find("[endpoint engine-a1]\n").unwrap() + "[endpoint engine-a1]\n".len();
+    let text = format!("{}draining = yes\n{}", &text[..place], &text[place..]);
+    deployment.apply(&text).await.unwrap();
+    gets_no_more_work(&deployment).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_returning_endpoint_gets_work_again() {
+    let deployment = Deployment::start(two_centres(binary())).await.unwrap();
+    deployment.engines["engine-a1"].faults().say_leaving(true);
+    gets_no_more_work(&deployment).await;
+    deployment.engines["engine-a1"].faults().say_leaving(false);
+    eventually("it is back", || async { takes_work(&deployment, "engine-a1").await }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_replacement_of_all_vms_cuts_off_no_request() {
+    let mut plan = two_centres(binary());
+    for engine in &mut plan.engines {
+        engine.rates = EngineRates { decode_micros: 10_000, ..EngineRates::default() };
+    }
+    let mut deployment = Deployment::start(plan).await.unwrap();
+    let old = ["vm-a1", "vm-a2", "vm-b1", "vm-b2"];
+    for (number, name) in old.iter().enumerate() {
+        let centre = if name.contains("-a") { "dc-a" } else { "dc-b" };
+        let fresh = format!("vm-n{number}");
+        deployment.start_vm(&fresh, centre).await.unwrap();
+        deployment.wait_ready().await.unwrap();
+        let to = deployment.callers(name);
+        let mut calls = tokio::task::JoinSet::new();
+        for call in 0..10 {
+            calls.spawn(async move {
+                let prompt = format!("call {call} during stop {number}");
+                let answer = Caller::new("key-small").complete(to, "visa-7b", &prompt, 100, &[]).await;
+                (prompt, answer)
+            });
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        deployment.stop_vm(name).await;
+        for (prompt, answer) in calls.join_all().await {
+            let answer = answer.unwrap_or_else(|error| panic!("{prompt} at {name}: {error:?}"));
+            assert_eq!(answer.status, 200, "{prompt}: {}", answer.text);
+            assert_eq!(answer.text, expected_answer(&salt("small"), "1", &prompt, 100), "{prompt}");
+        }
+    }
+}
--- a/crates/spanfoldd/tests/support/mod.rs
+++ b/crates/spanfoldd/tests/promises/support.rs
@@ -1,22 +1,20 @@
 //! What the tests of whole processes share.
-#![allow(dead_code, unreachable_pub, reason = "each test binary uses a part of it")]
-
 use spanfold_standin::{Deployment, DeploymentPlan, EnginePlan, EngineRates, PIECE_BYTES};
 use std::path::PathBuf;
 use std::time::Duration;
 
 /// The daemon's binary.
-pub fn binary() -> PathBuf {
+pub(crate) fn binary() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_spanfoldd"))
 }
 
 /// The cache salt of an account of a test deployment.
-pub fn salt(account: &str) -> String {
+pub(crate) fn salt(account: &str) -> String {
     spanfoldd::cache_salt(Deployment::SECRET, account)
 }
 
 /// A prompt of a number of whole pieces and a little more, unlike that of another subject.
-pub fn long_prompt(pieces: usize, subject: &str) -> String {
+pub(crate) fn long_prompt(pieces: usize, subject: &str) -> String {
     let mut text = String::new();
     for line in 0.. {
         if text.len() >= pieces * PIECE_BYTES + 40 {
@@ -28,7 +26,7 @@
 }
 
 /// Two data centres with two VMs and two engines each.
-pub fn two_centres(binary: PathBuf) -> DeploymentPlan {
+pub(crate) fn two_centres(binary: PathBuf) -> DeploymentPlan {
     let vms = [("vm-a1", "dc-a"), ("vm-a2", "dc-a"), ("vm-b1", "dc-b"), ("vm-b2", "dc-b")];
     let engines =
         [("engine-a1", "dc-a"), ("engine-a2", "dc-a"), ("engine-b1", "dc-b"), ("engine-b2", "dc-b")];
@@ -48,7 +46,7 @@
 }
 
 /// Waits until `holds`, for as long as a slow machine may need.
-pub async fn eventually<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
+pub(crate) async fn eventually<F: Future<Output = bool>>(what: &str, holds: impl Fn() -> F) {
     for _ in 0..600 {
         if holds().await {
             return;
--- /dev/null
+++ b/crates/spanfoldd/tests/promises/whole_answer.rs
@@ -0,0 +1,150 @@
+//! Every caller receives the whole answer to its own request, or is told that it is incomplete.
+
+use crate::support::{binary, salt, two_centres};
+use spanfold_standin::{Caller, CallerError, Deployment, DeploymentPlan, EngineRates, expected_answer};
+use std::time::Duration;
+
+const TOKENS: u32 = 40;
+
+fn body(prompt: &str) -> String {
+    serde_json::json!({ "model": "visa-7b", "prompt": prompt, "max_tokens": TOKENS, "stream": true })
+        .to_string()
+}
+
+fn slow_plan() -> DeploymentPlan {
+    let mut plan = two_centres(binary());
+    for engine in &mut plan.engines {
+        engine.rates = EngineRates { decode_micros: 20_000, ..EngineRates::default() };
+    }
+    plan
+}
+
+fn owner(deployment: &Deployment) -> String {
+    let busy = deployment.engines.iter().find(|(_, engine)| !engine.started().is_empty());
+    busy.map(|(name, _)| name.clone()).expect("one engine works on it")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_broken_stream_is_resumed_unseen() {
+    let deployment = Deployment::start(slow_plan()).await.unwrap();
+    for engine in deployment.engines.values() {
+        engine.faults().break_streams(2);
+    }
+    let caller = Caller::new("key-small");
+    let answer = caller.complete(deployment.callers("vm-a1"), "visa-7b", "hello", TOKENS, &[]).await.unwrap();
+    assert_eq!(answer.text, expected_answer(&salt("small"), "1", "hello", TOKENS));
+    assert_eq!(answer.events, TOKENS);
+    let started: usize = deployment.engines.values().map(|engine| engine.started().len()).sum();
+    assert_eq!(started, 1, "resumed, not run again");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_dies_mid_answer_is_replaced_unseen() {
+    let deployment = Deployment::start(slow_plan()).await.unwrap();
+    let to = deployment.callers("vm-a1");
+    let call =
+        tokio::spawn(
+            async move { Caller::new("key-small").complete(to, "visa-7b", "hello", TOKENS, &[]).await },
+        );
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    deployment.engines[&owner(&deployment)].kill();
+    let answer = call.await.unwrap().unwrap();
+    assert_eq!(answer.text, expected_answer(&salt("small"), "1", "hello", TOKENS));
+    assert_eq!(answer.events, TOKENS, "each event once");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn with_every_engine_dead_the_answer_is_said_to_be_incomplete() {
+    let deployment = Deployment::start(slow_plan()).await.unwrap();
+    let to = deployment.callers("vm-a1");
+    let call =
+        tokio::spawn(
+            async move { Caller::new("key-small").complete(to, "visa-7b", "hello", TOKENS, &[]).await },
+        );
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for engine in deployment.engines.values() {
+        engine.kill();
+    }
+    match call.await.unwrap() {
+        Err(CallerError::Incomplete(answer)) => {
+            let error: serde_json::Value = serde_json::from_str(&answer.text).unwrap();
+            assert_eq!(
+                (&error["error"]["code"], &error["error"]["ran"]),
+                (&"incomplete".into(), &"yes".into())
+            );
+        }
+        other => panic!("{other:?}"),
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_resumes_at_another_vm() {
+    let deployment = Deployment::start(slow_plan()).await.unwrap();
+    let caller = Caller::new("key-small");
+    let expected = expected_answer(&salt("small"), "1", "hello", TOKENS);
+    let first = caller.stream(deployment.callers("vm-a1"), &[], body("hello"), Some(7)).await.unwrap();
+    for vm in ["vm-a2", "vm-b1"] {
+        let headers = [("last-event-id", first.last_id.as_str())];
+        let rest = caller.stream(deployment.callers(vm), &headers, body("hello"), None).await.unwrap();
+        assert_eq!(format!("{}{}", first.text, rest.text), expected, "at {vm}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_resumes_after_its_vm_was_killed() {
+    let mut deployment = Deployment::start(slow_plan()).await.unwrap();
+    let caller = Caller::new("key-small");
+    let first = caller.stream(deployment.callers("vm-a1"), &[], body("hello"), Some(7)).await.unwrap();
+    deployment.kill_vm("vm-a1");
+    let headers = [("last-event-id", first.last_id.as_str())];
+    let rest = caller.stream(deployment.callers("vm-a2"), &headers, body("hello"), None).await.unwrap();
+    assert_eq!(format!("{}{}", first.text, rest.text), expected_answer(&salt("small"), "1", "hello", TOKENS));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_token_of_another_account_or_forged_opens_nothing() {
+    let deployment = Deployment::start(slow_plan()).await.unwrap();
+    let to = deployment.callers("vm-a1");
+    let first = Caller::new("key-small").stream(to, &[], body("hello"), Some(3)).await.unwrap();
+    let (token, _) = first.last_id.rsplit_once('.').unwrap();
+    let flip = |text: &str| {
+        let last = if text.ends_with('A') { 'B' } else { 'A' };
+        format!("{}{last}", &text[..text.len() - 1])
+    };
+    let forged = [flip(token) + ".3", "x.y.3".to_owned(), "3".to_owned(), String::new()];
+    for (key, id) in
+        forged.iter().map(|id| ("key-small", id.as_str())).chain([("key-large", first.last_id.as_str())])
+    {
+        let answer =
+            Caller::new(key).stream(to, &[("last-event-id", id)], body("hello"), None).await.unwrap();
+        assert_eq!((answer.status, answer.ran()), (403, "no"), "{id}: {}", answer.text);
+        assert!(!answer.text.contains("small"), "{}", answer.text);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_entry_vm_that_dies_as_a_home_costs_no_request() {
+    let mut deployment = Deployment::start(slow_plan()).await.unwrap();
+    let status = deployment.status("vm-a2").await;
+    let is_home = |status: &serde_json::Value| !status["cells"].as_array().unwrap().is_empty();
+    // Calls enter at the VM that is not the home of the assistants' cell.
+    let (home, entry) = if is_home(&status) { ("vm-a2", "vm-a1") } else { ("vm-a1", "vm-a2") };
+    let to = deployment.callers(entry);
+    let mut calls = tokio::task::JoinSet::new();
+    for number in 0..30_u64 {
+        calls.spawn(async move {
+            tokio::time::sleep(Duration::from_millis(number * 100)).await;
+            let prompt = format!("question {number}");
+            let answer = Caller::new("key-small").complete(to, "visa-7b", &prompt, 4, &[]).await.unwrap();
+            (
+                answer.status == 200 && answer.text == expected_answer(&salt("small"), "1", &prompt, 4),
+                answer.text,
+            )
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    deployment.kill_vm(home);
+    for (good, text) in calls.join_all().await {
+        assert!(good, "{text}");
+    }
+}
--- a/crates/spanfoldd/tests/whole_path.rs
+++ b/crates/spanfoldd/tests/promises/whole_path.rs
@@ -1,9 +1,7 @@
 //! The whole path through real processes: callers, daemons of two data centres, engines, a store.
 
-mod support;
-
+use crate::support::{binary, eventually, long_prompt, salt, two_centres};
 use spanfold_standin::{Caller, Deployment, DeploymentPlan, EnginePlan, EngineRates, expected_answer};
-use support::{binary, long_prompt, salt, two_centres};
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_prompt_is_answered_through_every_vm() {
@@ -48,17 +46,17 @@
     let prompt = long_prompt(6, "manual");
     let first = caller.complete(to, "visa-7b", &prompt, 4, &[]).await.unwrap();
     assert!(first.usage("computed") > 6_000, "{:?}", first.headers);
-    support::eventually("exported", || async { deployment.stores["store-a"].block_count() >= 6 }).await;
+    eventually("exported", || async { deployment.stores["store-a"].block_count() >= 6 }).await;
     // Other work pushes it out of the engine's memory.
     for number in 0..3 {
         caller.complete(to, "visa-7b", &long_prompt(4, &format!("other {number}")), 1, &[]).await.unwrap();
     }
-    support::eventually("indexed", || async {
+    eventually("indexed", || async {
         deployment.status("vm-a1").await["kept_pieces"].as_u64().unwrap_or(0) >= 6
     })
     .await;
     deployment.engines["engine-a1"].forget(false);
-    support::eventually("the eviction is known", || async {
+    eventually("the eviction is known", || async {
         deployment.status("vm-a1").await["held_pieces"].as_u64() == Some(0)
     })
     .await;
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -78,7 +78,9 @@
         return reply(if state.faults.is_leaving() { 503 } else { 200 }, "");
     }
     if state.faults.is_leaving() {
-        return reply(503, "leaving\n");
+        let mut refusal = reply(503, "leaving\n");
+        refusal.headers_mut().insert("spanfold-ran", hyper::header::HeaderValue::from_static("no"));
+        return refusal;
     }
     let (method, path) = (request.method().clone(), request.uri().path().to_owned());
     let Some(body) = read_body(request).await else { return reply(400, "broken body\n") };
