--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -77,6 +77,7 @@
 /// A write on its way.
 #[derive(Clone, Debug)]
 struct PendingWrite {
+    sequence: u64,
     text: String,
     records: Vec<(ClaimRecord, Waiter)>,
     repeat_at: Moment,
@@ -312,7 +313,7 @@
         if let Some(writing) = &mut shard.writing {
             if context.now >= writing.repeat_at {
                 writing.repeat_at = context.now.after_millis(REPEAT_MILLIS);
-                let (sequence, text) = (shard.next, writing.text.clone());
+                let (sequence, text) = (writing.sequence, writing.text.clone());
                 context.emit(Effect::CreateLog { shard: number, sequence, text });
             }
         } else if context.now >= shard.flush_at {
@@ -322,25 +323,20 @@
 
     fn created(&mut self, context: &mut Context<'_>, number: u32, sequence: u64, answer: &CreateReply) {
         let Some(shard) = self.shards.get_mut(&number) else { return };
-        if sequence != shard.next {
-            return;
-        }
-        let Some(writing) = shard.writing.take() else { return };
+        let Some(writing) = shard.writing.take_if(|writing| writing.sequence == sequence) else { return };
         match answer {
             CreateReply::Unknown => {
                 // Its place decides: the same text is created again until the platform answers.
                 shard.writing = Some(writing);
             }
-            CreateReply::Created => self.written(context, number, writing),
+            CreateReply::Created => written(context, shard, writing),
             // One's own write whose reply was lost; the nonces in it make it unlike any other.
-            CreateReply::Exists(text) if *text == writing.text => self.written(context, number, writing),
+            CreateReply::Exists(text) if *text == writing.text => written(context, shard, writing),
             CreateReply::Exists(text) => {
                 context.log("claims.conflict", format!("shard {number} entry {sequence}"));
                 apply_text(shard, text);
-                shard.next += 1;
-                let own = std::mem::take(&mut shard.gathered);
-                shard.gathered = writing.records;
-                shard.gathered.extend(own);
+                shard.next = sequence + 1;
+                take_back(shard, writing);
                 // There may be more entries of the other VM: read them before answering.
                 shard.loaded = false;
                 read_log(context, number, shard);
@@ -348,32 +344,14 @@
         }
     }
 
-    fn written(&mut self, context: &mut Context<'_>, number: u32, writing: PendingWrite) {
-        let Some(shard) = self.shards.get_mut(&number) else { return };
-        shard.next += 1;
-        for (record, waiter) in writing.records {
-            apply_record(shard, &record);
-            match waiter {
-                Waiter::Claim { from, ticket } => {
-                    reply(context, &from, ticket.request, ClaimVerdict::Claimed);
-                }
-                Waiter::Settle { from, nonce } => context.send(&from, Message::Settled { nonce }),
-            }
-        }
-        plan_flush(context, shard);
-    }
-
     fn log_read(&mut self, context: &mut Context<'_>, number: u32, known: bool, entries: &[LogEntry]) {
         let Some(shard) = self.shards.get_mut(&number) else { return };
         if !known {
             shard.read_again_at = context.now.after_millis(REPEAT_MILLIS / 4);
             return;
         }
-        for entry in entries {
-            if entry.sequence == shard.next {
-                apply_text(shard, &entry.text);
-                shard.next += 1;
-            }
+        for entry in entries.iter().filter(|entry| entry.sequence >= shard.next).collect::<Vec<_>>() {
+            read_entry(context, shard, entry);
         }
         shard.loaded = true;
         shard.fresh_until = context.now.after_millis(FRESH_MILLIS);
@@ -500,8 +478,47 @@
     let lines: Vec<&ClaimRecord> = records.iter().map(|(record, _)| record).collect();
     let Ok(text) = serde_json::to_string(&lines) else { return };
     let repeat_at = context.now.after_millis(REPEAT_MILLIS);
-    shard.writing = Some(PendingWrite { text: text.clone(), records, repeat_at });
-    context.emit(Effect::CreateLog { shard: number, sequence: shard.next, text });
+    let sequence = shard.next;
+    shard.writing = Some(PendingWrite { sequence, text: text.clone(), records, repeat_at });
+    context.emit(Effect::CreateLog { shard: number, sequence, text });
+}
+
+/// Takes in the entry that stands next in the log; it may be the one that is being written.
+fn read_entry(context: &mut Context<'_>, shard: &mut ShardState, entry: &LogEntry) {
+    match shard.writing.take_if(|writing| writing.sequence == entry.sequence) {
+        Some(writing) if writing.text == entry.text => written(context, shard, writing),
+        other => {
+            apply_text(shard, &entry.text);
+            shard.next = entry.sequence + 1;
+            if let Some(writing) = other {
+                take_back(shard, writing);
+            }
+        }
+    }
+}
+
+/// Applies an entry of one's own and answers those who wait for it.
+///
+/// The table decides, not the fact of having written: of two claims the earlier one stands.
+fn written(context: &mut Context<'_>, shard: &mut ShardState, writing: PendingWrite) {
+    shard.next = writing.sequence + 1;
+    for (record, waiter) in writing.records {
+        apply_record(shard, &record);
+        match waiter {
+            Waiter::Claim { from, ticket } => {
+                let verdict = known_verdict(shard, &ticket).unwrap_or(ClaimVerdict::Pending);
+                reply(context, &from, ticket.request, verdict);
+            }
+            Waiter::Settle { from, nonce } => context.send(&from, Message::Settled { nonce }),
+        }
+    }
+    plan_flush(context, shard);
+}
+
+/// Puts the records of a write that lost its place back in front of what was gathered since.
+fn take_back(shard: &mut ShardState, writing: PendingWrite) {
+    let since = std::mem::replace(&mut shard.gathered, writing.records);
+    shard.gathered.extend(since);
 }
 
 fn apply_text(shard: &mut ShardState, text: &str) {
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -98,3 +98,23 @@
     ];
     run(faults).unwrap();
 }
+
+/// Found by a longer run: a home read its log anew while a write was on its way, and then wrote
+/// the same claim one place further, behind another VM's claim on the key, and took it for its own.
+#[test]
+fn a_claim_written_behind_another_does_not_count() {
+    let attempt = |vm, key| Fault::Attempt { vm, key, body: 0 };
+    let faults = vec![
+        (0, Fault::LoseReplies { count: 1 }),
+        (1_458, attempt(1, 2)),
+        (2_600, Fault::LoseReplies { count: 1 }),
+        (4_510, attempt(2, 0)),
+        (5_300, Fault::LoseReplies { count: 3 }),
+        (5_550, Fault::PlatformOut { millis: 1_751 }),
+        (8_122, Fault::Cut { from: 3, to: 1, millis: 4_229 }),
+        (8_600, Fault::LoseReplies { count: 3 }),
+        (10_651, attempt(1, 0)),
+        (11_351, attempt(1, 2)),
+    ];
+    run(faults).unwrap();
+}
