Expect the start of a request by all waiting work, not its share alone

A small account with three prompts waiting was expected to be late by its share alone, though the work of all accounts together would end far sooner; and baselines, too, followed the region, which left their data centres unevenly loaded.

Change: no account is expected to wait longer than its share makes it, nor longer than all work that waits; what a prompt lacks is counted once, when it comes. Only variants with affinity gather prompts in a region. The stand-in engine looks its memory up again when its turn comes. Old outputs of a session are not parsed when it is replayed.

--- a/crates/declare/src/declaration.rs
+++ b/crates/declare/src/declaration.rs
@@ -74,6 +74,15 @@
     pub draining: bool,
 }
 
+/// A data centre; those of one region are near enough to share prompts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct DataCentre {
+    /// The data centre's name.
+    pub name: String,
+    /// Its region.
+    pub region: String,
+}
+
 /// A promise: selected accounts get a share of selected pools.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Share {
@@ -123,6 +132,8 @@
     pub pools: BTreeMap<String, Pool>,
     /// Endpoints by name.
     pub endpoints: BTreeMap<String, Endpoint>,
+    /// Data centres by name; one that is not declared is a region of its own.
+    pub data_centres: BTreeMap<String, DataCentre>,
     /// Shares by name.
     pub shares: BTreeMap<String, Share>,
     /// Objectives by name.
@@ -130,6 +141,16 @@
 }
 
 impl Declarations {
+    /// The region of the data centre called `name`.
+    ///
+    /// # Examples
+    /// ```
+    /// assert_eq!(spanfold_declare::Declarations::default().region("dc-a"), "dc-a");
+    /// ```
+    pub fn region<'a>(&'a self, name: &'a str) -> &'a str {
+        self.data_centres.get(name).map_or(name, |centre| centre.region.as_str())
+    }
+
     /// Checks a whole document.
     ///
     /// # Errors
--- a/crates/declare/src/lib.rs
+++ b/crates/declare/src/lib.rs
@@ -18,8 +18,8 @@
 
 pub use bundle::{BUCKET_COUNT, Bundle, BundleError, chunk_digest};
 pub use declaration::{
-    Catalogue, ClientAccount, Declarations, Endpoint, EndpointKind, Objective, ObjectiveKind, Pool, Share,
-    key_digest,
+    Catalogue, ClientAccount, DataCentre, Declarations, Endpoint, EndpointKind, Objective, ObjectiveKind,
+    Pool, Share, key_digest,
 };
 pub use document::{Document, Property, Section, changed_sections};
 pub use finding::{Finding, Findings};
--- a/crates/declare/src/verify.rs
+++ b/crates/declare/src/verify.rs
@@ -5,7 +5,7 @@
 
 use crate::reader::SectionReader;
 use crate::{
-    ClientAccount, Declarations, Document, Endpoint, EndpointKind, Findings, Labels, Objective,
+    ClientAccount, DataCentre, Declarations, Document, Endpoint, EndpointKind, Findings, Labels, Objective,
     ObjectiveKind, Pool, Section, Selector, Share,
 };
 use std::collections::BTreeMap;
@@ -45,6 +45,10 @@
         "endpoint" => {
             declarations.endpoints.insert(name, read_endpoint(section, &mut reader));
         }
+        "data-centre" => {
+            let region = reader.required("region").to_owned();
+            declarations.data_centres.insert(name.clone(), DataCentre { name, region });
+        }
         "share" => {
             declarations.shares.insert(name, read_share(section, &mut reader));
         }
@@ -52,8 +56,9 @@
             declarations.objectives.insert(name, read_objective(section, &mut reader));
         }
         kind => {
-            let message =
-                format!("unknown kind `{kind}`; known: client-account, pool, endpoint, share, objective");
+            let message = format!(
+                "unknown kind `{kind}`; known: client-account, pool, endpoint, data-centre, share, objective"
+            );
             findings.add(&section.file, section.line, section.header(), message);
             return;
         }
--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -49,6 +49,8 @@
     NoShare,
     /// No endpoint of the pool takes work.
     NoEndpoint,
+    /// The cell is busy and another may serve sooner; only between VMs.
+    Busy,
     /// This VM is stopping.
     Stopping,
     /// Claims cannot be written now.
--- a/crates/kernel/src/message.rs
+++ b/crates/kernel/src/message.rs
@@ -41,6 +41,8 @@
     pub priority: i8,
     /// Endpoints that have failed this request already.
     pub exclude: Vec<String>,
+    /// Whether the asker has another cell to ask, should this one be busy.
+    pub may_move: bool,
 }
 
 /// Pieces to import from a store before computing.
--- a/crates/kernel/src/session.rs
+++ b/crates/kernel/src/session.rs
@@ -118,7 +118,9 @@
 pub fn replay(text: &str) -> Result<String, SessionError> {
     let mut kernel = Kernel::new(World::default());
     let mut output = String::new();
-    for (row, line) in text.lines().enumerate() {
+    // Old outputs are not read: a change of their form must not keep a session from replaying.
+    let lines = text.lines().enumerate().filter(|(_, line)| !line.starts_with("-> "));
+    for (row, line) in lines {
         let parsed =
             SessionLine::parse(line).map_err(|cause| SessionError::Malformed { line: row + 1, cause })?;
         match parsed {
--- a/crates/policy/src/cell.rs
+++ b/crates/policy/src/cell.rs
@@ -233,18 +233,23 @@
         let deadline = context.now.after_micros(ask.micros_left);
         let Some(variant) = placement(&context.world.variant) else { return };
         let kept = self.kept.entry(cell.pool.clone()).or_default();
-        let expected = cell.expected_start(context.world, context.now, ask, account, kept);
+        let missing = cell.missing_tokens(ask, kept);
+        let expected = cell.expected_start(context.world, context.now, account, missing);
         if expected == Moment::NEVER {
             refuse_ask(context, from, ask, RefusalKind::NoEndpoint, RETRY_LEAST_MILLIS);
             return;
         }
+        if variant.holds && ask.may_move && cell.is_busy(context.world, context.now, ask, kept) {
+            refuse_ask(context, from, ask, RefusalKind::Busy, RETRY_LEAST_MILLIS);
+            return;
+        }
         if variant.holds && expected > deadline {
             let late = expected.micros_since(deadline) / MICROS_PER_MILLI;
             refuse_ask(context, from, ask, RefusalKind::Deadline, late);
             return;
         }
         let weight = cell.weight(context.world, account);
-        let waiting = WaitingRequest { key, account, ask: ask.clone(), deadline };
+        let waiting = WaitingRequest { key, account, ask: ask.clone(), missing, deadline };
         cell.queue.push(account, weight, ask.priority, deadline, waiting);
         self.pump(context, &ask.cell);
         if self.cells.get(&ask.cell).is_some_and(|cell| cell.waits(key)) {
@@ -418,7 +423,8 @@
         let centre = &context.world.data_centre;
         for key in stored {
             // Of a store that several homes share, each indexes the prompts of its own cells.
-            let cells = self.layout.order(pool, centre, group_of(*key));
+            let group = group_of(*key);
+            let cells = self.layout.order(pool, centre, group);
             if cells.first().is_some_and(|cell| self.cells.contains_key(*cell)) {
                 kept.insert(store, *key, 0, context.now);
             }
--- a/crates/policy/src/cell_state.rs
+++ b/crates/policy/src/cell_state.rs
@@ -48,6 +48,8 @@
     pub key: RequestKey,
     pub account: AccountIndex,
     pub ask: Ask,
+    /// Tokens that had to be computed when it came.
+    pub missing: f64,
     pub deadline: Moment,
 }
 
@@ -438,43 +440,53 @@
         })
     }
 
+    /// Whether another cell would serve a prompt sooner, even if it had to compute all of it.
+    ///
+    /// Bounded load between cells: affinity is worth a wait as long as the prompt's own
+    /// computation, and no more.
+    pub(crate) fn is_busy(&self, world: &World, now: Moment, ask: &Ask, kept: &KeptIndex) -> bool {
+        let usable: Vec<_> = self.loads.iter().filter(|load| world.may_get_work(load.index, now)).collect();
+        let speed: f64 = usable.iter().map(|load| 1.0 / load.token.micros).sum();
+        let waiting: f64 = self.queue.iter().map(|waiting| waiting.missing).sum();
+        let free_at = usable.iter().map(|load| load.free_at).min().unwrap_or(now).max(now);
+        let there = |key: &&u64| kept.holds(**key) || usable.iter().any(|load| load.held.contains(*key));
+        let run = ask.keys.iter().take_while(there).count() as u32;
+        let saved = f64::from((run * PIECE_TOKENS).min(ask.prompt_tokens).max(PIECE_TOKENS));
+        let fastest = usable.iter().map(|load| load.token.micros).fold(f64::MAX, f64::min);
+        free_at.micros_since(now) as f64 + waiting / speed > saved * fastest
+    }
+
+    /// Tokens of a prompt that no endpoint and no store is believed to hold.
+    pub(crate) fn missing_tokens(&self, ask: &Ask, kept: &KeptIndex) -> f64 {
+        let awaited = |key: &u64| self.queue.iter().any(|waiting| waiting.ask.keys.last() == Some(key));
+        let there = |key: &&u64| kept.holds(**key) || self.loads.iter().any(|load| load.held.contains(*key));
+        let run = ask.keys.iter().take_while(there).count();
+        // A prompt that waits already with all the same pieces will have computed them.
+        let run = if ask.keys.last().is_some_and(awaited) { ask.keys.len() } else { run };
+        f64::from(ask.prompt_tokens.saturating_sub(run as u32 * PIECE_TOKENS).max(1))
+    }
+
     /// When a new request of `account` should have its first token, by what waits before it.
+    ///
+    /// No account waits longer than its share makes it, nor longer than all work that waits.
     pub(crate) fn expected_start(
         &self,
         world: &World,
         now: Moment,
-        ask: &Ask,
         account: AccountIndex,
-        kept: &KeptIndex,
+        own: f64,
     ) -> Moment {
         let usable: Vec<_> = self.loads.iter().filter(|load| world.may_get_work(load.index, now)).collect();
         if usable.is_empty() {
             return Moment::NEVER;
         }
         let speed: f64 = usable.iter().map(|load| 1.0 / load.token.micros).sum();
-        let mut foreseen: HashSet<u64> = HashSet::new();
-        let mut missing = |keys: &[u64], tokens: u32| {
-            let run = keys
-                .iter()
-                .take_while(|key| {
-                    foreseen.contains(*key)
-                        || kept.holds(**key)
-                        || usable.iter().any(|load| load.held.contains(*key))
-                })
-                .count() as u32;
-            foreseen.extend(keys);
-            f64::from(tokens.saturating_sub(run * PIECE_TOKENS).max(1))
-        };
-        let ahead: f64 = self
-            .queue
-            .items(account)
-            .map(|waiting| missing(&waiting.ask.keys, waiting.ask.prompt_tokens))
-            .sum();
-        let own = missing(&ask.keys, ask.prompt_tokens);
+        let ahead: f64 = self.queue.items(account).map(|waiting| waiting.missing).sum();
+        let all: f64 = self.queue.iter().map(|waiting| waiting.missing).sum();
         let weight = self.weight(world, account).max(f64::MIN_POSITIVE);
         let part = weight / self.queue.active_weight(account, weight);
         let free_at = usable.iter().map(|load| load.free_at).min().unwrap_or(now).max(now);
-        let queued = ahead / (speed * part);
+        let queued = (ahead / part).min(all) / speed;
         let alone = own * usable.iter().map(|load| load.token.micros).fold(f64::MAX, f64::min);
         free_at.after_micros((queued + alone) as u64)
     }
--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -7,6 +7,7 @@
 
 use crate::layout::{CellLayout, group_of, split_cell};
 use crate::limits::refuse;
+use crate::placement::placement;
 use spanfold_entity::Moment;
 use spanfold_kernel::{
     Arrival, Ask, Context, Effect, Event, Grant, InFlightRow, Message, Outcome, RefusalKind, World,
@@ -18,6 +19,8 @@
 const SILENCE_MILLIS: u64 = 250;
 /// A queued request asks again after this long, in milliseconds, to notice a dead home.
 const RECHECK_MILLIS: u64 = 500;
+/// A silent home of another data centre is passed over this long, in milliseconds.
+const SUSPECT_MILLIS: u64 = 2_000;
 /// Period of telling homes what is in flight, in milliseconds.
 const RECONCILE_MILLIS: u64 = 5_000;
 /// Cells of one data centre that a request asks before it is refused.
@@ -32,6 +35,7 @@
     tried: BTreeSet<String>,
     acknowledged: bool,
     check_at: Moment,
+    may_move: bool,
     endpoint: Option<String>,
     started: bool,
 }
@@ -45,6 +49,8 @@
     reconcile_at: Moment,
     open: BTreeMap<u64, OpenRequest>,
     told: BTreeSet<String>,
+    /// Homes in other data centres that were silent, and until when they are passed over.
+    silent: BTreeMap<String, Moment>,
     /// Decisions made here because a home was silent.
     pub bypassed: u64,
 }
@@ -58,6 +64,7 @@
             reconcile_at: Moment(0),
             open: BTreeMap::new(),
             told: BTreeSet::new(),
+            silent: BTreeMap::new(),
             bypassed: 0,
         }
     }
@@ -93,6 +100,7 @@
             tried: BTreeSet::new(),
             acknowledged: false,
             check_at: context.now,
+            may_move: false,
             endpoint: None,
             started: false,
         };
@@ -103,28 +111,21 @@
     /// Asks the next cell that has not been asked; refuses if there is none.
     fn ask_next_cell(&mut self, context: &mut Context<'_>, number: u64, reason: RefusalKind, wait: u64) {
         let Some(request) = self.open.get_mut(&number) else { return };
-        let group = prompt_group(&request.arrival);
-        let near = context.world.data_centre.clone();
-        let mut next = None;
-        for centre in self.layout.centres(&request.arrival.pool, &near, group) {
-            // Only a lack of endpoints is a reason to leave the data centre.
-            if centre != near && reason != RefusalKind::NoEndpoint {
-                break;
-            }
-            let cells = self.layout.order(&request.arrival.pool, centre, group);
-            next = cells.into_iter().take(CELLS_TRIED).find(|cell| !request.tried.contains(*cell));
-            if next.is_some() {
-                break;
-            }
-        }
-        let Some(cell) = next else {
+        let near = &context.world.data_centre;
+        let gathers = placement(&context.world.variant).is_some_and(|variant| variant.gathers);
+        let mut cells = cells_to_ask(&self.layout, near, request, gathers, reason);
+        let Some(cell) = cells.next().map(str::to_owned) else {
+            drop(cells);
             self.open.remove(&number);
             let millis = if wait == 0 { RECHECK_MILLIS } else { wait };
             refuse(context, number, reason, millis);
             return;
         };
-        cell.clone_into(&mut request.cell);
-        request.tried.insert(cell.to_owned());
+        let may_move = cells.next().is_some();
+        drop(cells);
+        request.tried.insert(cell.clone());
+        request.cell = cell;
+        request.may_move = may_move;
         self.ask(context, number);
     }
 
@@ -136,6 +137,12 @@
             self.bypass(context, number);
             return;
         };
+        let far = centre != context.world.data_centre;
+        let suspect = self.silent.get(&home).is_some_and(|until| context.now < *until);
+        if far && suspect && request.may_move {
+            self.ask_next_cell(context, number, RefusalKind::Busy, 0);
+            return;
+        }
         request.home.clone_from(&home);
         request.acknowledged = false;
         request.check_at = context.now.after_millis(SILENCE_MILLIS);
@@ -150,13 +157,23 @@
             micros_left: arrival.deadline.micros_since(context.now),
             priority: arrival.priority,
             exclude: arrival.exclude.clone(),
+            may_move: request.may_move,
         };
         context.send(&home, Message::Ask(ask));
     }
 
     /// Decides without the home: the endpoint that the prompt's hash prefers.
+    ///
+    /// A home in another data centre may be cut off, and its endpoints with it: then the own data
+    /// centre is asked next.
     fn bypass(&mut self, context: &mut Context<'_>, number: u64) {
         let Some(request) = self.open.get_mut(&number) else { return };
+        let far = split_cell(&request.cell).1 != context.world.data_centre;
+        if far && request.may_move {
+            self.silent.insert(request.home.clone(), context.now.after_millis(SUSPECT_MILLIS));
+            self.ask_next_cell(context, number, RefusalKind::Busy, 0);
+            return;
+        }
         let world = &*context.world;
         let usable = self.layout.members(&request.cell).iter().filter(|name| {
             let index = world.endpoint_names.find(name);
@@ -320,6 +337,26 @@
     }
 }
 
+/// Cells that a request may still ask, after a refusal for `reason`.
+fn cells_to_ask<'a>(
+    layout: &'a CellLayout,
+    near: &'a str,
+    request: &'a OpenRequest,
+    gathers: bool,
+    reason: RefusalKind,
+) -> impl Iterator<Item = &'a str> {
+    let group = prompt_group(&request.arrival);
+    let pool = &request.arrival.pool;
+    let centres = layout.centres(pool, near, group, gathers && !request.arrival.keys.is_empty());
+    centres
+        .into_iter()
+        .enumerate()
+        // Only a lack of endpoints is a reason to go further than the own data centre.
+        .filter(move |(place, centre)| reason == RefusalKind::NoEndpoint || *place == 0 || *centre == near)
+        .flat_map(move |(_, centre)| layout.order(pool, centre, group).into_iter().take(CELLS_TRIED))
+        .filter(|cell| !request.tried.contains(*cell))
+}
+
 fn prompt_group(arrival: &Arrival) -> u64 {
     // A prompt without a whole piece has nothing to return to: it is spread.
     arrival.keys.first().map_or_else(
--- a/crates/policy/src/layout.rs
+++ b/crates/policy/src/layout.rs
@@ -23,6 +23,8 @@
     members: BTreeMap<String, Vec<String>>,
     /// The cell of an endpoint.
     by_endpoint: HashMap<String, String>,
+    /// The region of a data centre.
+    regions: HashMap<String, String>,
 }
 
 impl CellLayout {
@@ -52,6 +54,8 @@
                 centres.entry(centre).or_default().push(member);
             }
             for (centre, endpoints) in centres {
+                let region = catalogue.declarations.region(centre).to_owned();
+                layout.regions.insert(centre.to_owned(), region);
                 layout.add_centre(pool, centre, &endpoints);
             }
         }
@@ -99,12 +103,25 @@
         rendezvous_order(&group.to_string(), cells.iter().map(String::as_str))
     }
 
-    /// The data centres in which `pool` has cells, `near` first and the rest spread by `group`.
-    pub fn centres(&self, pool: &str, near: &str, group: u64) -> Vec<&str> {
+    /// The data centres in which `pool` has cells, in the order in which a request asks them.
+    ///
+    /// A prompt with whole pieces belongs to one data centre of its region, so that the region
+    /// computes and keeps it once; then comes the own data centre, then the rest. A prompt without
+    /// pieces begins in its own.
+    pub fn centres(&self, pool: &str, near: &str, group: u64, keyed: bool) -> Vec<&str> {
         let Some(centres) = self.cells.get(pool) else { return Vec::new() };
         let names = centres.iter().filter(|(_, cells)| !cells.is_empty()).map(|(name, _)| name.as_str());
         let mut order = rendezvous_order(&group.to_string(), names);
-        order.sort_by_key(|name| *name != near);
+        let region = self.regions.get(near).map_or(near, String::as_str);
+        let first = order
+            .iter()
+            .copied()
+            .find(|name| self.regions.get(*name).map_or(*name, String::as_str) == region);
+        order.sort_by_key(|name| match *name {
+            name if keyed && first == Some(name) => 0,
+            name if name == near => 1,
+            _ => 2,
+        });
         order
     }
 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -82,6 +82,8 @@
     pub name: &'static str,
     /// Whether requests are held at the home in fair order, and refused when hopeless.
     pub holds: bool,
+    /// Whether a prompt belongs to one data centre of its region.
+    pub gathers: bool,
     /// Whether pieces are exported to stores and imported.
     pub keeps: bool,
     /// Chooses; none means wait.
@@ -99,6 +101,7 @@
 register_placement!(PlacementEntry {
     name: "round-robin",
     holds: false,
+    gathers: false,
     keeps: false,
     choose: |choice| {
         let count = choice.candidates.len() as u64;
@@ -109,6 +112,7 @@
 register_placement!(PlacementEntry {
     name: "least-loaded",
     holds: false,
+    gathers: false,
     keeps: false,
     choose: |choice| {
         let load = |(place, candidate): &(usize, &Candidate)| {
@@ -119,8 +123,20 @@
     },
 });
 
-register_placement!(PlacementEntry { name: "affinity", holds: true, keeps: false, choose: earliest });
-register_placement!(PlacementEntry { name: "spanfold", holds: true, keeps: true, choose: earliest });
+register_placement!(PlacementEntry {
+    name: "affinity",
+    holds: true,
+    gathers: true,
+    keeps: false,
+    choose: earliest
+});
+register_placement!(PlacementEntry {
+    name: "spanfold",
+    holds: true,
+    gathers: true,
+    keeps: true,
+    choose: earliest
+});
 
 /// Names of all variants, sorted.
 ///
--- a/crates/spanfoldd/src/caller/final_error.rs
+++ b/crates/spanfoldd/src/caller/final_error.rs
@@ -48,7 +48,7 @@
             RefusalKind::Rate => (429, "rate_limit", "the client account is over its rate"),
             RefusalKind::Concurrency => (429, "concurrency_limit", "too many requests in flight"),
             RefusalKind::NoShare => (403, "no_share", "the client account has no share of this"),
-            RefusalKind::NoEndpoint => (503, "no_endpoint", "no endpoint takes work now"),
+            RefusalKind::NoEndpoint | RefusalKind::Busy => (503, "no_endpoint", "no endpoint takes work now"),
             RefusalKind::Stopping => (503, "stopping", "this VM is stopping"),
             RefusalKind::ClaimsUnavailable => (503, "claims_unavailable", "the call cannot be recorded now"),
         };
--- a/crates/spanfoldd/tests/promises/whole_answer.rs
+++ b/crates/spanfoldd/tests/promises/whole_answer.rs
@@ -181,3 +181,26 @@
         assert_eq!(answer.text, expected_answer(&salt("small"), "1", &prompt, 4));
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_data_centre_cut_off_from_its_region_serves_by_itself() {
+    let mut plan = slow_plan();
+    plan.declarations = "[data-centre dc-a]\nregion = north\n[data-centre dc-b]\nregion = north\n".to_owned();
+    let mut deployment = Deployment::start(plan).await.unwrap();
+    deployment.kill_vm("vm-b1");
+    deployment.kill_vm("vm-b2");
+    for (name, engine) in &deployment.engines {
+        if name.starts_with("engine-b") {
+            engine.kill();
+        }
+    }
+    // The VM list lags: it still has the dead VMs, and prompts of theirs come in here.
+    for number in 0..8 {
+        let prompt = crate::support::long_prompt(2, &format!("subject {number}"));
+        let headers = [("spanfold-deadline-ms", "1400")];
+        let caller = Caller::new("key-small");
+        let answer =
+            caller.complete(deployment.callers("vm-a1"), "visa-7b", &prompt, 4, &headers).await.unwrap();
+        assert_eq!(answer.text, expected_answer(&salt("small"), "1", &prompt, 4));
+    }
+}
--- a/crates/standin/examples/bench.rs
+++ b/crates/standin/examples/bench.rs
@@ -121,6 +121,10 @@
             .collect(),
         services: each("desk", whole(fleet, "services")),
         accounts: accounts(fleet),
+        declarations: centres
+            .iter()
+            .map(|centre| format!("[data-centre {centre}]\nregion = north\n"))
+            .collect(),
         settings: BTreeMap::from([("policy".to_owned(), format!("variant = {variant}\n"))]),
         ..DeploymentPlan::default()
     }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -412,7 +412,7 @@
     if !imported.is_empty() {
         usage.import_micros = begun.elapsed().as_micros() as u64;
     }
-    let mut whole = true;
+    let (mut whole, mut prefix_known) = (true, true);
     for (place, piece) in asked.prompt.as_bytes().chunks(PIECE_BYTES).enumerate() {
         let key = keys.get(place).filter(|_| piece.len() == PIECE_BYTES);
         let known = key.filter(|_| whole).and_then(|key| find_block(state, key));
@@ -426,6 +426,13 @@
         } else {
             whole = false;
             let _turn = state.prefill.enter(asked.priority).await;
+            // Another run may have computed it while this one waited its turn.
+            if let Some(known) = key.filter(|_| prefix_known).and_then(|key| find_block(state, key)) {
+                usage.cached += piece.len();
+                now = known;
+                continue;
+            }
+            prefix_known = false;
             let micros = (piece.len() / BYTES_PER_TOKEN) as u64 * state.rates.prefill_micros;
             tokio::time::sleep(Duration::from_micros(micros)).await;
             usage.computed += piece.len();
