--- a/crates/policy/src/entry.rs
+++ b/crates/policy/src/entry.rs
@@ -121,10 +121,11 @@
             refuse(context, number, reason, millis);
             return;
         };
-        let may_move = cells.next().is_some();
         drop(cells);
         request.tried.insert(cell.clone());
         request.cell = cell;
+        // Only what would be asked after a "busy" counts as another cell.
+        let may_move = cells_to_ask(&self.layout, near, request, gathers, RefusalKind::Busy).next().is_some();
         request.may_move = may_move;
         self.ask(context, number);
     }
--- a/crates/policy/tests/sessions.rs
+++ b/crates/policy/tests/sessions.rs
@@ -35,6 +35,7 @@
     home_dies = { "home-dies" },
     lost_events_mean_unknown = { "lost-events-mean-unknown" },
     a_cell_taken_over_is_listed_whole = { "a-cell-taken-over-is-listed-whole" },
+    busy_home_is_no_refusal = { "busy-home-is-no-refusal" },
     deadline_refused_at_once = { "deadline-refused-at-once" },
 )]
 fn session(name: &str) {
--- a/crates/standin/examples/bench.rs
+++ b/crates/standin/examples/bench.rs
@@ -33,6 +33,7 @@
 /// What became of one request.
 struct CallResult {
     account: String,
+    code: String,
     status: u16,
     first_millis: f64,
     usage: [u64; 3],
@@ -206,6 +207,7 @@
             match answer {
                 Ok(answer) => CallResult {
                     account: call.account,
+                    code: answer.code(),
                     status: answer.status,
                     first_millis: answer.first.as_secs_f64() * 1e3,
                     usage: ["cached", "imported", "computed"].map(|part| answer.usage(part)),
@@ -214,6 +216,7 @@
                 },
                 Err(_) => CallResult {
                     account: call.account,
+                    code: "broken".to_owned(),
                     status: 0,
                     first_millis: 0.0,
                     usage: [0; 3],
@@ -283,6 +286,11 @@
     let elapsed = begun.elapsed().as_secs_f64();
     let all: Vec<&CallResult> = results.iter().collect();
     let mut row = summary(&all);
+    let mut codes: BTreeMap<&str, u32> = BTreeMap::new();
+    for result in results.iter().filter(|result| result.status != 200) {
+        *codes.entry(result.code.as_str()).or_default() += 1;
+    }
+    row["codes"] = json!(codes);
     let (least, shares) = least_share(&results, &promises);
     let link: u64 = deployment.stores.values().map(|store| store.link_use().1).sum();
     let links = deployment.stores.len().max(1) as f64;
@@ -322,6 +330,9 @@
         f("link_use"),
         if row["least_share"].is_null() { f("share") } else { f("least_share") },
     );
+    if row["codes"].as_object().is_some_and(|codes| !codes.is_empty()) {
+        println!("    not served: {}", row["codes"]);
+    }
 }
 
 fn print_head() {
