Let an account below its share go ahead; export what returned first

Slots hardly ran short, so the large account never counted as over its share and sent its prefills with the same priority; and exports of prompts that never return kept the stores' links 95% in use, in the way of the small account's imports.

Ruled out: the fair queue's order (the small account was always first in it).

Change: an account is over its share of slots or of prefills; one more prefill is let into an engine for an account below its share, with the higher priority; exports go in smaller orders, prompts that have returned first, and for the others the link rests as long as an export took.

--- a/crates/policy/src/cell.rs
+++ b/crates/policy/src/cell.rs
@@ -23,7 +23,7 @@
 /// Exports that wait for an idle link; more are dropped, oldest first.
 const EXPORT_BACKLOG: usize = 256;
 /// Pieces of one export order.
-const EXPORT_PIECES: usize = 8;
+const EXPORT_PIECES: usize = 4;
 /// Exports at work on one store's link at once.
 const EXPORT_WINDOW: u32 = 1;
 /// An export that has not ended by then is taken as lost, in milliseconds.
@@ -44,13 +44,20 @@
     pool: String,
     store: String,
     keys: Vec<u64>,
+    /// Whether the prompt has returned before.
+    returns: bool,
 }
 
+/// Groups counted as seen; a group has 16 bits, so this bounds nothing but the type.
+type SeenGroups = HashMap<u64, u32>;
+
 /// State of one store as seen from this VM's cells.
 #[derive(Clone, Debug, Default)]
 struct StoreState {
     exporting: u32,
     export_until: Moment,
+    /// After an export the link is left alone for as long as it took.
+    rest_until: Moment,
     /// Pieces that it has room for; none before its listing was read.
     room: Option<u32>,
 }
@@ -68,6 +75,7 @@
     links: HashMap<String, StoreLink>,
     stores: BTreeMap<String, StoreState>,
     exports: VecDeque<ExportOrder>,
+    seen: SeenGroups,
 }
 
 impl CellTable {
@@ -83,6 +91,7 @@
             links: HashMap::new(),
             stores: BTreeMap::new(),
             exports: VecDeque::new(),
+            seen: SeenGroups::new(),
         }
     }
 
@@ -114,7 +123,9 @@
             Event::StoreRead { store, pool, whole, stored, freed, room } => {
                 self.store_read(context, store, pool, *whole, (stored, freed), *room);
             }
-            Event::Exported { store, pool, keys, .. } => self.exported(context, store, pool, keys),
+            Event::Exported { store, pool, keys, micros, .. } => {
+                self.exported(context, store, pool, keys, *micros);
+            }
             Event::Probed { .. } => self.pump_all(context),
             Event::Tick => self.tick(context),
             _ => {}
@@ -327,17 +338,24 @@
         }
         let Some(store) = choose_store(context.world, group_of(keys[0]), context.now) else { return };
         let endpoint = context.world.endpoint_names.name(running.endpoint).to_owned();
-        for keys in keys.chunks(EXPORT_PIECES) {
-            let order = ExportOrder {
-                endpoint: endpoint.clone(),
-                pool: pool.clone(),
-                store: store.clone(),
-                keys: keys.to_vec(),
-            };
-            self.exports.push_back(order);
+        // What has returned before goes first: it will again. What never did may be dropped.
+        let seen = self.seen.entry(group_of(keys[0])).or_insert(0);
+        *seen = seen.saturating_add(1);
+        let returns = *seen > 1;
+        let orders = keys.chunks(EXPORT_PIECES).map(|keys| ExportOrder {
+            endpoint: endpoint.clone(),
+            pool: pool.clone(),
+            store: store.clone(),
+            keys: keys.to_vec(),
+            returns,
+        });
+        if returns {
+            orders.rev().for_each(|order| self.exports.push_front(order));
+        } else {
+            self.exports.extend(orders);
         }
         while self.exports.len() > EXPORT_BACKLOG {
-            self.exports.pop_front();
+            self.exports.pop_back();
         }
         self.start_exports(context);
     }
@@ -352,7 +370,7 @@
             if now >= store.export_until {
                 store.exporting = 0;
             }
-            if busy || store.exporting >= EXPORT_WINDOW {
+            if busy || store.exporting >= EXPORT_WINDOW || (now < store.rest_until && !order.returns) {
                 left.push_back(order);
                 continue;
             }
@@ -372,15 +390,16 @@
             store.room = store.room.map(|room| room.saturating_sub(needed as u32));
             store.exporting += 1;
             store.export_until = now.after_millis(EXPORT_MILLIS);
-            let ExportOrder { endpoint, pool, store, keys } = order;
+            let ExportOrder { endpoint, pool, store, keys, .. } = order;
             context.emit(Effect::Export { endpoint, store, pool, keys });
         }
         self.exports = left;
     }
 
-    fn exported(&mut self, context: &mut Context<'_>, store: &str, pool: &str, keys: &[u64]) {
+    fn exported(&mut self, context: &mut Context<'_>, store: &str, pool: &str, keys: &[u64], micros: u64) {
         let state = self.stores.entry(store.to_owned()).or_default();
         state.exporting = state.exporting.saturating_sub(1);
+        state.rest_until = context.now.after_micros(micros);
         let kept = self.kept.entry(pool.to_owned()).or_default();
         for (depth, key) in keys.iter().enumerate() {
             kept.insert(store, *key, depth as u32, context.now);
--- a/crates/policy/src/cell_state.rs
+++ b/crates/policy/src/cell_state.rs
@@ -7,7 +7,7 @@
 use crate::estimate::UnitCost;
 use crate::fair_queue::FairQueue;
 use crate::kept_index::KeptIndex;
-use crate::placement::{Candidate, Choice, KeptRun, Placed, PlacementEntry};
+use crate::placement::{Candidate, Choice, KeptRun, PREFILL_DEPTH, Placed, PlacementEntry};
 use spanfold_entity::Moment;
 use spanfold_kernel::{AccountIndex, Ask, EndpointIndex, Import, InFlightRow, Usage, VmIndex, World};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -225,12 +225,15 @@
         worthwhile.then_some(Import { store, first: 0, end: run.pieces })
     }
 
-    /// Whether `account` has its share of the slots already.
+    /// Whether `account` has its share of the slots, or of the prefills, already.
     fn over_share(&self, world: &World, account: AccountIndex) -> bool {
-        let slots: u32 = self.loads.iter().map(|load| load.slots).sum();
         let weight = self.weight(world, account);
-        let held = self.held_slots.get(&account).copied().unwrap_or(0);
-        f64::from(held) >= (weight * f64::from(slots)).max(1.0)
+        let over = |held: u32, places: u32| f64::from(held) >= (weight * f64::from(places)).max(1.0);
+        let slots: u32 = self.loads.iter().map(|load| load.slots).sum();
+        let prefills = self.loads.len() as u32 * PREFILL_DEPTH;
+        let computing = |running: &&RunningRequest| running.account == account && !running.started;
+        let held_prefills = self.running.values().filter(computing).count() as u32;
+        over(self.held_slots.get(&account).copied().unwrap_or(0), slots) || over(held_prefills, prefills)
     }
 
     /// The part of the pool that `account` was promised.
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -7,7 +7,7 @@
 use spanfold_entity::Moment;
 
 /// Prefills that an engine may have before it: one at work, one to go on with.
-const PREFILL_DEPTH: u32 = 2;
+pub(crate) const PREFILL_DEPTH: u32 = 2;
 /// How much a microsecond of an engine's prefill counts next to one of the request's wait.
 ///
 /// Waiting alone would scatter a prompt over all engines in a burst and evict others' pieces.
@@ -227,5 +227,8 @@
 /// when a long answer ends.
 fn has_room(choice: &Choice<'_>, candidate: &Candidate) -> bool {
     let reserved = u32::from(choice.over_share && candidate.slots > 2);
-    candidate.in_flight + reserved < candidate.slots && candidate.depth < PREFILL_DEPTH
+    // One more prefill is let in for an account below its share: the engine goes on with the higher
+    // priority after each piece, so that it waits for one piece and not for two prompts.
+    let depth = PREFILL_DEPTH + u32::from(!choice.over_share);
+    candidate.in_flight + reserved < candidate.slots && candidate.depth < depth
 }
