--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -187,6 +187,15 @@
     Unknown,
 }
 
+/// What an engine says of its weights.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadedWeights {
+    /// The version that is loaded.
+    pub version: String,
+    /// Whether it loads another now.
+    pub loading: bool,
+}
+
 /// Something that happened.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Event {
@@ -258,6 +267,21 @@
         running: u32,
         /// Requests that wait in it.
         waiting: u32,
+        /// The weight version that an engine has loaded or loads, if it says so.
+        #[serde(default)]
+        weights: Option<LoadedWeights>,
+    },
+    /// The lease record of the orders was read.
+    LeaseRead {
+        /// The revision of its last change; zero if it is not there.
+        revision: u64,
+        /// Its text; empty if it is not there.
+        text: String,
+    },
+    /// A write of the lease record succeeded; a failed one is told by nothing.
+    LeaseWritten {
+        /// Its text.
+        text: String,
     },
     /// Cache events of an engine were read.
     CacheRead {
@@ -445,6 +469,26 @@
         /// Short keys of the pieces.
         keys: Vec<u64>,
     },
+    /// Read the lease record of the orders.
+    ReadLease,
+    /// Write the lease record if its last change is still at `revision`.
+    WriteLease {
+        /// The revision; zero if it must not be there.
+        revision: u64,
+        /// Its text.
+        text: String,
+    },
+    /// Order an engine to load a weight version.
+    Order {
+        /// The engine.
+        endpoint: String,
+        /// What it should be, whatever it is now: the order may come twice.
+        target: String,
+        /// The lease's fencing number.
+        fencing: u64,
+        /// The order must not be sent after this moment.
+        valid_until: Moment,
+    },
     /// Write a log line.
     Log {
         /// The event's name.
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -19,8 +19,8 @@
 mod world;
 
 pub use event::{
-    Arrival, ClaimTicket, CreateReply, Effect, Event, FailureKind, ListedVm, LogEntry, Outcome, RanState,
-    RefusalKind, Usage, VmRole, VmState,
+    Arrival, ClaimTicket, CreateReply, Effect, Event, FailureKind, ListedVm, LoadedWeights, LogEntry,
+    Outcome, RanState, RefusalKind, Usage, VmRole, VmState,
 };
 pub use inventory;
 pub use kernel::Kernel;
--- a/crates/kernel/src/message.rs
+++ b/crates/kernel/src/message.rs
@@ -18,6 +18,9 @@
     pub generation: u64,
     /// Endpoints of the sender's cells that it has found to take no work.
     pub unwell: Vec<String>,
+    /// Who holds the lease on orders, as far as the sender has read; empty if it has not.
+    #[serde(default)]
+    pub orders_holder: String,
 }
 
 /// An entry VM asks a cell's home for an endpoint.
@@ -172,6 +175,13 @@
         /// The claim's nonce.
         nonce: u128,
     },
+    /// An engine's weights, told to the holder of the lease on orders.
+    Weights {
+        /// The engine.
+        endpoint: String,
+        /// What it says.
+        weights: crate::LoadedWeights,
+    },
     /// A request for the receiver's head record.
     HeadPull,
     /// A head record.
--- a/crates/kernel/src/world.rs
+++ b/crates/kernel/src/world.rs
@@ -148,6 +148,8 @@
     pub catalogue: Arc<Catalogue>,
     /// Its generation; zero before the first.
     pub generation: u64,
+    /// Who holds the lease on orders, as far as is known here; empty if it is not.
+    pub orders_holder: String,
     /// Grows whenever the set of live entry VMs changes.
     pub membership: u64,
 }
--- a/crates/policy/src/claims.rs
+++ b/crates/policy/src/claims.rs
@@ -437,7 +437,7 @@
     );
     let unwritten = unwritten.filter_map(|(_, waiter)| match waiter {
         Waiter::Claim { from, ticket } => Some((from, ticket)),
-        _ => None,
+        Waiter::Settle { .. } => None,
     });
     for (from, ticket) in late.into_iter().chain(unwritten.collect::<Vec<_>>()) {
         reply(context, &from, ticket.request, ClaimVerdict::Unavailable);
--- a/crates/policy/src/configuration.rs
+++ b/crates/policy/src/configuration.rs
@@ -5,7 +5,7 @@
 //! what they lack from whoever said it, so that platform calls grow with data centres, not VMs.
 //! A platform that shows an older head than the one in force has lost it; it is written back.
 
-use crate::membership::GATEWAY_ROLE;
+use crate::membership::is_gateway;
 use spanfold_declare::{Catalogue, Declarations, Document, EndpointKind, chunk_digest};
 use spanfold_entity::Moment;
 use spanfold_kernel::{Context, Effect, Event, Message, World, register_plugin};
@@ -202,9 +202,7 @@
     }
 
     fn update_watch(&mut self, context: &mut Context<'_>) {
-        let world = &*context.world;
-        let hold =
-            !world.stopping && world.holder(GATEWAY_ROLE, &world.data_centre, context.now) == Some(&world.me);
+        let hold = is_gateway(context);
         if hold != self.watching || !self.told {
             self.watching = hold;
             self.told = true;
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -37,7 +37,7 @@
     fn handle(&mut self, context: &mut Context<'_>, event: &Event) {
         match event {
             Event::Listed { vms } => take_list(context.world, vms),
-            Event::Probed { endpoint, ready, running, waiting } => {
+            Event::Probed { endpoint, ready, running, waiting, .. } => {
                 take_probe(context, endpoint, *ready, *running, *waiting);
             }
             Event::Tick => self.probe(context),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `limits`: each account's rate and concurrency.
 //! - `entry`: which cell a request asks, and what happens when its home is silent.
 //! - `cell`: fair share, placement, import and export at a cell's home.
+//! - `orders`: weight loads, under a lease with fencing numbers.
 //! - `claims`: calls that may run at most once.
 
 mod cell;
@@ -23,6 +24,7 @@
 mod layout;
 mod limits;
 mod membership;
+mod orders;
 mod placement;
 
 pub use cell::CellTable;
@@ -40,6 +42,6 @@
 /// ```
 /// assert!(spanfold_policy::plugin_names().contains(&"cell"));
 /// ```
-pub const fn plugin_names() -> [&'static str; 7] {
-    ["membership", "configuration", "health", "limits", "entry", "cell", "claims"]
+pub const fn plugin_names() -> [&'static str; 8] {
+    ["membership", "configuration", "health", "limits", "entry", "cell", "claims", "orders"]
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -15,7 +15,7 @@
 /// A heartbeat counts for this long, in milliseconds: two may be lost.
 const LIFE_MILLIS: u64 = 3_200;
 /// The role of speaking with other data centres.
-pub(crate) const GATEWAY_ROLE: &str = "gateway";
+const GATEWAY_ROLE: &str = "gateway";
 
 /// State of the membership plug-in.
 #[derive(Debug)]
@@ -78,6 +78,11 @@
             leaving: context.world.stopping,
             generation: context.world.generation,
             unwell: unwell_endpoints(context.world, context.now),
+            orders_holder: if is_gateway(context) {
+                context.world.orders_holder.clone()
+            } else {
+                String::new()
+            },
         };
         for name in beat_targets(context.world, context.now) {
             context.send(&name, Message::Beat(beat.clone()));
@@ -85,6 +90,12 @@
     }
 }
 
+/// Whether this VM speaks for its data centre: to other ones, and for the lease on orders.
+pub(crate) fn is_gateway(context: &Context<'_>) -> bool {
+    let world = &*context.world;
+    !world.stopping && world.holder(GATEWAY_ROLE, &world.data_centre, context.now) == Some(&world.me)
+}
+
 /// What this VM has found by its own probes and failures; the rest all VMs know by themselves.
 fn unwell_endpoints(world: &World, now: Moment) -> Vec<String> {
     let unwell = |row: &EndpointRow| row.declared && (row.self_leaving || now < row.ejected_until);
@@ -100,7 +111,7 @@
             && (row.listed || now < row.alive_until)
     });
     let mut targets: Vec<String> = near.map(|(index, _)| world.vm_names.name(index).to_owned()).collect();
-    if world.holder(GATEWAY_ROLE, home, now) == Some(&world.me) {
+    if !world.stopping && world.holder(GATEWAY_ROLE, home, now) == Some(&world.me) {
         let mut others: Vec<&str> =
             world.vms.iter().map(|(_, row)| row.data_centre.as_str()).filter(|dc| dc != home).collect();
         others.sort_unstable();
@@ -143,6 +154,10 @@
     row.alive_until = context.now.after_millis(LIFE_MILLIS);
     row.generation = beat.generation;
     row.unwell.clone_from(&beat.unwell);
+    if !beat.orders_holder.is_empty() {
+        context.world.orders_holder.clone_from(&beat.orders_holder);
+    }
+    let row = &mut context.world.vms[index];
     if row.incarnation != beat.incarnation || beat.leaving {
         row.leaving = beat.leaving;
     }
--- a/crates/policy/tests/fake/mod.rs
+++ b/crates/policy/tests/fake/mod.rs
@@ -348,18 +348,22 @@
                 let text = Arc::from(texts.concat());
                 self.post(vm, 3, Event::Configured { generation, text, catalogue: None });
             }
-            Effect::RestoreHead { generation, digests, texts } if !self.platform_out() => {
-                if generation > self.head.0 {
-                    let chunks = texts
-                        .iter()
-                        .map(|text| (spanfold_declare::chunk_digest(text), text.to_string()))
-                        .collect();
-                    self.head = (generation, Bundle { digests, chunks });
-                }
+            Effect::RestoreHead { generation, digests, texts }
+                if !self.platform_out() && generation > self.head.0 =>
+            {
+                let chunks = texts
+                    .iter()
+                    .map(|text| (spanfold_declare::chunk_digest(text), text.to_string()))
+                    .collect();
+                self.head = (generation, Bundle { digests, chunks });
             }
             Effect::Probe { endpoint } => {
                 let ready = !self.unready_since.contains_key(endpoint.as_str());
-                self.post(vm, 2, Event::Probed { endpoint, ready: Some(ready), running: 0, waiting: 0 });
+                self.post(
+                    vm,
+                    2,
+                    Event::Probed { endpoint, ready: Some(ready), running: 0, waiting: 0, weights: None },
+                );
             }
             _ => {}
         }
@@ -379,12 +383,11 @@
             self.post(vm, 500, Event::LogCreated { shard, sequence, reply: CreateReply::Unknown });
             return;
         }
-        let reply = match self.log.get(&(shard, sequence)) {
-            Some(standing) => CreateReply::Exists(standing.clone()),
-            None => {
-                self.log.insert((shard, sequence), text);
-                CreateReply::Created
-            }
+        let reply = if let Some(standing) = self.log.get(&(shard, sequence)) {
+            CreateReply::Exists(standing.clone())
+        } else {
+            self.log.insert((shard, sequence), text);
+            CreateReply::Created
         };
         let lost = self.lost_replies > 0;
         self.lost_replies = self.lost_replies.saturating_sub(1);
--- a/crates/policy/tests/sessions.rs
+++ b/crates/policy/tests/sessions.rs
@@ -36,6 +36,9 @@
     lost_events_mean_unknown = { "lost-events-mean-unknown" },
     a_cell_taken_over_is_listed_whole = { "a-cell-taken-over-is-listed-whole" },
     busy_home_is_no_refusal = { "busy-home-is-no-refusal" },
+    orders_three_at_once = { "orders-three-at-once" },
+    orders_paused_holder = { "orders-paused-holder" },
+    orders_taken_over_late = { "orders-taken-over-late" },
     deadline_refused_at_once = { "deadline-refused-at-once" },
 )]
 fn session(name: &str) {
--- a/crates/spanfoldd/src/carry.rs
+++ b/crates/spanfoldd/src/carry.rs
@@ -67,6 +67,13 @@
             Effect::Export { endpoint, store, pool, keys } => {
                 probe::export(&shared, endpoint, store, pool, &keys).await;
             }
+            Effect::ReadLease => platform_task::read_lease(&shared).await,
+            Effect::WriteLease { revision, text } => {
+                platform_task::write_lease(&shared, revision, text).await;
+            }
+            Effect::Order { endpoint, target, fencing, valid_until } => {
+                probe::order(&shared, &endpoint, &target, fencing, valid_until).await;
+            }
             Effect::Free { store, pool, keys } => probe::free(&shared, &store, &pool, &keys).await,
             _ => {}
         }
--- a/crates/spanfoldd/src/platform_task.rs
+++ b/crates/spanfoldd/src/platform_task.rs
@@ -211,3 +211,25 @@
     }
     shared.raise_surely(Event::LogRead { shard, known, entries }).await;
 }
+
+/// The key of the lease record on orders.
+const LEASE_KEY: &str = "spanfold/orders";
+
+pub(crate) async fn read_lease(shared: &SharedState) {
+    match shared.key_value.get(LEASE_KEY).await {
+        Ok(value) => {
+            let (revision, text) = value.map_or_else(Default::default, |value| (value.revision, value.text));
+            shared.raise_surely(Event::LeaseRead { revision, text }).await;
+        }
+        Err(error) => log::warn!(error:% = error; "lease.unread"),
+    }
+}
+
+pub(crate) async fn write_lease(shared: &SharedState, revision: u64, text: String) {
+    match shared.key_value.compare_and_swap(LEASE_KEY, revision, &text).await {
+        Ok(SwapOutcome::Done) => shared.raise_surely(Event::LeaseWritten { text }).await,
+        Ok(SwapOutcome::Lost(_)) => log::info!("lease.lost"),
+        // If it took effect, the next reading shows it as unchanged by others, and it is renewed.
+        Err(error) => log::warn!(error:% = error; "lease.unwritten"),
+    }
+}
--- a/crates/spanfoldd/src/probe.rs
+++ b/crates/spanfoldd/src/probe.rs
@@ -7,7 +7,8 @@
 use hyper::Request;
 use serde_json::Value;
 use spanfold_declare::EndpointKind;
-use spanfold_kernel::Event;
+use spanfold_entity::Moment;
+use spanfold_kernel::{Event, LoadedWeights};
 use std::sync::PoisonError;
 use std::time::{Duration, Instant};
 
@@ -36,7 +37,7 @@
     if kind != EndpointKind::Engine {
         let ready =
             get(shared, format!("http://{address}/healthz")).await.ok().map(|(status, _)| status == 200);
-        shared.raise(Event::Probed { endpoint, ready, running: 0, waiting: 0 });
+        shared.raise(Event::Probed { endpoint, ready, running: 0, waiting: 0, weights: None });
         return;
     }
     let answer = get(shared, format!("http://{address}/metrics")).await.ok();
@@ -45,8 +46,15 @@
     let ready = text.as_ref().map(|_| read("engine_ready") != Some(0));
     let (running, waiting) = (read("engine_running").unwrap_or(0), read("engine_waiting").unwrap_or(0));
     let sequence = read("engine_cache_sequence").unwrap_or(0);
-    let event =
-        Event::Probed { endpoint: endpoint.clone(), ready, running: running as u32, waiting: waiting as u32 };
+    let version = text.as_deref().and_then(|text| read_word(text, "engine_version"));
+    let loading = read("engine_loading") == Some(1);
+    let event = Event::Probed {
+        endpoint: endpoint.clone(),
+        ready,
+        running: running as u32,
+        waiting: waiting as u32,
+        weights: version.map(|version| LoadedWeights { version, loading }),
+    };
     shared.raise(event);
     let after = cursor(shared, &endpoint);
     if ready.is_some() && sequence != after {
@@ -148,13 +156,43 @@
     }
 }
 
+/// Orders an engine to load a weight version, unless the order has become too old to send.
+pub(crate) async fn order(
+    shared: &SharedState,
+    endpoint: &str,
+    target: &str,
+    fencing: u64,
+    valid_until: Moment,
+) {
+    let Some(address) = address_of(shared, endpoint) else { return };
+    let body = serde_json::json!({ "kind": "load-version", "target": target, "fencing": fencing });
+    let request = Request::post(format!("http://{address}/orders"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body.to_string())));
+    let Ok(request) = request else { return };
+    if shared.now() >= valid_until {
+        log::warn!(endpoint, fencing; "order.too_old");
+        return;
+    }
+    match shared.endpoints.read(request, shared.until(valid_until)).await {
+        Ok((200, _)) => log::info!(endpoint, target, fencing; "order.taken"),
+        Ok((status, _)) => log::warn!(endpoint, status, fencing; "order.refused"),
+        Err(error) => log::warn!(endpoint, error:% = error; "order.unanswered"),
+    }
+}
+
 fn read_key(text: &str) -> Option<u64> {
     u64::from_str_radix(text, 16).ok()
 }
 
 fn read_gauge(text: &str, name: &str) -> Option<u64> {
+    read_word(text, name)?.parse::<f64>().ok().map(|value| value as u64)
+}
+
+/// The second word of the line that begins with `name`.
+fn read_word(text: &str, name: &str) -> Option<String> {
     let line = text.lines().find(|line| line.split_whitespace().next() == Some(name))?;
-    line.split_whitespace().nth(1)?.parse::<f64>().ok().map(|value| value as u64)
+    line.split_whitespace().nth(1).map(str::to_owned)
 }
 
 fn cursor(shared: &SharedState, place: &str) -> u64 {
--- a/crates/spanfoldd/tests/promises/cache_safety.rs
+++ b/crates/spanfoldd/tests/promises/cache_safety.rs
@@ -8,7 +8,7 @@
 /// One engine, so that what returns must be imported or computed there.
 async fn one_engine() -> Deployment {
     let rates = EngineRates { memory_pieces: 64, prefill_micros: 40, ..EngineRates::default() };
-    let engine = EnginePlan { name: "engine-a1".into(), data_centre: "dc-a".into(), rates };
+    let engine = EnginePlan { name: "engine-a1".into(), data_centre: "dc-a".into(), rates, fenced: true };
     Deployment::start(DeploymentPlan { engines: vec![engine], ..DeploymentPlan::default() }).await.unwrap()
 }
 
--- a/crates/spanfoldd/tests/promises/main.rs
+++ b/crates/spanfoldd/tests/promises/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod leaving;
 mod not_run;
+mod orders;
 mod support;
 mod whole_answer;
 mod whole_path;
--- a/crates/spanfoldd/tests/promises/support.rs
+++ b/crates/spanfoldd/tests/promises/support.rs
@@ -37,6 +37,7 @@
                 name: name.to_owned(),
                 data_centre: centre.to_owned(),
                 rates: EngineRates::default(),
+                fenced: true,
             })
             .to_vec(),
         services: vec![("desk-a1".to_owned(), "dc-a".to_owned()), ("desk-b1".to_owned(), "dc-b".to_owned())],
--- a/crates/standin/examples/bench.rs
+++ b/crates/standin/examples/bench.rs
@@ -114,7 +114,7 @@
         vms: each("vm", whole(fleet, "vms")),
         engines: each("engine", whole(fleet, "engines"))
             .into_iter()
-            .map(|(name, data_centre)| EnginePlan { name, data_centre, rates })
+            .map(|(name, data_centre)| EnginePlan { name, data_centre, rates, fenced: true })
             .collect(),
         // Stores stand in one data centre and serve all.
         stores: (0..whole(fleet, "stores"))
@@ -311,20 +311,6 @@
         *codes.entry(result.code.as_str()).or_default() += 1;
     }
     row["codes"] = json!(codes);
-    if std::env::var_os("BENCH_DEBUG").is_some() {
-        let mostly = results.iter().filter(|r| r.usage[2] * 2 > r.usage.iter().sum::<u64>()).count();
-        let mut exported = 0;
-        for vm in &vms {
-            let text = deployment.metrics(vm).await;
-            exported += text
-                .lines()
-                .filter_map(|l| l.strip_prefix("spanfold_exported_pieces_total "))
-                .filter_map(|v| v.parse::<u64>().ok())
-                .sum::<u64>();
-        }
-        let held: usize = deployment.stores.values().map(|s| s.block_count()).sum();
-        println!("    mostly computed {mostly}, exported {exported}, held {held}");
-    }
     let (least, shares) = least_share(&results, &promises);
     let link: u64 = deployment.stores.values().map(|store| store.link_use().1).sum();
     let links = deployment.stores.len().max(1) as f64;
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -33,6 +33,8 @@
     pub data_centre: String,
     /// How fast it is.
     pub rates: EngineRates,
+    /// Whether it refuses orders with an old fencing number.
+    pub fenced: bool,
 }
 
 /// One store of a plan.
@@ -76,6 +78,7 @@
             name: name.to_owned(),
             data_centre: "dc-a".to_owned(),
             rates: EngineRates::default(),
+            fenced: true,
         };
         Self {
             vms: vec![("vm-a1".to_owned(), "dc-a".to_owned())],
@@ -164,7 +167,7 @@
     async fn start_endpoints(&mut self) -> io::Result<()> {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         for plan in &self.plan.engines {
-            let engine = EngineStandin::start(any, "1", plan.rates, true).await?;
+            let engine = EngineStandin::start(any, "1", plan.rates, plan.fenced).await?;
             self.engines.insert(plan.name.clone(), engine);
         }
         for plan in &self.plan.stores {
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -5,11 +5,12 @@
 //! gaps, and takes orders. Its answer follows from the blocks that it really holds.
 
 use crate::answer::{PieceState, answer_word, first_state, next_state, render_messages};
+use crate::engine_cache::{
+    KvImport, Memory, export, find_block, import_blocks, note_event, read_events, store_block,
+};
 use crate::priority_gate::PriorityGate;
 use crate::server::{StandinBody, query_number, read_body, reply, reply_json, serve};
 use crate::{FaultSwitch, PIECE_BYTES};
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
@@ -19,7 +20,7 @@
 use hyper_util::rt::TokioExecutor;
 use serde::Deserialize;
 use serde_json::{Value, json};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -29,10 +30,6 @@
 
 /// Tokens of a byte of prompt.
 const BYTES_PER_TOKEN: usize = 4;
-/// Bytes of an exported block beyond its header.
-const BLOCK_FILL: usize = 2_048;
-/// Cache events kept for reading; older ones are a gap.
-const EVENT_MEMORY: usize = 4_096;
 /// Finished streams kept for resumption.
 const STREAM_MEMORY: usize = 1_024;
 /// Frames sent before a stream is broken on purpose.
@@ -59,20 +56,6 @@
     }
 }
 
-#[derive(Clone, Debug)]
-struct Block {
-    state: PieceState,
-    used: u64,
-}
-
-#[derive(Debug, Default)]
-struct Memory {
-    blocks: HashMap<String, Block>,
-    clock: u64,
-    events: VecDeque<(u64, Instant, &'static str, String)>,
-    sequence: u64,
-}
-
 /// Runs by stream id, and the ids in the order in which they began.
 type RunMemory = (HashMap<String, Arc<Run>>, VecDeque<String>);
 
@@ -94,10 +77,10 @@
 }
 
 #[derive(Debug)]
-struct EngineState {
-    rates: EngineRates,
+pub(crate) struct EngineState {
+    pub rates: EngineRates,
     version: Mutex<String>,
-    memory: Mutex<Memory>,
+    pub memory: Mutex<Memory>,
     prefill: PriorityGate,
     slots: PriorityGate,
     running: AtomicU64,
@@ -106,9 +89,11 @@
     fencing: Option<Mutex<u64>>,
     orders: Mutex<Vec<Value>>,
     faults: Arc<FaultSwitch>,
-    client: Client<HttpConnector, Full<Bytes>>,
+    pub client: Client<HttpConnector, Full<Bytes>>,
     computed_tokens: AtomicU64,
     prompt_tokens: AtomicU64,
+    load_millis: AtomicU64,
+    loading: AtomicU64,
 }
 
 /// A running engine stand-in.
@@ -127,12 +112,6 @@
     import: Vec<KvImport>,
 }
 
-#[derive(Deserialize, Clone)]
-struct KvImport {
-    key: String,
-    url: String,
-}
-
 #[derive(Deserialize)]
 struct RunRequest {
     #[serde(default)]
@@ -185,6 +164,8 @@
             client: Client::builder(TokioExecutor::new()).build_http(),
             computed_tokens: AtomicU64::new(0),
             prompt_tokens: AtomicU64::new(0),
+            load_millis: AtomicU64::new(0),
+            loading: AtomicU64::new(0),
         });
         let shared = Arc::clone(&state);
         let (address, task) =
@@ -228,6 +209,21 @@
         }
     }
 
+    /// Makes each ordered load take `millis`.
+    pub fn load_for(&self, millis: u64) {
+        self.state.load_millis.store(millis, Ordering::SeqCst);
+    }
+
+    /// Whether it loads weights now.
+    pub fn is_loading(&self) -> bool {
+        self.state.loading.load(Ordering::SeqCst) > 0
+    }
+
+    /// The weight version that is loaded.
+    pub fn version(&self) -> String {
+        lock(&self.state.version).clone()
+    }
+
     /// Loads another weight version.
     pub fn load_version(&self, version: &str) {
         version.clone_into(&mut lock(&self.state.version));
@@ -246,7 +242,7 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -256,7 +252,7 @@
         (&Method::POST, "/v1/completions") => complete(state, request, false).await,
         (&Method::POST, "/v1/chat/completions") => complete(state, request, true).await,
         (&Method::GET, "/healthz") => {
-            let leaving = state.faults.is_leaving();
+            let leaving = state.is_away();
             reply(if leaving { 503 } else { 200 }, if leaving { "leaving\n" } else { "ok\n" })
         }
         (&Method::GET, "/metrics") => reply(200, load_text(&state)),
@@ -298,15 +294,25 @@
             .map_or(0, |(sequence, ..)| *sequence)
     };
     format!(
-        "engine_ready {}\nengine_running {}\nengine_waiting {}\nengine_cache_sequence {sequence}\n",
-        u8::from(!state.faults.is_leaving()),
+        "engine_ready {}\nengine_running {}\nengine_waiting {}\nengine_cache_sequence {sequence}\n\
+         engine_version {}\nengine_loading {}\n",
+        u8::from(!state.is_away()),
         state.running.load(Ordering::SeqCst),
         state.slots.waiting() + state.prefill.waiting(),
+        lock(&state.version),
+        u8::from(state.loading.load(Ordering::SeqCst) > 0),
     )
 }
 
+impl EngineState {
+    /// Whether it takes no new work: it leaves, or it loads weights.
+    fn is_away(&self) -> bool {
+        self.faults.is_leaving() || self.loading.load(Ordering::SeqCst) > 0
+    }
+}
+
 async fn complete(state: Arc<EngineState>, request: Request<Incoming>, chat: bool) -> Response<StandinBody> {
-    if state.faults.is_leaving() {
+    if state.is_away() {
         return reply(503, "leaving\n");
     }
     let Some(body) = read_body(request).await else { return reply(400, "broken body\n") };
@@ -446,139 +452,7 @@
     (now, usage)
 }
 
-fn find_block(state: &EngineState, key: &str) -> Option<PieceState> {
-    let mut memory = lock(&state.memory);
-    memory.clock += 1;
-    let clock = memory.clock;
-    let block = memory.blocks.get_mut(key)?;
-    block.used = clock;
-    Some(block.state)
-}
-
-fn store_block(state: &EngineState, key: &str, content: PieceState) {
-    let mut memory = lock(&state.memory);
-    memory.clock += 1;
-    let used = memory.clock;
-    if memory.blocks.insert(key.to_owned(), Block { state: content, used }).is_none() {
-        note_event(&mut memory, "stored", key);
-    }
-    while memory.blocks.len() > state.rates.memory_pieces {
-        let Some(oldest) =
-            memory.blocks.iter().min_by_key(|(_, block)| block.used).map(|(key, _)| key.clone())
-        else {
-            return;
-        };
-        memory.blocks.remove(&oldest);
-        note_event(&mut memory, "evicted", &oldest);
-    }
-}
-
-fn note_event(memory: &mut Memory, kind: &'static str, key: &str) {
-    memory.sequence += 1;
-    let event = (memory.sequence, Instant::now(), kind, short(key).to_owned());
-    memory.events.push_back(event);
-    if memory.events.len() > EVENT_MEMORY {
-        memory.events.pop_front();
-    }
-}
-
-fn short(key: &str) -> &str {
-    key.get(..16).unwrap_or(key)
-}
-
-fn read_events(state: &EngineState, after: u64) -> Value {
-    let lag = Duration::from_millis(state.rates.event_lag_millis);
-    let memory = lock(&state.memory);
-    let visible: Vec<_> = memory.events.iter().take_while(|(_, at, _, _)| at.elapsed() >= lag).collect();
-    let first = visible.first().map_or(after + 1, |(sequence, ..)| *sequence);
-    let events: Vec<Value> = visible
-        .iter()
-        .filter(|(sequence, ..)| *sequence > after)
-        .map(|(sequence, _, kind, key)| json!({ "sequence": sequence, "kind": kind, "key": key }))
-        .collect();
-    json!({ "gap": first > after + 1, "events": events })
-}
-
-/// Fetches blocks; one that is missing, broken or not what was asked for is left out.
-async fn import_blocks(state: &EngineState, import: &[KvImport]) -> HashMap<String, PieceState> {
-    let mut fetches = tokio::task::JoinSet::new();
-    let held = |key: &str| lock(&state.memory).blocks.contains_key(key);
-    for wanted in import.iter().filter(|wanted| !held(&wanted.key)) {
-        let (client, wanted) = (state.client.clone(), wanted.clone());
-        fetches.spawn(async move {
-            let content = fetch_block(&client, &wanted).await;
-            (wanted.key, content)
-        });
-    }
-    let mut found = HashMap::new();
-    while let Some(Ok((key, content))) = fetches.join_next().await {
-        if let Some(content) = content {
-            found.insert(key, content);
-        }
-    }
-    found
-}
-
-async fn fetch_block(client: &Client<HttpConnector, Full<Bytes>>, wanted: &KvImport) -> Option<PieceState> {
-    let request = Request::get(&wanted.url).body(Full::default()).ok()?;
-    let response = client.request(request).await.ok()?;
-    if !response.status().is_success() {
-        return None;
-    }
-    let digest = response.headers().get("content-digest")?.to_str().ok()?.to_owned();
-    let body = response.into_body().collect().await.ok()?.to_bytes();
-    if content_digest(&body) != digest {
-        return None;
-    }
-    let end = body.iter().position(|byte| *byte == b'\n')?;
-    let header: Value = serde_json::from_slice(&body[..end]).ok()?;
-    if header["key"].as_str() != Some(&wanted.key) {
-        return None;
-    }
-    let content = STANDARD.decode(header["state"].as_str()?).ok()?;
-    content.try_into().ok()
-}
-
-/// The `Content-Digest` of a body, in the form of RFC 9530 with BLAKE3.
-fn content_digest(body: &[u8]) -> String {
-    format!("blake3=:{}:", STANDARD.encode(blake3::hash(body).as_bytes()))
-}
-
-async fn export(state: Arc<EngineState>, request: Request<Incoming>) -> Response<StandinBody> {
-    let Some(body) = read_body(request).await else { return reply(400, "broken body\n") };
-    let order: Value = serde_json::from_slice(&body).unwrap_or_default();
-    let target = order["url"].as_str().unwrap_or_default().to_owned();
-    let wanted: HashSet<&str> =
-        order["keys"].as_array().map_or(&[][..], Vec::as_slice).iter().filter_map(Value::as_str).collect();
-    let blocks: Vec<(String, PieceState)> = {
-        let memory = lock(&state.memory);
-        let wanted = memory.blocks.iter().filter(|(key, _)| wanted.contains(short(key)));
-        wanted.map(|(key, block)| (key.clone(), block.state)).collect()
-    };
-    let mut exported = Vec::new();
-    for (key, content) in blocks {
-        if put_block(&state, &target, &key, content).await {
-            exported.push(short(&key).to_owned());
-        }
-    }
-    reply_json(&json!({ "exported": exported }))
-}
-
-async fn put_block(state: &EngineState, target: &str, key: &str, content: PieceState) -> bool {
-    let header = json!({ "key": key, "state": STANDARD.encode(content) });
-    let mut body = format!("{header}\n").into_bytes();
-    body.resize(body.len() + BLOCK_FILL, 0);
-    let request = Request::put(format!("{target}/{}", short(key)))
-        .header("if-none-match", "*")
-        .header("content-digest", content_digest(&body))
-        .body(Full::new(Bytes::from(body)));
-    let Ok(request) = request else { return false };
-    let Ok(response) = state.client.request(request).await else { return false };
-    // 412: it is there already, whole.
-    response.status().is_success() || response.status() == 412
-}
-
-async fn order(state: &EngineState, request: Request<Incoming>) -> Response<StandinBody> {
+async fn order(state: &Arc<EngineState>, request: Request<Incoming>) -> Response<StandinBody> {
     let Some(body) = read_body(request).await else { return reply(400, "broken body\n") };
     let order: Value = serde_json::from_slice(&body).unwrap_or_default();
     if let Some(fencing) = &state.fencing {
@@ -589,8 +463,15 @@
         }
         *highest = number;
     }
-    if order["kind"] == "load-version" {
-        order["target"].as_str().unwrap_or_default().clone_into(&mut lock(&state.version));
+    let target = order["target"].as_str().unwrap_or_default().to_owned();
+    if order["kind"] == "load-version" && *lock(&state.version) != target {
+        state.loading.fetch_add(1, Ordering::SeqCst);
+        let state = Arc::clone(state);
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(state.load_millis.load(Ordering::SeqCst))).await;
+            *lock(&state.version) = target;
+            state.loading.fetch_sub(1, Ordering::SeqCst);
+        });
     }
     lock(&state.orders).push(order);
     reply(200, "done\n")
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod caller;
 mod deployment;
 mod engine;
+mod engine_cache;
 mod fault;
 mod platform;
 mod priority_gate;
