--- a/crates/policy/src/orders.rs
+++ b/crates/policy/src/orders.rs
@@ -31,6 +31,8 @@
 const LOAD_MILLIS: u64 = 120_000;
 /// An order that has shown no effect is given again after this long, in milliseconds.
 const REPEAT_MILLIS: u64 = 5_000;
+/// That an engine is as it should be is told this often.
+const TOLD_AGAIN: u8 = 4;
 /// Engines of the deployment that load at once: loading slows beyond that.
 const LOADS_AT_ONCE: usize = 3;
 
@@ -64,6 +66,8 @@
     safe_until: Moment,
     settled_at: Moment,
     engines: BTreeMap<String, EngineOrder>,
+    /// Engines probed here that are or were not as they should be, and how often that is still told.
+    differing: BTreeMap<String, u8>,
 }
 
 impl OrderDesk {
@@ -77,12 +81,15 @@
             safe_until: Moment(0),
             settled_at: Moment::NEVER,
             engines: BTreeMap::new(),
+            differing: BTreeMap::new(),
         }
     }
 
     fn handle(&mut self, context: &mut Context<'_>, event: &Event) {
         match event {
-            Event::Probed { endpoint, weights: Some(weights), .. } => tell_holder(context, endpoint, weights),
+            Event::Probed { endpoint, weights: Some(weights), .. } => {
+                self.tell_holder(context, endpoint, weights);
+            }
             Event::Receive { message: Message::Weights { endpoint, weights }, .. } => {
                 self.note(context.now, endpoint, weights);
             }
@@ -144,6 +151,28 @@
         self.safe_until = asked_at.after_millis(LEASE_MILLIS - MARGIN_MILLIS);
     }
 
+    /// Who probes an engine tells the holder if it is not as it should be.
+    ///
+    /// When it is again, that is told a few times, because it ends a load and may be lost. Telling
+    /// all that is well would bring one VM a message a second for each engine of the deployment.
+    fn tell_holder(&mut self, context: &mut Context<'_>, endpoint: &str, weights: &LoadedWeights) {
+        let Some(wanted) = wanted_version(context.world, endpoint) else { return };
+        if wanted != weights.version || weights.loading {
+            self.differing.insert(endpoint.to_owned(), TOLD_AGAIN);
+        } else {
+            let Some(left) = self.differing.get_mut(endpoint) else { return };
+            *left -= 1;
+            if *left == 0 {
+                self.differing.remove(endpoint);
+            }
+        }
+        let holder = context.world.orders_holder.clone();
+        if !holder.is_empty() {
+            let message = Message::Weights { endpoint: endpoint.to_owned(), weights: weights.clone() };
+            context.send(&holder, message);
+        }
+    }
+
     fn note(&mut self, now: Moment, endpoint: &str, weights: &LoadedWeights) {
         let order = self.engines.entry(endpoint.to_owned()).or_insert_with(|| EngineOrder {
             weights: weights.clone(),
@@ -181,17 +210,6 @@
     }
 }
 
-/// Who probes an engine tells the holder what it has loaded.
-fn tell_holder(context: &mut Context<'_>, endpoint: &str, weights: &LoadedWeights) {
-    let wanted = wanted_version(context.world, endpoint);
-    let holder = context.world.orders_holder.clone();
-    // What is as it should be is told too: it ends a load.
-    if wanted.is_some() && !holder.is_empty() {
-        let message = Message::Weights { endpoint: endpoint.to_owned(), weights: weights.clone() };
-        context.send(&holder, message);
-    }
-}
-
 /// The weight version that the configuration wants an engine to have.
 fn wanted_version(world: &World, endpoint: &str) -> Option<String> {
     let declared = &world.catalogue.declarations;
