Add example declarations, checked by a test

Cause: a newcomer had the sections' names in OPERATING but no file to start from. A name that needed explaining in the cell's state is gone.

--- a/crates/policy/src/cell_state.rs
+++ b/crates/policy/src/cell_state.rs
@@ -433,15 +433,14 @@
         kept: &BTreeMap<String, KeptIndex>,
     ) -> Vec<WaitingRequest> {
         let usable = self.loads.iter().filter(|load| world.may_get_work(load.index, now));
-        let fastest = usable.map(|load| load.token.micros).reduce(f64::min);
-        let usable_none = fastest.is_none();
-        let fastest = fastest.unwrap_or_default();
+        // With no endpoint at hand nothing can be told but that a deadline has passed.
+        let fastest = usable.map(|load| load.token.micros).reduce(f64::min).unwrap_or_default();
         let kept = kept.get(&self.pool);
         let loads = &self.loads;
         self.queue.remove_if(|waiting| {
             let whole = fastest * f64::from(waiting.ask.prompt_tokens);
             // Looking up the pieces is dear: it is done only where computing them all is too late.
-            if usable_none || now.after_micros(whole as u64) <= waiting.deadline {
+            if now.after_micros(whole as u64) <= waiting.deadline {
                 return now >= waiting.deadline;
             }
             let there = |key: &&u64| {
--- a/crates/spanfold/tests/command.rs
+++ b/crates/spanfold/tests/command.rs
@@ -41,6 +41,13 @@
     assert!(output.contains(expected), "{output}");
 }
 
+#[test]
+fn the_example_has_no_findings() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/declarations.ini");
+    let (code, output) = spanfold(&["check", file]);
+    assert_eq!(code, 0, "{output}");
+}
+
 #[test]
 fn check_reports_all_findings_together() {
     let folder = tempfile::tempdir().unwrap();
