--- a/crates/standin/examples/daemon_cost.rs
+++ b/crates/standin/examples/daemon_cost.rs
@@ -71,10 +71,55 @@
     tasks.join_all().await.into_iter().flatten().unzip()
 }
 
+/// Kills the home of a cell under load: when another VM is home, and how many calls noticed.
+async fn home_death(binary: &Path) -> std::io::Result<()> {
+    let mut deployment = Deployment::start(plan(binary, 3, 1_000)).await?;
+    let cell = "assistants/dc-a/0";
+    let mut home = String::new();
+    for vm in 0..3 {
+        let name = format!("vm-{vm}");
+        let status = deployment.status(&name).await;
+        if status["cells"].as_array().is_some_and(|rows| rows.iter().any(|row| row["cell"] == cell)) {
+            home = name;
+        }
+    }
+    let others: Vec<String> = (0..3).map(|vm| format!("vm-{vm}")).filter(|name| *name != home).collect();
+    let (to, rate, seconds) = (deployment.callers(&others[0]), 100, 8);
+    let calls = tokio::spawn(at_rate(to, rate, seconds, 20));
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    deployment.kill_vm(&home);
+    let killed = Instant::now();
+    let mut taken_up = Duration::ZERO;
+    while taken_up.is_zero() && killed.elapsed() < Duration::from_secs(10) {
+        for name in &others {
+            let status = deployment.status(name).await;
+            if status["cells"].as_array().is_some_and(|rows| rows.iter().any(|row| row["cell"] == cell)) {
+                taken_up = killed.elapsed();
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    let (mut first, _) = calls.await.unwrap_or_default();
+    let bypassed = deployment.status(&others[0]).await["bypassed"].as_u64().unwrap_or(0);
+    println!(
+        "    the cell has a home again after {} ms; {} of {} calls served, {bypassed} decided without a home, first token p50 {:.0} us, p99 {:.0} us",
+        taken_up.as_millis(),
+        first.len(),
+        rate * seconds,
+        percentile(&mut first, 0.5),
+        percentile(&mut first, 0.99),
+    );
+    Ok(())
+}
+
 #[tokio::main]
 async fn main() -> std::io::Result<()> {
     let binary =
         PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| "target/release/spanfoldd".to_owned()));
+    println!("-- a home dies: three VMs, 100 requests a second through one of the others");
+    for _ in 0..3 {
+        home_death(&binary).await?;
+    }
     println!("-- latency: one VM, answers of 1 token, first token in us");
     let deployment = Deployment::start(plan(&binary, 1, 0)).await?;
     let id = deployment.process_id("vm-0").unwrap_or(0);
