--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -6,11 +6,11 @@
 use crate::endpoint_pool::ExchangeError;
 use crate::flight::SendFlight;
 use crate::gateway_metrics::KindLabel;
+use crate::outgoing_body::OutgoingBody;
 use crate::request_run::RequestRun;
 use crate::store_row::salted_key;
 use crate::{EndpointKey, FleetTable, LateVerdict, PlacementAsk, PlacementChoice, SendOutcome, salt_text};
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::response;
@@ -149,14 +149,14 @@
         &self,
         flight: &SendFlight,
         last_event_id: Option<&Bytes>,
-    ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    ) -> Result<Request<OutgoingBody>, hyper::http::Error> {
         let names = &self.gateway.dialect.headers;
         let ticket = &self.ticket;
         let left = ticket.limit.micros_since(self.gateway.now()) / MICROS_PER_MILLI;
         let mut request = Request::builder()
             .method(ticket.method.clone())
             .uri(&ticket.path)
-            .body(Full::new(self.body.clone()))?;
+            .body(OutgoingBody::new(self.body.clone()))?;
         let headers = request.headers_mut();
         headers.clone_from(&ticket.headers);
         let mut set = |name: &HeaderName, value: &[u8]| {
@@ -222,7 +222,7 @@
         &mut self,
         mut flight: SendFlight,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<OutgoingBody>,
     ) -> SendResult {
         let gateway = Arc::clone(&self.gateway);
         let patience = self.patience();
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -1,12 +1,11 @@
 //! Connections to endpoints, kept between requests.
 //!
-//! Invariant: a connection serves one request at a time and goes back only after a whole answer;
-//! whoever drops it in between cuts it, which is how an endpoint learns that its work is not
+//! Invariant: a connection serves one request at a time and goes back only after a whole answer to a
+//! request that went out whole; whoever drops it in between cuts it, which is how an endpoint learns that its work is not
 //! wanted any more. The latest used connection is taken first, so that spare ones grow old.
 
 use crate::EndpointKey;
-use bytes::Bytes;
-use http_body_util::Full;
+use crate::outgoing_body::{BodyMark, OutgoingBody, WRITE_BUFFER_BYTES};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -48,9 +47,11 @@
 /// One connection to an endpoint. Dropping it cuts it.
 #[derive(Debug)]
 pub(crate) struct EndpointConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutgoingBody>,
     driver: AbortHandle,
     fresh: bool,
+    /// How far the body of its present request went.
+    body: BodyMark,
 }
 
 impl Drop for EndpointConnection {
@@ -79,7 +80,7 @@
         &self,
         key: EndpointKey,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<OutgoingBody>,
     ) -> Result<(Response<Incoming>, EndpointConnection), ExchangeError> {
         loop {
             let mut connection = match self.take(key) {
@@ -92,6 +93,7 @@
                 }
                 continue;
             }
+            connection.body = request.body().mark();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
@@ -111,7 +113,7 @@
         granted: Option<Duration>,
     ) {
         let rest = granted.map_or(IDLE_DEFAULT, |time| time.saturating_sub(IDLE_MARGIN).min(IDLE_DEFAULT));
-        if connection.sender.is_closed() || rest.is_zero() {
+        if connection.sender.is_closed() || rest.is_zero() || !connection.body.is_handed_on() {
             return;
         }
         connection.fresh = false;
@@ -153,12 +155,14 @@
 async fn connect(address: SocketAddr) -> Result<EndpointConnection, ExchangeError> {
     let not_sent = |error: io::Error| ExchangeError::NotSent(error.to_string());
     let stream = open_stream(address).await.map_err(not_sent)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(WRITE_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     // How the connection ends is told by the exchange that uses it.
     let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-    Ok(EndpointConnection { sender, driver, fresh: true })
+    Ok(EndpointConnection { sender, driver, fresh: true, body: BodyMark::default() })
 }
 
 /// Opens a TCP connection that notices a silent peer by itself.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod news_rhythm;
 mod old_parts;
 mod order_task;
+mod outgoing_body;
 mod own_answer;
 mod peer_book;
 mod placement;
