One VM of each data centre watches the platform's store and tells the others

Ruled out: lists and leases (12 a VM, counted at a tenth for renewals). A VM now waits for news for a time that grows with its place among its data centre's leads, and asks the store when that is over; what it hears is news for those behind. News say which revision they build on, so a lost datagram costs one call. All is listed in one call instead of four or five.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use crate::{DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, WeightTarget};
 use hyper::Method;
 use hyper::header::HeaderName;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// All that differs between platforms.
@@ -91,7 +92,7 @@
 }
 
 /// One item of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreItem {
     /// Its key.
     pub key: String,
@@ -102,7 +103,7 @@
 }
 
 /// One change in the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreEvent {
     /// An item was written.
     Written(StoreItem),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,42 +1,56 @@
 //! Follows the platform's store: configuration, endpoints, weight targets, VMs.
 //!
-//! Invariant: a listing is complete before its watch begins at the listing's lowest revision, and
-//! no key's older revision replaces a newer one, so a change told twice or late does no harm.
+//! Invariant: what a VM has applied is whole up to one revision of the store, and no key's older
+//! revision replaces a newer one, so a change told twice or late does no harm.
+//!
+//! Calls to the store are priced, so one VM of a data centre watches it and tells the others. Nobody is
+//! elected: each VM waits for news for a time that grows with its place among the leads, and asks
+//! the store itself when that is over. The lead's time is zero; if it falls silent or is cut off from
+//! the store, the next one's time runs out first, and its answers are news for those behind it.
 
 use crate::call_link::CallLink;
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
+use crate::gossip;
 use crate::lease_keeper::{ORDERS_KEY, VM_PREFIX};
-use crate::peer_message::PeerKey;
+use crate::peer_message::{PeerKey, PeerMessage};
+use crate::store_news::StoreNews;
 use crate::weight_desk::HolderRecord;
-use crate::{EndpointKey, RouteTable, StoreEvent, StoreItem, StoreRefusal, StoreTransaction, VmEntry};
+use crate::{RouteTable, StoreEvent, StoreItem, StoreRefusal, StoreTransaction, VmEntry, VmKey};
+use spanfold_entity::Moment;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
-/// Prefix of all keys of this system.
-const OWN_PREFIX: &str = "spanfold/";
 /// Key of the secret that authenticates messages between VMs; it stays as long as the deployment.
 const PEER_KEY_KEY: &str = "spanfold/peer-key";
 
-/// How long a watch waits for changes, in milliseconds; each is priced. A cut that says nothing is
-/// noticed after this and the margin below: within the three seconds after its end in which a VM
-/// need not know of changes (the users' pages).
-const WATCH_MILLIS: u64 = 2_300;
+/// How long a watch waits for changes, in milliseconds; each is priced. With the pause after a change
+/// and the turn of the next VM, a change is in force within 2 s (the shortest bound of the users'
+/// sheets) although the lead is cut off without a word.
+const WATCH_MILLIS: u64 = 900;
 /// An answer to a watch that comes later than this after its time is not waited for.
-const WATCH_MARGIN: Duration = Duration::from_millis(600);
+const WATCH_MARGIN: Duration = Duration::from_millis(500);
 /// A listing that takes longer has failed.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
-/// Pause after a watch that brought changes: one call then brings a burst of them.
-const GATHER_PAUSE: Duration = Duration::from_millis(250);
-/// First pause after a failed call, doubled with each further one.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after failed calls.
-const RETRY_PAUSE_MOST: Duration = Duration::from_millis(800);
+/// Pause after a watch that brought changes, in milliseconds: one call then brings a burst of them.
+const GATHER_MILLIS: u64 = 150;
+/// First pause after a failed call, in milliseconds, doubled with each further one.
+const RETRY_MILLIS: u64 = 100;
+/// Longest pause after failed calls, in milliseconds.
+const RETRY_MOST_MILLIS: u64 = 800;
 /// Failed calls in a row after which the store counts as having been away.
 const AWAY_FAILURES: u32 = 2;
+/// Without news for this long, in milliseconds, the VM behind the lead asks the store itself: a watch,
+/// the pause after it, and a lost datagram's time.
+const TURN_MILLIS: u64 = 1_300;
+/// Each VM further behind waits this much longer, in milliseconds: a call and its news need less.
+const TURN_STEP_MILLIS: u64 = 100;
+/// Who leads may change at any moment: looked at anew after this long, in milliseconds.
+const LOOK_MILLIS: u64 = 100;
 
 /// What the tasks that order engines need to know of the store.
 #[derive(Clone, Debug, Default)]
@@ -45,69 +59,195 @@
     pub holder: Option<(HolderRecord, u64)>,
 }
 
+/// News of the store from another VM.
+pub(crate) type ToldNews = (VmKey, StoreNews);
+
 /// Follows the store until the process ends.
-pub(crate) async fn follow_store(gateway: Arc<Gateway>, orders: watch::Sender<OrdersView>) {
+pub(crate) async fn follow_store(
+    gateway: Arc<Gateway>,
+    socket: Arc<UdpSocket>,
+    orders: watch::Sender<OrdersView>,
+    mut told: mpsc::Receiver<ToldNews>,
+) {
     let mut follower = StoreFollower {
         link: CallLink::new(gateway.settings.store),
         gateway,
+        socket,
         orders,
         revisions: HashMap::new(),
+        revision: 0,
+        news_at: Moment(0),
+        rest_until: Moment(0),
+        is_behind: false,
+        is_asking: false,
+        watches: 0,
         failures: 0,
     };
     loop {
-        let Some(mut revision) = follower.list_all().await else { continue };
-        let mut watches = 0;
-        while let Some(next) = follower.watch_once(revision).await {
-            revision = next;
-            follower.offer_peer_key(watches).await;
-            watches += 1;
+        if follower.list_all().await {
+            while follower.step(&mut told).await {}
+        } else {
+            tokio::time::sleep_until(follower.gateway.instant(follower.rest_until)).await;
         }
     }
 }
 
 struct StoreFollower {
     gateway: Arc<Gateway>,
+    socket: Arc<UdpSocket>,
     link: CallLink,
     orders: watch::Sender<OrdersView>,
+    /// Each known key's last change.
     revisions: HashMap<String, u64>,
+    /// All changes up to this revision are applied.
+    revision: u64,
+    /// When the store last told that `revision` stands, directly or through another VM.
+    news_at: Moment,
+    /// No call before then.
+    rest_until: Moment,
+    /// Whether other VMs told of a revision whose changes this one lacks.
+    is_behind: bool,
+    /// Whether this VM, though not the first one, goes on asking because those before it brought no news.
+    is_asking: bool,
+    /// Watches that were answered.
+    watches: usize,
     failures: u32,
 }
 
 impl StoreFollower {
-    /// Lists everything; gives the revision to watch from.
-    async fn list_all(&mut self) -> Option<u64> {
-        let keys = self.gateway.dialect.keys;
+    /// Takes news or, when its turn has come, asks the store once; false if all must be listed anew.
+    async fn step(&mut self, told: &mut mpsc::Receiver<ToldNews>) -> bool {
+        let now = self.gateway.now();
+        let turn = self.turn(now);
+        let wake = self.gateway.instant(turn.min(now.after_millis(LOOK_MILLIS)));
+        tokio::select! {
+            biased;
+            Some((vm, news)) = told.recv() => {
+                self.take_news(vm, &news);
+                true
+            }
+            () = tokio::time::sleep_until(wake) => {
+                if now < turn { true } else { self.watch_once().await }
+            }
+        }
+    }
+
+    /// When this VM asks the store itself.
+    fn turn(&self, now: Moment) -> Moment {
+        let place = self.gateway.peers().lead_place(now) as u64;
+        let at_once = place == 0 || self.is_asking || self.is_behind;
+        let turn = if at_once {
+            Moment(0)
+        } else {
+            self.news_at.after_millis(TURN_MILLIS + TURN_STEP_MILLIS * place)
+        };
+        turn.max(self.rest_until)
+    }
+
+    /// Takes what another VM of this data centre heard from the store.
+    fn take_news(&mut self, vm: VmKey, news: &StoreNews) {
+        let now = self.gateway.now();
+        if let Some(micros) = news.trouble_micros {
+            self.gateway.note_store_trouble(Moment(now.0.saturating_sub(micros)));
+        }
+        if news.to > self.revision {
+            match &news.events {
+                Some(events) if news.from <= self.revision => {
+                    self.apply_all(events, "peer");
+                    self.revision = news.to;
+                }
+                _ => {
+                    self.is_behind = true;
+                    return;
+                }
+            }
+        }
+        self.news_at = self.news_at.max(Moment(now.0.saturating_sub(news.age_micros)));
+        if self.gateway.peers().leads_before(vm) {
+            self.is_asking = false;
+        }
+    }
+
+    /// Tells the other VMs of this data centre what the store has just said.
+    async fn tell_news(&self, from: u64, events: &[StoreEvent]) {
+        let news = StoreNews::new(from, self.revision, events, self.gateway.store_trouble_age());
+        let message = PeerMessage::Store(self.gateway.next_stamp(), news);
+        let targets = self.gateway.peers().near_addresses();
+        gossip::tell(&self.gateway, &self.socket, &message, &targets).await;
+    }
+
+    /// Lists everything; false if a call failed.
+    async fn list_all(&mut self) -> bool {
         let mut lowest = u64::MAX;
         let mut listed = Vec::new();
-        for prefix in [keys.configuration, keys.weights, keys.endpoints, OWN_PREFIX] {
-            let mut after: Option<String> = None;
-            loop {
-                let call = (self.gateway.dialect.store.range)(prefix, after.as_deref());
-                let read = self.gateway.dialect.store.read_range;
-                let page = self.call("list", &call, Instant::now() + LIST_TIMEOUT, read).await?;
-                let page = page.ok()?;
-                lowest = lowest.min(page.revision);
-                after = page.items.last().map(|item| item.key.clone());
-                listed.extend(page.items);
-                if !page.more {
-                    break;
-                }
+        let mut after: Option<String> = None;
+        loop {
+            let call = (self.gateway.dialect.store.range)("", after.as_deref());
+            let read = self.gateway.dialect.store.read_range;
+            let Some(Ok(page)) = self.call("list", &call, Instant::now() + LIST_TIMEOUT, read).await else {
+                return false;
+            };
+            lowest = lowest.min(page.revision);
+            after = page.items.last().map(|item| item.key.clone());
+            listed.extend(page.items);
+            if !page.more {
+                break;
             }
         }
-        let present: HashSet<String> = listed.iter().map(|item| item.key.clone()).collect();
-        self.note_absent(&present);
-        for item in listed {
-            self.written(&item);
+        let present: HashSet<&str> = listed.iter().map(|item| item.key.as_str()).collect();
+        let gone = self.revisions.keys().filter(|key| !present.contains(key.as_str()));
+        let gone = gone.map(|key| StoreEvent::Removed { key: key.clone(), revision: lowest });
+        let mut events: Vec<_> = gone.collect();
+        events.extend(listed.into_iter().map(StoreEvent::Written));
+        self.apply_all(&events, "list");
+        self.answered(lowest);
+        true
+    }
+
+    /// Waits for changes once; false if everything must be listed anew.
+    async fn watch_once(&mut self) -> bool {
+        // Who only catches up does not wait: the news go on coming from another VM.
+        let waits = self.gateway.peers().lead_place(self.gateway.now()) == 0 || !self.is_behind;
+        let wait_millis = if waits { WATCH_MILLIS } else { 0 };
+        let from = self.revision;
+        let call = (self.gateway.dialect.store.watch)("", from, wait_millis);
+        let deadline = Instant::now() + Duration::from_millis(wait_millis) + WATCH_MARGIN;
+        let read = self.gateway.dialect.store.read_watch;
+        let page = match self.call("watch", &call, deadline, read).await {
+            None => return true,
+            Some(Ok(page)) => page,
+            Some(Err(error)) => {
+                log::warn!(cause:% = error, revision = from; "watch.relist");
+                return false;
+            }
+        };
+        self.apply_all(&page.events, "watch");
+        self.answered(page.revision.max(from));
+        if waits {
+            self.is_asking = true;
+            self.tell_news(from, &page.events).await;
+        }
+        if !page.events.is_empty() {
+            self.rest_until = self.gateway.now().after_millis(GATHER_MILLIS);
         }
-        Some(lowest)
+        self.offer_peer_key().await;
+        self.watches += 1;
+        true
+    }
+
+    /// Notes that all changes up to `revision` are applied, as the store has just said.
+    fn answered(&mut self, revision: u64) {
+        self.revision = revision;
+        self.news_at = self.gateway.now();
+        self.is_behind = false;
     }
 
     /// Writes a peer key if the store holds none: the first VMs of a deployment do, and the first
     /// of their writes stands.
     ///
     /// One VM after the other does so, in the order of their names, for as long as none is told.
-    async fn offer_peer_key(&mut self, watches: usize) {
-        if self.revisions.contains_key(PEER_KEY_KEY) || self.gateway.peers().own_rank() > watches {
+    async fn offer_peer_key(&mut self) {
+        if self.revisions.contains_key(PEER_KEY_KEY) || self.gateway.peers().own_rank() > self.watches {
             return;
         }
         let offer = StoreTransaction {
@@ -119,39 +259,13 @@
         let deadline = Instant::now() + LIST_TIMEOUT;
         match self.call("write", &(dialect.transact)(&offer), deadline, dialect.read_transact).await {
             Some(Ok(revision)) => log::info!(revision; "peer_key.offered"),
-            // Another VM was first, or nothing was done: the watch tells, or the next listing offers again.
+            // Another VM was first, or nothing was done: the watch tells, or it is offered again.
             Some(Err(error)) => log::info!(cause:% = error; "peer_key.not_taken"),
             None => {}
         }
     }
 
-    /// Waits for changes once; none if everything must be listed anew.
-    async fn watch_once(&mut self, revision: u64) -> Option<u64> {
-        let call = (self.gateway.dialect.store.watch)("", revision, WATCH_MILLIS);
-        let deadline = Instant::now() + Duration::from_millis(WATCH_MILLIS) + WATCH_MARGIN;
-        let read = self.gateway.dialect.store.read_watch;
-        let page = match self.call("watch", &call, deadline, read).await {
-            None => return Some(revision),
-            Some(Ok(page)) => page,
-            Some(Err(error)) => {
-                log::warn!(cause:% = error, revision; "watch.relist");
-                return None;
-            }
-        };
-        let changed = !page.events.is_empty();
-        for event in page.events {
-            match event {
-                StoreEvent::Written(item) => self.written(&item),
-                StoreEvent::Removed { key, revision } => self.removed(&key, revision),
-            }
-        }
-        if changed {
-            tokio::time::sleep(GATHER_PAUSE).await;
-        }
-        Some(page.revision.max(revision))
-    }
-
-    /// Makes one call. None: it failed and a pause was made; an error: it must not be repeated as is.
+    /// Makes one call. None: it failed, and a rest follows; an error: it must not be repeated as is.
     async fn call<T>(
         &mut self,
         kind: &str,
@@ -172,39 +286,29 @@
             Err(error) => error.to_string(),
         };
         self.failures += 1;
-        self.gateway.note_store_trouble();
+        let now = self.gateway.now();
+        self.gateway.note_store_trouble(now);
         if self.failures == AWAY_FAILURES {
             log::warn!(dependency = "store", call = kind, cause = cause.as_str(); "dependency.lost");
         }
-        let pause = RETRY_PAUSE * (1 << self.failures.min(4));
-        tokio::time::sleep(pause.min(RETRY_PAUSE_MOST)).await;
+        let pause = RETRY_MILLIS << self.failures.min(4);
+        self.rest_until = now.after_millis(pause.min(RETRY_MOST_MILLIS));
         None
     }
 
     fn note_answer(&mut self) {
         if self.failures >= AWAY_FAILURES {
-            self.gateway.note_store_trouble();
+            self.gateway.note_store_trouble(self.gateway.now());
             log::info!(dependency = "store", failures = self.failures; "dependency.regained");
         }
         self.failures = 0;
     }
 
-    fn note_absent(&mut self, present: &HashSet<String>) {
-        let prefix = self.gateway.dialect.keys.endpoints;
-        let listed = present.iter().filter_map(|key| key.strip_prefix(prefix));
-        let listed: HashSet<_> = listed.map(EndpointKey::of).collect();
-        let held_until = self.gateway.hold_until();
-        let missing = self.gateway.table().miss_all_but(&listed, held_until);
-        for id in missing {
-            log::info!(endpoint = id.as_str(), source = "list", held_until:% = held_until; "endpoint.missing");
-        }
-        let gone: Vec<_> = self.revisions.keys().filter(|key| !present.contains(*key)).cloned().collect();
-        for key in gone {
-            self.revisions.remove(&key);
-            if let Some(name) = key.strip_prefix(VM_PREFIX) {
-                self.gateway.peers().unlist(name, self.gateway.now());
-            } else if key == ORDERS_KEY {
-                self.orders.send_replace(OrdersView::default());
+    fn apply_all(&mut self, events: &[StoreEvent], source: &str) {
+        for event in events {
+            match event {
+                StoreEvent::Written(item) => self.written(item),
+                StoreEvent::Removed { key, revision } => self.removed(key, *revision, source),
             }
         }
     }
@@ -283,7 +387,7 @@
         }
     }
 
-    fn removed(&mut self, key: &str, revision: u64) {
+    fn removed(&mut self, key: &str, revision: u64, source: &str) {
         if self.revisions.get(key).is_some_and(|known| *known >= revision) {
             return;
         }
@@ -292,7 +396,7 @@
         if let Some(id) = key.strip_prefix(self.gateway.dialect.keys.endpoints) {
             let held_until = self.gateway.hold_until();
             self.gateway.table().miss_entry(id, held_until);
-            log::info!(endpoint = id, source = "watch", held_until:% = held_until; "endpoint.missing");
+            log::info!(endpoint = id, source, held_until:% = held_until; "endpoint.missing");
         } else if let Some(name) = key.strip_prefix(VM_PREFIX) {
             self.gateway.peers().unlist(name, now);
             log::info!(vm = name; "vm.unlisted");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -145,11 +145,18 @@
         (self.origin + Duration::from_micros(moment.0)).into()
     }
 
-    /// Notes that a call to the store failed: entries may lapse although their endpoints live.
-    pub(crate) fn note_store_trouble(&self) {
-        let now = self.now();
-        self.store_trouble.store(now.0, Ordering::Relaxed);
-        self.table().extend_holds(now, now.after_millis(RETURN_MILLIS));
+    /// Notes that a call to the store failed at `at`, here or at another VM: entries may lapse although
+    /// their endpoints live.
+    pub(crate) fn note_store_trouble(&self, at: Moment) {
+        self.store_trouble.fetch_max(at.0, Ordering::Relaxed);
+        self.table().extend_holds(self.now(), at.after_millis(RETURN_MILLIS));
+    }
+
+    /// How long ago a call to the store failed last, in microseconds, while it counts as trouble.
+    pub(crate) fn store_trouble_age(&self) -> Option<u64> {
+        let (trouble, now) = (Moment(self.store_trouble.load(Ordering::Relaxed)), self.now());
+        let counts = trouble.0 != 0 && now < trouble.after_millis(TROUBLE_MILLIS);
+        counts.then(|| now.micros_since(trouble))
     }
 
     /// Until when an entry that vanishes now is held: past if the store was well for a while.
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// Time for the balancer to notice that this VM is not ready: it asks once a second and believes
@@ -22,6 +22,9 @@
 /// Period of dropping what has ended.
 const SWEEP_PAUSE: Duration = Duration::from_millis(500);
 
+/// News of the store from other VMs that wait to be taken; those beyond them are asked for.
+const NEWS_WAITING: usize = 64;
+
 /// Why a gateway could not start.
 #[derive(Debug, thiserror::Error)]
 #[error("cannot listen on {address}: {cause}")]
@@ -61,16 +64,17 @@
         let closing = watch::channel(false).0;
         let (orders, orders_view) = watch::channel(follow::OrdersView::default());
         let (right, right_view) = watch::channel(OrderRight::default());
+        let (news, told) = mpsc::channel(NEWS_WAITING);
         let share = || Arc::clone(&gateway);
         let tasks = vec![
-            tokio::spawn(follow::follow_store(share(), orders)),
+            tokio::spawn(follow::follow_store(share(), Arc::clone(&socket), orders, told)),
             tokio::spawn(kept_task::follow_stores(share())),
             tokio::spawn(lease_keeper::keep_lease(share(), orders_view, right)),
             tokio::spawn(order_task::order_weights(share(), right_view.clone())),
             tokio::spawn(free_task::free_old_parts(share(), right_view)),
             tokio::spawn(gossip::send_digests(share(), Arc::clone(&socket))),
             tokio::spawn(gossip::send_far_digests(share(), Arc::clone(&socket))),
-            tokio::spawn(gossip::receive(share(), socket)),
+            tokio::spawn(gossip::receive(share(), socket, news)),
             tokio::spawn(front_door::serve_operators(share(), readiness)),
             tokio::spawn(front_door::serve_operators(share(), metrics)),
             tokio::spawn(front_door::serve_callers(share(), callers, closing.subscribe())),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -7,6 +7,7 @@
 //! where its kind is defined.
 
 use crate::VmKey;
+use crate::follow::ToldNews;
 use crate::gateway::Gateway;
 use crate::load_digest::{DigestScope, LoadDigest};
 use crate::peer_book::LEADS;
@@ -15,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 
 /// Changes within this time go out together.
 const GATHER_PAUSE: Duration = Duration::from_millis(20);
@@ -75,7 +77,7 @@
 }
 
 /// Takes the other VMs' messages until the process ends.
-pub(crate) async fn receive(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+pub(crate) async fn receive(gateway: Arc<Gateway>, socket: Arc<UdpSocket>, news: mpsc::Sender<ToldNews>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
     loop {
         let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
@@ -86,12 +88,14 @@
         let bytes = &buffer[..length];
         let Some(message) = gateway.unseal(bytes) else { continue };
         let stamp = message.stamp();
-        let now = gateway.now();
-        if !gateway.peers().hear(stamp.vm, stamp.incarnation, stamp.sequence, now) {
-            continue;
-        }
         match message {
+            // A follower that is so far behind notices the gap and asks the store itself.
+            PeerMessage::Store(_, told) => drop(news.try_send((stamp.vm, told))),
             PeerMessage::Load(_, digest) => {
+                let now = gateway.now();
+                if !gateway.peers().hear(stamp.vm, stamp.incarnation, stamp.sequence, now) {
+                    continue;
+                }
                 digest.apply(&gateway, stamp.vm);
                 if digest.scope == DigestScope::DataCentre {
                     let targets = passed_to(&gateway, stamp.vm, sender);
--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -243,7 +243,7 @@
             Ok((status, body)) => {
                 let result = read(status, &body);
                 if matches!(result, Err(StoreRefusal::NotDone(_))) {
-                    self.gateway.note_store_trouble();
+                    self.gateway.note_store_trouble(self.gateway.now());
                 }
                 if let Err(error) = &result {
                     log::warn!(call = kind, cause:% = error; "store.refused");
@@ -251,7 +251,7 @@
                 Some(result)
             }
             Err(error) => {
-                self.gateway.note_store_trouble();
+                self.gateway.note_store_trouble(self.gateway.now());
                 log::warn!(call = kind, cause:% = error; "store.unanswered");
                 None
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,6 +45,7 @@
 mod retry_budget;
 mod return_book;
 mod route_table;
+mod store_news;
 mod store_row;
 mod stream_relay;
 mod travel_notes;
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -6,6 +6,7 @@
 //! UDP and not QUIC: a message replaces the one before, or its loss is noticed by what it builds on.
 
 use crate::load_digest::LoadDigest;
+use crate::store_news::StoreNews;
 use crate::VmKey;
 use serde::{Deserialize, Serialize};
 
@@ -30,12 +31,14 @@
 pub(crate) enum PeerMessage {
     /// Loads and what else bears on placement.
     Load(PeerStamp, LoadDigest),
+    /// Changes in the platform's store.
+    Store(PeerStamp, StoreNews),
 }
 
 impl PeerMessage {
     pub(crate) const fn stamp(&self) -> PeerStamp {
         match self {
-            Self::Load(stamp, _) => *stamp,
+            Self::Load(stamp, _) | Self::Store(stamp, _) => *stamp,
         }
     }
 
