--- a/crates/gateway/src/fleet_table.rs
+++ b/crates/gateway/src/fleet_table.rs
@@ -121,6 +121,11 @@
         self.stores.iter().map(|(key, row)| (*key, row))
     }
 
+    /// All stores of kept cache, to be changed.
+    pub(crate) fn stores_mut(&mut self) -> impl Iterator<Item = (EndpointKey, &mut StoreRow)> {
+        self.stores.iter_mut().map(|(key, row)| (*key, row))
+    }
+
     /// One store of kept cache.
     pub fn store(&self, key: EndpointKey) -> Option<&StoreRow> {
         self.stores.get(&key)
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -2,7 +2,7 @@
 
 use crate::gateway::Gateway;
 use crate::lease_keeper::OrderRight;
-use crate::{WireDialect, follow, free_task, front_door, gossip, kept_task, lease_keeper, order_task};
+use crate::{WireDialect, follow, free_task, front_door, gossip, kept_digest, kept_task, lease_keeper, order_task};
 use spanfold_declare::GatewaySettings;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -69,6 +69,7 @@
         let tasks = vec![
             tokio::spawn(follow::follow_store(share(), Arc::clone(&socket), orders, told)),
             tokio::spawn(kept_task::follow_stores(share())),
+            tokio::spawn(kept_digest::tell_kept(share(), Arc::clone(&socket))),
             tokio::spawn(lease_keeper::keep_lease(share(), orders_view, right)),
             tokio::spawn(order_task::order_weights(share(), right_view.clone())),
             tokio::spawn(free_task::free_old_parts(share(), right_view)),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -91,6 +91,7 @@
         match message {
             // A follower that is so far behind notices the gap and asks the store itself.
             PeerMessage::Store(_, told) => drop(news.try_send((stamp.vm, told))),
+            PeerMessage::Kept(_, digest) => digest.apply(&gateway),
             PeerMessage::Load(_, digest) => {
                 let now = gateway.now();
                 if !gateway.peers().hear(stamp.vm, stamp.incarnation, stamp.sequence, now) {
--- /dev/null
+++ b/crates/gateway/src/kept_digest.rs
@@ -0,0 +1,94 @@
+//! What the lead of a data centre tells the others of the stores of kept cache.
+//!
+//! Invariant: what is told was told by the store itself, in the incarnation that is named. Changes may
+//! get lost on the way; since whole books follow in turn, a part is missed for some seconds at most,
+//! which costs reading it. That a part was freed may be missed, too: only parts of weights that no
+//! engine has are freed, and nobody asks for those.
+
+use crate::EndpointKey;
+use crate::gateway::Gateway;
+use crate::gossip;
+use crate::peer_message::PeerMessage;
+use serde::{Deserialize, Serialize};
+use spanfold_entity::Moment;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+
+/// Pause between digests: news of parts are held back by their store for about as long.
+const TELL_PAUSE: Duration = Duration::from_millis(200);
+/// Digests between two whole books: with a dozen stores, each one's comes every five seconds.
+const BOOK_EACH: usize = 2;
+/// Parts of a book in one digest; 12 bytes each. Those beyond them follow with the next turns.
+const BOOK_MOST: usize = 1_000;
+/// What is told counts for this long, in milliseconds: several digests.
+const COUNTS_MILLIS: u64 = 1_500;
+
+/// What is told of one store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct KeptRow {
+    pub store: EndpointKey,
+    pub incarnation: u64,
+    /// Tokens that it holds.
+    pub used_tokens: u64,
+    /// Parts under their text, and the tokens that are held of them from now on.
+    pub parts: Vec<(u64, u32)>,
+}
+
+/// What is told of all stores.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct KeptDigest {
+    /// The engines' clock, in milliseconds, if it is known.
+    clock_millis: Option<u64>,
+    rows: Vec<KeptRow>,
+}
+
+impl KeptDigest {
+    /// What this VM heard of the stores since the last call, and the book of the one whose turn it is.
+    fn take(gateway: &Gateway, turn: usize) -> Self {
+        let now = gateway.now();
+        let clock_millis = gateway.engine_clock_at(now);
+        let mut table = gateway.table();
+        let heard = table.stores_mut().filter(|(_, row)| row.is_heard(now));
+        let mut rows: Vec<_> = heard.map(|(store, row)| row.take_untold(store)).collect();
+        if turn.is_multiple_of(BOOK_EACH) && !rows.is_empty() {
+            let chosen = (turn / BOOK_EACH) % rows.len();
+            let store = rows[chosen].store;
+            let book = table.store(store).map(|row| row.some_parts(BOOK_MOST, turn));
+            rows[chosen].parts = book.unwrap_or_default();
+        }
+        Self { clock_millis, rows }
+    }
+
+    /// Takes what the lead told.
+    pub(crate) fn apply(&self, gateway: &Gateway) {
+        let until = gateway.now().after_millis(COUNTS_MILLIS);
+        gateway.set_engine_clock(self.clock_millis);
+        let mut table = gateway.table();
+        for row in &self.rows {
+            if let Some(book) = table.store_mut(row.store) {
+                book.apply_told(row, until);
+            }
+        }
+    }
+}
+
+/// Whether this VM asks the stores for its data centre.
+pub(crate) fn asks_stores(gateway: &Gateway, now: Moment) -> bool {
+    gateway.peers().lead_place(now) == 0
+}
+
+/// Tells the other VMs of the data centre what this one hears from the stores, until the process ends.
+pub(crate) async fn tell_kept(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
+    let mut turn = 0;
+    loop {
+        tokio::time::sleep(TELL_PAUSE).await;
+        let targets = gateway.peers().near_addresses();
+        if targets.is_empty() || !asks_stores(&gateway, gateway.now()) {
+            continue;
+        }
+        turn += 1;
+        let message = PeerMessage::Kept(gateway.next_stamp(), KeptDigest::take(&gateway, turn));
+        gossip::tell(&gateway, &socket, &message, &targets).await;
+    }
+}
--- a/crates/gateway/src/kept_task.rs
+++ b/crates/gateway/src/kept_task.rs
@@ -1,10 +1,12 @@
 //! Follows what the stores of kept cache hold, one task a store.
 //!
+//! One VM of each data centre asks, its lead, and tells the others: a store holds few calls back at once.
 //! Invariant: after a gap, a new incarnation or a silence the whole listing is read before changes
 //! are followed again, so the book never claims a part that the store has not told.
 
 use crate::call_link::CallLink;
 use crate::gateway::Gateway;
+use crate::kept_digest::asks_stores;
 use crate::{EndpointKey, KeptNews, NewsRhythm, StoreSpec, WireCall};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -18,7 +20,9 @@
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
-/// Pause between looks at the configuration's stores.
+/// Time from a start until the other VMs are heard: a call to the platform's store and two digests.
+const START_PAUSE: Duration = Duration::from_millis(600);
+/// Pause between looks at the configuration's stores, and at who leads.
 const LOOK_PAUSE: Duration = Duration::from_millis(300);
 
 /// Keeps one task for each store of the configuration.
@@ -46,12 +50,19 @@
 
 async fn follow_store(gateway: Arc<Gateway>, key: EndpointKey, spec: StoreSpec) {
     let mut link = CallLink::new(spec.address);
+    // Until the other VMs are heard, each one would take itself for the lead.
+    tokio::time::sleep(START_PAUSE).await;
     loop {
+        if !asks_stores(&gateway, gateway.now()) {
+            tokio::time::sleep(LOOK_PAUSE).await;
+            continue;
+        }
         let Some(mut position) = list(&gateway, key, &spec, &mut link).await else {
             tokio::time::sleep(FAILURE_PAUSE).await;
             continue;
         };
-        while let Some(next) = follow_once(&gateway, key, &spec, &mut link, position).await {
+        while asks_stores(&gateway, gateway.now())
+            && let Some(next) = follow_once(&gateway, key, &spec, &mut link, position).await {
             position = next;
         }
         tokio::time::sleep(FAILURE_PAUSE).await;
@@ -109,7 +120,7 @@
 }
 
 fn rhythm(gateway: &Gateway, spec: &StoreSpec) -> NewsRhythm {
-    NewsRhythm::new(gateway.peers().listed_count(), spec.news_calls)
+    NewsRhythm::new(gateway.peers().far_count() + 1, spec.news_calls)
 }
 
 /// Why a store gave no news.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod gateway_daemon;
 mod gateway_metrics;
 mod gossip;
+mod kept_digest;
 mod kept_parts;
 mod kept_plan;
 mod kept_task;
--- a/crates/gateway/src/news_rhythm.rs
+++ b/crates/gateway/src/news_rhythm.rs
@@ -1,16 +1,15 @@
-//! How often a VM asks a store of kept cache for news.
+//! How often the lead of a data centre asks a store of kept cache for news.
 //!
-//! Invariant: the calls that all VMs have waiting at one store stay below the number that it holds
-//! back at once; it refuses more, and refusals are priced. Each VM therefore rests between its calls
-//! for longer the more VMs there are. Asking through another VM would bring news sooner in large
-//! deployments and costs a protocol of its own.
+//! Invariant: the calls that all leads have waiting at one store stay below the number that it holds
+//! back at once; it refuses more, and refusals are priced. Each lead therefore rests between its
+//! calls for longer the more data centres there are.
 
 /// A call that is held back for less is priced, in milliseconds: 200 by the users' pages, and calls of
 /// 200 were priced, too (small twin of a grown day: 6,774 of them).
 const HELD_LEAST_MILLIS: u64 = 250;
-/// How long a call is held back where few VMs ask, in milliseconds.
+/// How long a call is held back where few ask, in milliseconds.
 const HELD_MOST_MILLIS: u64 = 400;
-/// Part of the calls that a store holds back which is used: VMs do not ask evenly.
+/// Part of the calls that a store holds back which is used: leads do not ask evenly.
 const USED_PART: f64 = 0.6;
 /// Shortest rest after a call, in milliseconds, so that one call brings several changes.
 const REST_LEAST_MILLIS: u64 = 100;
@@ -19,7 +18,7 @@
 /// And this much longer, in milliseconds.
 const COUNTS_EXTRA_MILLIS: u64 = 800;
 
-/// How a VM asks one store for news.
+/// How a lead asks one store for news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NewsRhythm {
     /// How long a call may be held back, in milliseconds.
@@ -29,7 +28,7 @@
 }
 
 impl NewsRhythm {
-    /// The rhythm for `vms` VMs at a store that holds `calls` back at once.
+    /// The rhythm for `askers` leads at a store that holds `calls` back at once.
     ///
     /// # Examples
     /// ```
@@ -37,11 +36,11 @@
     /// assert_eq!(NewsRhythm::new(9, 12), NewsRhythm { held_millis: 400, rest_millis: 101 });
     /// assert_eq!(NewsRhythm::new(91, 12), NewsRhythm { held_millis: 250, rest_millis: 2_910 });
     /// ```
-    pub fn new(vms: usize, calls: u32) -> Self {
+    pub fn new(askers: usize, calls: u32) -> Self {
         let used = (f64::from(calls) * USED_PART).max(1.0);
-        let crowded = vms as f64 > 2.0 * used;
+        let crowded = askers as f64 > 2.0 * used;
         let held_millis = if crowded { HELD_LEAST_MILLIS } else { HELD_MOST_MILLIS };
-        let round = vms as f64 * held_millis as f64 / used;
+        let round = askers as f64 * held_millis as f64 / used;
         let rest_millis = (round.ceil() as u64).saturating_sub(held_millis).max(REST_LEAST_MILLIS);
         Self { held_millis, rest_millis }
     }
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -5,6 +5,7 @@
 //! the whole deployment: VMs trust one another, and what they say is no secret from the network.
 //! UDP and not QUIC: a message replaces the one before, or its loss is noticed by what it builds on.
 
+use crate::kept_digest::KeptDigest;
 use crate::load_digest::LoadDigest;
 use crate::store_news::StoreNews;
 use crate::VmKey;
@@ -33,12 +34,14 @@
     Load(PeerStamp, LoadDigest),
     /// Changes in the platform's store.
     Store(PeerStamp, StoreNews),
+    /// What stores of kept cache hold.
+    Kept(PeerStamp, KeptDigest),
 }
 
 impl PeerMessage {
     pub(crate) const fn stamp(&self) -> PeerStamp {
         match self {
-            Self::Load(stamp, _) | Self::Store(stamp, _) => *stamp,
+            Self::Load(stamp, _) | Self::Store(stamp, _) | Self::Kept(stamp, _) => *stamp,
         }
     }
 
--- a/crates/gateway/src/store_row.rs
+++ b/crates/gateway/src/store_row.rs
@@ -4,7 +4,8 @@
 //! incarnation, which it does once a part is whole. The store drops nothing by itself; room is
 //! estimated from what it told and from what was sent there and has not been told yet.
 
-use crate::{KeptNews, LoadSource, StoreSpec, VmKey, short_digest};
+use crate::kept_digest::KeptRow;
+use crate::{EndpointKey, KeptNews, LoadSource, StoreSpec, VmKey, short_digest};
 use spanfold_entity::Moment;
 use std::collections::HashMap;
 
@@ -42,6 +43,8 @@
     incarnation: u64,
     parts: HashMap<u64, u32>,
     used_tokens: u64,
+    /// Changes that the other VMs of the data centre have not been told.
+    untold: HashMap<u64, u32>,
     asked: HashMap<u64, (u32, Moment)>,
     asked_tokens: u64,
     /// Until when what it told last counts.
@@ -66,6 +69,7 @@
             incarnation: 0,
             parts: HashMap::new(),
             used_tokens: 0,
+            untold: HashMap::new(),
             asked: HashMap::new(),
             asked_tokens: 0,
             heard_until: Moment(0),
@@ -98,17 +102,46 @@
         self.heard_until = until;
         for change in &news.changes {
             let key = salted_key(change.part, short_digest(&change.salt));
-            if let Some((tokens, _)) = self.asked.remove(&key) {
-                self.asked_tokens -= u64::from(tokens);
-            }
-            let before = if change.tokens == 0 {
-                self.parts.remove(&key)
-            } else {
-                self.parts.insert(key, change.tokens)
-            };
-            self.used_tokens += u64::from(change.tokens);
-            self.used_tokens = self.used_tokens.saturating_sub(u64::from(before.unwrap_or(0)));
+            self.set_part(key, change.tokens);
+            self.untold.insert(key, change.tokens);
+        }
+    }
+
+    fn set_part(&mut self, key: u64, tokens: u32) {
+        if let Some((asked, _)) = self.asked.remove(&key) {
+            self.asked_tokens -= u64::from(asked);
+        }
+        let before = if tokens == 0 { self.parts.remove(&key) } else { self.parts.insert(key, tokens) };
+        self.used_tokens += u64::from(tokens);
+        self.used_tokens = self.used_tokens.saturating_sub(u64::from(before.unwrap_or(0)));
+    }
+
+    /// What was heard and has not been told to other VMs.
+    pub(crate) fn take_untold(&mut self, store: EndpointKey) -> KeptRow {
+        let parts = std::mem::take(&mut self.untold).into_iter().collect();
+        KeptRow { store, incarnation: self.incarnation, used_tokens: self.used_tokens, parts }
+    }
+
+    /// At most so many of the parts held; others with another `turn` if there are more.
+    pub(crate) fn some_parts(&self, most: usize, turn: usize) -> Vec<(u64, u32)> {
+        let from = (turn * most) % self.parts.len().max(1);
+        let turned = self.parts.iter().cycle().skip(if self.parts.len() > most { from } else { 0 });
+        turned.take(most.min(self.parts.len())).map(|(key, tokens)| (*key, *tokens)).collect()
+    }
+
+    /// Takes what another VM heard from the store.
+    pub(crate) fn apply_told(&mut self, told: &KeptRow, until: Moment) {
+        if self.incarnation != told.incarnation {
+            self.parts.clear();
+            self.asked.clear();
+            self.asked_tokens = 0;
+            self.incarnation = told.incarnation;
+        }
+        self.heard_until = until;
+        for (key, tokens) in &told.parts {
+            self.set_part(*key, *tokens);
         }
+        self.used_tokens = told.used_tokens;
     }
 
     /// Notes that the store cannot be reached: nothing is fetched until it is heard again.
