--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -137,7 +137,7 @@
             }
             (id, address)
         };
-        gateway.note_placed(&PlacedNote::new(choice.key, &ticket.parts, choice.salt));
+        gateway.note_placed(&PlacedNote::new(&choice, &ticket.parts));
         gateway.metrics.kept_tokens.inc_by(choice.kept.kept_tokens + choice.kept.moved_tokens);
         let flight = SendFlight::new(&gateway, &choice, endpoint, moves);
         self.tried.push(choice.key);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -76,6 +76,8 @@
     pub metrics: GatewayMetrics,
     /// Wakes the task that tells peers of new loads.
     pub loads_changed: Notify,
+    /// Wakes the task that tells peers what stores of kept cache hold.
+    pub kept_changed: Notify,
     /// Placements that peers have not been told.
     pub near_notes: TravelNotes,
     /// Placements and refusals that other data centres have not been told: those of this VM and of the
@@ -123,6 +125,7 @@
             pool: EndpointPool::default(),
             metrics: GatewayMetrics::new(),
             loads_changed: Notify::new(),
+            kept_changed: Notify::new(),
             near_notes: TravelNotes::default(),
             far_notes: TravelNotes::default(),
             peer_key: RwLock::default(),
--- a/crates/gateway/src/kept_task.rs
+++ b/crates/gateway/src/kept_task.rs
@@ -1,12 +1,13 @@
 //! Follows what the stores of kept cache hold, one task a store.
 //!
-//! One VM of each data centre asks, its lead, and tells the others: a store holds few calls back at once.
+//! In all but small deployments one VM of each data centre asks, its lead, and tells the others: a store
+//! holds few calls back at once.
 //! Invariant: after a gap, a new incarnation or a silence the whole listing is read before changes
 //! are followed again, so the book never claims a part that the store has not told.
 
 use crate::call_link::CallLink;
 use crate::gateway::Gateway;
-use crate::kept_digest::asks_stores;
+use crate::kept_digest::{askers, asks_stores};
 use crate::{EndpointKey, KeptNews, NewsRhythm, StoreSpec, WireCall};
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -77,6 +78,7 @@
     if let Some(row) = gateway.table().store_mut(key) {
         row.replace(&news, until);
     }
+    gateway.kept_changed.notify_one();
     log::info!(store = key.0, incarnation = news.incarnation, parts = news.changes.len(); "store.listed");
     Some(news.next)
 }
@@ -115,12 +117,15 @@
         }
         row.apply(&news, until);
     }
+    if !news.changes.is_empty() {
+        gateway.kept_changed.notify_one();
+    }
     tokio::time::sleep(Duration::from_millis(rhythm.rest_millis)).await;
     Some(news.next)
 }
 
 fn rhythm(gateway: &Gateway, spec: &StoreSpec) -> NewsRhythm {
-    NewsRhythm::new(gateway.peers().far_count() + 1, spec.news_calls)
+    NewsRhythm::new(askers(gateway), spec.news_calls)
 }
 
 /// Why a store gave no news.
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -100,7 +100,7 @@
         let mut table = gateway.table();
         table.apply_peer_loads(source, &loads.collect::<Vec<_>>(), now);
         for note in &self.placed {
-            table.note_parts(note.key, &note.prompt_parts(), note.salt);
+            note.apply(&mut table, now);
         }
         table.apply_peer_moves(source, &self.moves, now);
         for (key, model, version) in &self.weights {
--- a/crates/gateway/src/store_row.rs
+++ b/crates/gateway/src/store_row.rs
@@ -15,6 +15,8 @@
 const SPARE_PART: f64 = 0.03;
 /// Moves between data centres take this many times as long (the users' pages).
 const CROSS_FACTOR: f64 = 2.0;
+/// Changes that wait to be told at most; whole books make up for those beyond them.
+const UNTOLD_MOST: usize = 1_024;
 /// Weight of the newest sample of the link's pace.
 const PACE_WEIGHT: f64 = 0.3;
 /// Part of the distance to the stated pace that is forgotten in each sweep: a link that was slow is
@@ -35,6 +37,16 @@
     pace_until: Moment,
 }
 
+/// A part that is on its way to a store.
+#[derive(Clone, Copy, Debug)]
+struct AskedPart {
+    tokens: u32,
+    /// It is believed lost if the store has not told it by then.
+    until: Moment,
+    /// Whether a request of this VM sends it.
+    is_own: bool,
+}
+
 /// One store.
 #[derive(Debug)]
 pub struct StoreRow {
@@ -45,7 +57,7 @@
     used_tokens: u64,
     /// Changes that the other VMs of the data centre have not been told.
     untold: HashMap<u64, u32>,
-    asked: HashMap<u64, (u32, Moment)>,
+    asked: HashMap<u64, AskedPart>,
     asked_tokens: u64,
     /// Until when what it told last counts.
     heard_until: Moment,
@@ -103,13 +115,15 @@
         for change in &news.changes {
             let key = salted_key(change.part, short_digest(&change.salt));
             self.set_part(key, change.tokens);
-            self.untold.insert(key, change.tokens);
+            if self.untold.len() < UNTOLD_MOST {
+                self.untold.insert(key, change.tokens);
+            }
         }
     }
 
     fn set_part(&mut self, key: u64, tokens: u32) {
-        if let Some((asked, _)) = self.asked.remove(&key) {
-            self.asked_tokens -= u64::from(asked);
+        if let Some(asked) = self.asked.remove(&key) {
+            self.asked_tokens -= u64::from(asked.tokens);
         }
         let before = if tokens == 0 { self.parts.remove(&key) } else { self.parts.insert(key, tokens) };
         self.used_tokens += u64::from(tokens);
@@ -162,7 +176,7 @@
     /// Whether the part is held, or was sent there a short while ago.
     pub fn has_or_awaits(&self, key: u64, now: Moment) -> bool {
         self.parts.contains_key(&key)
-            || self.asked.get(&key).is_some_and(|(_, at)| now < at.after_millis(ASKED_MILLIS))
+            || self.asked.get(&key).is_some_and(|asked| asked.is_own && now < asked.until)
     }
 
     /// Whether a part of `tokens` fits beside what is there and on its way.
@@ -171,20 +185,32 @@
         taken as f64 <= self.spec.tokens as f64 * (1.0 - SPARE_PART)
     }
 
-    /// Notes that a part is being sent there.
+    /// Notes that a part is being sent there for a request of this VM.
     pub fn ask(&mut self, key: u64, tokens: u32, now: Moment) {
-        if let Some((before, _)) = self.asked.insert(key, (tokens, now)) {
-            self.asked_tokens -= u64::from(before);
+        self.note_asked(key, AskedPart { tokens, until: now.after_millis(ASKED_MILLIS), is_own: true });
+    }
+
+    /// Notes that a part is being sent there for a request of another VM: it takes room, but whether the
+    /// engine there needed to send it is not known here.
+    pub fn ask_elsewhere(&mut self, key: u64, tokens: u32, now: Moment) {
+        if !self.asked.get(&key).is_some_and(|asked| asked.is_own) {
+            self.note_asked(key, AskedPart { tokens, until: now.after_millis(ASKED_MILLIS), is_own: false });
+        }
+    }
+
+    fn note_asked(&mut self, key: u64, asked: AskedPart) {
+        if let Some(before) = self.asked.insert(key, asked) {
+            self.asked_tokens -= u64::from(before.tokens);
         }
-        self.asked_tokens += u64::from(tokens);
+        self.asked_tokens += u64::from(asked.tokens);
     }
 
     /// Forgets parts that were sent and never told of.
     pub(crate) fn sweep(&mut self, now: Moment) {
         let mut lost = 0;
-        self.asked.retain(|_, (tokens, at)| {
-            let waits = now < at.after_millis(ASKED_MILLIS);
-            lost += if waits { 0 } else { u64::from(*tokens) };
+        self.asked.retain(|_, asked| {
+            let waits = now < asked.until;
+            lost += if waits { 0 } else { u64::from(asked.tokens) };
             waits
         });
         self.asked_tokens -= lost;
