Load as many engines at once as half of the time for new weights needs

Ruled out: the holder (it orders from 26 s on). Now 9 of 60 load at once (3 of 18 as before), and engines are asked for their state at the same time, so that a silent one holds up no other. Test: more_load_at_once_where_three_would_take_too_long.

--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 /// Pause between looks while loads are under way: a part of a load's time that may be lost.
@@ -27,19 +28,19 @@
 
 /// Orders engines to load the weights that were named, until the process ends.
 pub(crate) async fn order_weights(gateway: Arc<Gateway>, right: watch::Receiver<OrderRight>) {
-    let mut desk = WeightDesk::default();
+    let mut desk = WeightDesk::new(gateway.settings.version_ms);
     let mut fencing = 0;
     loop {
         let held = *right.borrow();
         let now = gateway.now();
         if held.fencing == 0 || now < held.from || now >= held.until || gateway.is_stopping() {
-            desk = WeightDesk::default();
+            desk = WeightDesk::new(gateway.settings.version_ms);
             tokio::time::sleep(IDLE_PAUSE).await;
             continue;
         }
         if fencing != held.fencing {
             fencing = held.fencing;
-            desk = WeightDesk::default();
+            desk = WeightDesk::new(gateway.settings.version_ms);
         }
         read_reports(&gateway, &desk).await;
         let engines = engine_states(&gateway);
@@ -150,9 +151,15 @@
     Some((gateway.dialect.engine.read_order)(status))
 }
 
-async fn read_reports(gateway: &Gateway, desk: &WeightDesk) {
-    for key in desk.nearly_loaded(gateway.now()).collect::<Vec<_>>() {
-        if let Some(report) = read_report(gateway, key).await
+/// Asks all engines whose loads may be over, at the same time: one that is silent holds up no other.
+async fn read_reports(gateway: &Arc<Gateway>, desk: &WeightDesk) {
+    let mut asked = JoinSet::new();
+    for key in desk.nearly_loaded(gateway.now()) {
+        let gateway = Arc::clone(gateway);
+        asked.spawn(async move { (key, read_report(&gateway, key).await) });
+    }
+    while let Some(answered) = asked.join_next().await {
+        if let Ok((key, Some(report))) = answered
             && !report.busy
         {
             gateway.table().set_weights(key, &report.weights, gateway.now());
--- a/crates/gateway/src/weight_desk.rs
+++ b/crates/gateway/src/weight_desk.rs
@@ -10,8 +10,13 @@
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
 
-/// Engines of a deployment that load at once: loads slow one another beyond that (the users' sheet).
-const LOADS_AT_ONCE: usize = 3;
+/// Engines that load at once in a small deployment: loads slow one another beyond that (the users'
+/// sheet for 18 engines).
+const LOADS_LEAST: usize = 3;
+/// All engines are to have loaded within this part of the time after which old weights are overdue; in
+/// large deployments as many load at once as that takes (9 of 60 in 12 s; they slow one another beyond
+/// 12). The other half is for a holder that fails.
+const LOADING_PART: f64 = 0.5;
 /// Engines that are closed to new work at once, loading ones included, as a part of all: while some
 /// load, the next ones finish what they run.
 const CLOSED_PART: f64 = 0.3;
@@ -121,15 +126,16 @@
     loads: BTreeMap<EndpointKey, (u64, LoadStage)>,
     /// Time of a load as learned, in microseconds.
     load_micros: u64,
+    /// Time after which old weights are overdue, in milliseconds.
+    version_millis: u64,
 }
 
-impl Default for WeightDesk {
-    fn default() -> Self {
-        Self { loads: BTreeMap::new(), load_micros: FIRST_LOAD_MICROS }
+impl WeightDesk {
+    /// A desk without loads, where old weights are overdue `version_millis` after newer ones were named.
+    pub const fn new(version_millis: u64) -> Self {
+        Self { loads: BTreeMap::new(), load_micros: FIRST_LOAD_MICROS, version_millis }
     }
-}
 
-impl WeightDesk {
     /// Decides the next steps from what is known of all engines.
     ///
     /// # Examples
@@ -139,20 +145,21 @@
     /// let engine = EngineState {
     ///     key: EndpointKey(1), model: "m".into(), version: 1, target: 2, running: 0,
     /// };
-    /// let steps = WeightDesk::default().steps(&[engine], Moment(0));
+    /// let steps = WeightDesk::new(10_000).steps(&[engine], Moment(0));
     /// assert_eq!(steps, [DeskStep::Close(EndpointKey(1))]);
     /// ```
     pub fn steps(&mut self, engines: &[EngineState], now: Moment) -> Vec<DeskStep> {
         self.forget_done(engines, now);
         let mut steps = Vec::new();
         let mut loading = self.loading_count(now);
+        let at_once = self.loads_at_once(engines.len());
         for engine in engines {
             let Some((version, stage)) = self.loads.get_mut(&engine.key) else { continue };
             let due = match *stage {
                 LoadStage::Closing(since) => {
                     let drained = engine.running == 0 && now >= since.after_millis(CLOSE_LEAST_MILLIS);
                     let waited = now >= since.after_millis(CLOSE_MOST_MILLIS);
-                    let due = (drained || waited) && loading < LOADS_AT_ONCE;
+                    let due = (drained || waited) && loading < at_once;
                     loading += usize::from(due);
                     due
                 }
@@ -204,6 +211,13 @@
         }
     }
 
+    /// How many of so many engines load at once.
+    fn loads_at_once(&self, engines: usize) -> usize {
+        let all_micros = engines as f64 * FIRST_LOAD_MICROS as f64;
+        let allowed_micros = self.version_millis as f64 * 1_000.0 * LOADING_PART;
+        ((all_micros / allowed_micros.max(1.0)) as usize).max(LOADS_LEAST)
+    }
+
     /// Loads that take an engine's time now; one that should be over counts no more, although its
     /// end is told only some time later.
     fn loading_count(&self, now: Moment) -> usize {
--- a/crates/gateway/tests/weight_desk.rs
+++ b/crates/gateway/tests/weight_desk.rs
@@ -17,24 +17,32 @@
 #[test]
 fn the_oldest_weights_go_first() {
     let engines: Vec<_> = (0..10).map(|key| engine(key, if key >= 6 { 1 } else { 2 }, 0)).collect();
-    let steps = WeightDesk::default().steps(&engines, Moment(0));
+    let steps = WeightDesk::new(10_000).steps(&engines, Moment(0));
     assert_eq!(steps, [6, 7, 8].map(|key| DeskStep::Close(EndpointKey(key))));
 }
 
 #[test]
 fn three_load_at_once_and_idle_ones_need_not_wait() {
     let engines: Vec<_> = (0..18).map(|key| engine(key, 1, u32::from(key < 2))).collect();
-    let mut desk = WeightDesk::default();
+    let mut desk = WeightDesk::new(10_000);
     assert!(orders(&desk.steps(&engines, Moment(0))).is_empty());
     let ordered = orders(&desk.steps(&engines, Moment(0).after_millis(200)));
     assert_eq!(ordered.len(), 3);
     assert!(ordered.iter().all(|key| *key >= 2));
 }
 
+#[test]
+fn more_load_at_once_where_three_would_take_too_long() {
+    let engines: Vec<_> = (0..60).map(|key| engine(key, 1, 0)).collect();
+    let mut desk = WeightDesk::new(12_000);
+    desk.steps(&engines, Moment(0));
+    assert_eq!(orders(&desk.steps(&engines, Moment(0).after_millis(200))).len(), 9);
+}
+
 #[test]
 fn an_engine_with_long_runs_is_ordered_in_the_end() {
     let engines = [engine(1, 1, 5)];
-    let mut desk = WeightDesk::default();
+    let mut desk = WeightDesk::new(10_000);
     desk.steps(&engines, Moment(0));
     assert!(orders(&desk.steps(&engines, Moment(0).after_millis(500))).is_empty());
     assert_eq!(orders(&desk.steps(&engines, Moment(0).after_millis(1_000))), [1]);
@@ -42,7 +50,7 @@
 
 #[test]
 fn an_order_without_effect_is_repeated_and_one_with_effect_is_not() {
-    let mut desk = WeightDesk::default();
+    let mut desk = WeightDesk::new(10_000);
     desk.steps(&[engine(1, 1, 0)], Moment(0));
     assert_eq!(orders(&desk.steps(&[engine(1, 1, 0)], Moment(0).after_millis(200))), [1]);
     assert!(orders(&desk.steps(&[engine(1, 1, 0)], Moment(0).after_millis(2_000))).is_empty());
