--- a/crates/gateway/src/fleet_table.rs
+++ b/crates/gateway/src/fleet_table.rs
@@ -138,7 +138,11 @@
 
     /// How long the moves of this VM, and of the VMs that `counts` names, still take each store's link,
     /// in microseconds, and the pace that they see; links at rest and at their stated pace are left out.
-    pub(crate) fn moves_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> Vec<(EndpointKey, u64, f32)> {
+    pub(crate) fn moves_of(
+        &self,
+        counts: impl Fn(VmKey) -> bool,
+        now: Moment,
+    ) -> Vec<(EndpointKey, u64, f32)> {
         let moves = self.stores.iter().map(|(key, row)| {
             let (micros, pace) = row.moves_of(&counts, now);
             (*key, micros, pace as f32)
@@ -147,7 +151,12 @@
     }
 
     /// Takes what another VM says of its moves from stores.
-    pub(crate) fn apply_peer_moves(&mut self, source: LoadSource, moves: &[(EndpointKey, u64, f32)], now: Moment) {
+    pub(crate) fn apply_peer_moves(
+        &mut self,
+        source: LoadSource,
+        moves: &[(EndpointKey, u64, f32)],
+        now: Moment,
+    ) {
         for (key, row) in &mut self.stores {
             let told = moves.iter().find(|(told, _, _)| told == key);
             // A link that is not named is at rest, at its stated pace.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -163,8 +163,18 @@
             }
         }
         self.news_at = self.news_at.max(Moment(now.0.saturating_sub(news.age_micros)));
-        if self.gateway.peers().leads_before(vm) {
+        if self.is_asking && self.gateway.peers().leads_before(vm) {
             self.is_asking = false;
+            log::info!(teller = vm.0, revision = self.revision; "watch.ceased");
+        }
+    }
+
+    /// Notes that this VM asks the store for its data centre from now on.
+    fn note_asking(&mut self) {
+        if !self.is_asking {
+            self.is_asking = true;
+            let place = self.gateway.peers().lead_place(self.gateway.now());
+            log::info!(place, revision = self.revision; "watch.begun");
         }
     }
 
@@ -224,7 +234,7 @@
         self.apply_all(&page.events, "watch");
         self.answered(page.revision.max(from));
         if waits {
-            self.is_asking = true;
+            self.note_asking();
             self.tell_news(from, &page.events).await;
         }
         if !page.events.is_empty() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,12 +2,12 @@
 
 use crate::endpoint_pool::EndpointPool;
 use crate::gateway_metrics::GatewayMetrics;
+use crate::peer_book::PeerBook;
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::travel_notes::{PlacedNote, TravelNotes};
-use crate::peer_book::PeerBook;
 use crate::{
-    BudgetTerms, FleetTable, PlacementAsk, PlacementChoice, RetryBudget, ReturnBook, RouteTable,
-    VmEntry, VmKey, WeightTarget, WireDialect, place, short_digest,
+    BudgetTerms, FleetTable, PlacementAsk, PlacementChoice, RetryBudget, ReturnBook, RouteTable, VmEntry,
+    VmKey, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -2,7 +2,9 @@
 
 use crate::gateway::Gateway;
 use crate::lease_keeper::OrderRight;
-use crate::{WireDialect, follow, free_task, front_door, gossip, kept_digest, kept_task, lease_keeper, order_task};
+use crate::{
+    WireDialect, follow, free_task, front_door, gossip, kept_digest, kept_task, lease_keeper, order_task,
+};
 use spanfold_declare::GatewaySettings;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/gateway/src/kept_task.rs
+++ b/crates/gateway/src/kept_task.rs
@@ -63,7 +63,8 @@
             continue;
         };
         while asks_stores(&gateway, gateway.now())
-            && let Some(next) = follow_once(&gateway, key, &spec, &mut link, position).await {
+            && let Some(next) = follow_once(&gateway, key, &spec, &mut link, position).await
+        {
             position = next;
         }
         tokio::time::sleep(FAILURE_PAUSE).await;
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -5,10 +5,10 @@
 //! the whole deployment: VMs trust one another, and what they say is no secret from the network.
 //! UDP and not QUIC: a message replaces the one before, or its loss is noticed by what it builds on.
 
+use crate::VmKey;
 use crate::kept_digest::KeptDigest;
 use crate::load_digest::LoadDigest;
 use crate::store_news::StoreNews;
-use crate::VmKey;
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages' form; others are ignored.
--- a/crates/gateway/tests/fleet_table.rs
+++ b/crates/gateway/tests/fleet_table.rs
@@ -1,7 +1,7 @@
 //! Which endpoints count as there.
 
 use spanfold_entity::Moment;
-use spanfold_gateway::{EndpointEntry, EndpointKey, FleetTable, SendOutcome};
+use spanfold_gateway::{EndpointEntry, EndpointKey, FleetTable, LoadCount, LoadSource, SendOutcome, VmKey};
 use std::collections::{BTreeMap, HashSet};
 
 fn entry(id: &str, version: u64) -> EndpointEntry {
@@ -109,3 +109,34 @@
     table.learn(key, SendOutcome::Answered, at(300));
     assert!(!table.is_failing("dc-a", at(400)));
 }
+
+fn running(running: u32) -> LoadCount {
+    LoadCount { running, ..LoadCount::default() }
+}
+
+#[test]
+fn what_is_told_of_a_data_centre_counts_each_of_its_vms_once() {
+    let mut table = FleetTable::default();
+    table.apply_entry(entry("i-1", 1));
+    let (key, near, far) = (EndpointKey::of("i-1"), VmKey::of("near"), VmKey::of("far"));
+    table.take(key, running(1), &[], 0);
+    table.apply_peer_loads(LoadSource::Vm(near), &[(key, running(2))], at(0));
+    table.apply_peer_loads(LoadSource::Vm(far), &[(key, running(4))], at(0));
+    table.apply_peer_loads(LoadSource::data_centre("dc-b"), &[(key, running(8))], at(0));
+    // Placement counts all; a digest of this data centre only what its own VMs said of themselves.
+    assert_eq!(table.row(key).unwrap().load(at(100)).running, 15);
+    assert_eq!(table.loads_of(|vm| vm == near, at(100)), [(key, running(3))]);
+    assert_eq!(table.loads_of(|_| false, at(100)), [(key, running(1))]);
+    // What a VM told a while ago does not count any more.
+    assert_eq!(table.loads_of(|vm| vm == near, at(2_000)), [(key, running(1))]);
+}
+
+#[test]
+fn a_later_digest_replaces_its_sources_earlier_one() {
+    let mut table = FleetTable::default();
+    table.apply_entry(entry("i-1", 1));
+    let (key, source) = (EndpointKey::of("i-1"), LoadSource::data_centre("dc-b"));
+    table.apply_peer_loads(source, &[(key, running(8))], at(0));
+    table.apply_peer_loads(source, &[], at(1));
+    assert_eq!(table.row(key).unwrap().load(at(2)).running, 0);
+}
--- a/crates/gateway/tests/kept.rs
+++ b/crates/gateway/tests/kept.rs
@@ -113,3 +113,20 @@
     assert!(rhythm.held_millis >= 200, "shorter calls are priced");
     assert!(rhythm.counts_millis() > 2 * round);
 }
+
+#[test]
+fn a_part_that_another_vm_sends_takes_room_but_may_be_sent_again() {
+    let mut row = store(1_000);
+    let now = Moment(0);
+    row.replace(&news(1, Vec::new()), now.after_millis(60_000));
+    row.ask_elsewhere(key("s", 1), 600, now);
+    assert!(!row.has_room(500));
+    assert!(!row.has_or_awaits(key("s", 1), now));
+    // Sent from here, too: it counts once, and is awaited.
+    row.ask(key("s", 1), 600, now);
+    row.ask_elsewhere(key("s", 1), 600, now);
+    assert!(row.has_room(300));
+    assert!(row.has_or_awaits(key("s", 1), now));
+    row.apply(&news(1, vec![change("s", 1, 600)]), now.after_millis(60_000));
+    assert!(row.has_room(300) && !row.has_room(500));
+}
--- a/crates/gateway/tests/peer_book.rs
+++ b/crates/gateway/tests/peer_book.rs
@@ -61,3 +61,63 @@
     book.sweep(at(5_000));
     assert_eq!(book.listed_count(), 2);
 }
+
+/// A VM with a link of its own width.
+fn linked(name: &str, data_centre: &str, link_mbps: u32) -> VmEntry {
+    VmEntry {
+        address: format!("127.0.0.1:{}", 1_000 + name.bytes().map(u16::from).sum::<u16>()).parse().unwrap(),
+        link_mbps,
+        ..entry(name, data_centre)
+    }
+}
+
+/// A book of `vm-a5` with nine VMs in its data centre and nine in another; the ones called 0 and 1 have
+/// wide links.
+fn large_book() -> PeerBook {
+    let link = |row: usize| if row < 2 { 200 } else { 10 };
+    let mut book = PeerBook::new(linked("vm-a5", "dc-a", 10));
+    for row in 0..9 {
+        book.list(linked(&format!("vm-a{row}"), "dc-a", link(row)));
+        book.list(linked(&format!("vm-b{row}"), "dc-b", link(row)));
+    }
+    book
+}
+
+#[test]
+fn a_small_deployment_tells_all_and_a_large_one_its_data_centre() {
+    assert!(book().tells_all());
+    assert_eq!(book().digest_targets().len(), 3);
+    let large = large_book();
+    assert!(!large.tells_all());
+    assert_eq!(large.digest_targets().len(), 8);
+    assert_eq!(large.far_count(), 1);
+}
+
+#[test]
+fn vms_with_wide_links_lead_while_they_are_heard() {
+    let mut book = large_book();
+    // Nobody was heard yet: a VM that is alone leads.
+    assert_eq!(book.lead_place(at(0)), 0);
+    for name in ["vm-a0", "vm-a1", "vm-a4", "vm-a8", "vm-b0"] {
+        book.hear(VmKey::of(name), 1, 1, at(0));
+    }
+    assert_eq!(book.lead_place(at(100)), 3);
+    assert!(book.leads_before(VmKey::of("vm-a1")));
+    assert!(!book.leads_before(VmKey::of("vm-a8")));
+    assert!(!book.leads_before(VmKey::of("vm-b0")));
+    book.hear(VmKey::of("vm-a4"), 1, 2, at(800));
+    assert_eq!(book.lead_place(at(900)), 1);
+}
+
+#[test]
+fn the_far_leads_are_those_that_were_heard_first_of_all() {
+    let mut book = large_book();
+    let address = |name: &str| vec![linked(name, "dc-b", 10).address];
+    assert_eq!(book.far_leads(0, at(0)), address("vm-b0"));
+    assert_eq!(book.far_leads(1, at(0)), address("vm-b1"));
+    // The first one died, and the next ones lead there.
+    book.hear(VmKey::of("vm-b1"), 1, 1, at(0));
+    book.hear(VmKey::of("vm-b2"), 1, 1, at(0));
+    assert_eq!(book.far_leads(0, at(100)), address("vm-b1"));
+    assert_eq!(book.far_leads(1, at(100)), address("vm-b2"));
+}
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -3,8 +3,8 @@
 use spanfold_entity::Moment;
 use spanfold_gateway::{
     DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, KeptChange, KeptNews, LoadCount,
-    LoadSource, PlacementAsk, PlacementChoice, PromptPart, SendOutcome, ServiceRow, StoreSpec, VmKey, WantedWeights,
-    place,
+    LoadSource, PlacementAsk, PlacementChoice, PromptPart, SendOutcome, ServiceRow, StoreSpec, VmKey,
+    WantedWeights, place,
 };
 use std::collections::BTreeMap;
 
