--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -21,22 +21,49 @@
 /// Key of the holder of the right to order engines.
 pub(crate) const ORDERS_KEY: &str = "spanfold/orders";
 
-/// Time for which the lease is asked, in milliseconds: a dead holder is replaced soon after.
-const LEASE_MILLIS: u64 = 2_500;
-/// Pause between renewals: two may fail before the right lapses.
-const RENEW_PAUSE: Duration = Duration::from_millis(700);
+/// VMs that take a free right one soon after the other; the others do so only if none of these does.
+const CANDIDATES: usize = 4;
+/// Time for which a candidate asks its lease, in milliseconds: a dead holder is replaced soon after.
+const CANDIDATE_LEASE_MILLIS: u64 = 2_500;
+/// Pause between a candidate's renewals: two may fail before the right lapses.
+const CANDIDATE_RENEW_PAUSE: Duration = Duration::from_millis(700);
+/// Time for which the others ask theirs, in milliseconds: that a VM is gone is learned from its silence.
+const LONG_LEASE_MILLIS: u64 = 10_000;
+/// Pause between the others' renewals.
+const LONG_RENEW_PAUSE: Duration = Duration::from_millis(2_800);
 /// The right ends this long before the lease does, in milliseconds.
 const SAFETY_MILLIS: u64 = 800;
 /// A call that takes longer has failed.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-/// Pause after a failed call.
+/// First pause after a failed call, doubled with each further one: calls are priced, refused ones too.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause after failed calls: a lease lapses if its store is away for longer than it lasts, and
+/// is taken anew this much later at most.
+const FAILURE_PAUSE_MOST: Duration = Duration::from_millis(800);
 /// VMs try for a free right one after the other, in the order of their names, so far apart.
 const RANK_PAUSE_MILLIS: u64 = 200;
 /// A new holder waits this much longer than it must: its predecessor stopped `SAFETY_MILLIS` before
 /// the lease ended, and orders of two holders may not mix for a while after that.
 const SETTLE_EXTRA_MILLIS: u64 = 400;
 
+/// How long a lease lasts and when it is renewed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct LeaseTerms {
+    lease_millis: u64,
+    renew_pause: Duration,
+}
+
+impl LeaseTerms {
+    /// The terms for the VM at place `rank` in the order of names.
+    const fn for_rank(rank: usize) -> Self {
+        if rank < CANDIDATES {
+            Self { lease_millis: CANDIDATE_LEASE_MILLIS, renew_pause: CANDIDATE_RENEW_PAUSE }
+        } else {
+            Self { lease_millis: LONG_LEASE_MILLIS, renew_pause: LONG_RENEW_PAUSE }
+        }
+    }
+}
+
 /// The right to order engines, as this VM has it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct OrderRight {
@@ -59,6 +86,8 @@
         lease: None,
         safe_until: Moment(0),
         free_since: None,
+        terms: LeaseTerms::for_rank(0),
+        failures: 0,
         right,
         gateway,
     };
@@ -85,6 +114,10 @@
     /// The lease is safe until then, by this VM's clock.
     safe_until: Moment,
     free_since: Option<Moment>,
+    /// Terms of the present lease.
+    terms: LeaseTerms,
+    /// Failed calls in a row.
+    failures: u32,
     right: watch::Sender<OrderRight>,
 }
 
@@ -96,30 +129,40 @@
         if let Some(lease) = self.lease {
             match self.call("renew", &(dialect.renew)(lease), dialect.read_renew).await {
                 Some(Ok(ttl_millis)) => {
+                    self.failures = 0;
                     self.extend(asked_at, ttl_millis);
-                    return RENEW_PAUSE;
+                    return self.terms.renew_pause;
                 }
                 Some(Err(StoreRefusal::LeaseGone)) => {
                     log::warn!(lease; "lease.lost");
                     self.lease = None;
                     self.right.send_replace(OrderRight::default());
                 }
-                _ => return FAILURE_PAUSE,
+                _ => return self.failure_pause(),
             }
         }
         let asked_at = self.gateway.now();
-        let Some(Ok(grant)) = self.call("grant", &(dialect.grant)(LEASE_MILLIS), dialect.read_grant).await
-        else {
-            return FAILURE_PAUSE;
+        self.terms = LeaseTerms::for_rank(self.gateway.peers().own_rank());
+        let call = (dialect.grant)(self.terms.lease_millis);
+        let Some(Ok(grant)) = self.call("grant", &call, dialect.read_grant).await else {
+            return self.failure_pause();
         };
         if !self.enter(grant.lease).await {
-            return FAILURE_PAUSE;
+            return self.failure_pause();
         }
         self.lease = Some(grant.lease);
         self.safe_until = Moment(0);
         self.extend(asked_at, grant.ttl_millis);
+        self.failures = 0;
         log::info!(lease = grant.lease, ttl_millis = grant.ttl_millis; "lease.taken");
-        RENEW_PAUSE
+        self.terms.renew_pause
+    }
+
+    /// The pause after a failed call.
+    fn failure_pause(&mut self) -> Duration {
+        let pause = FAILURE_PAUSE * (1 << self.failures.min(4));
+        self.failures += 1;
+        pause.min(FAILURE_PAUSE_MOST)
     }
 
     fn extend(&mut self, asked_at: Moment, ttl_millis: u64) {
