Believe a store's link by the moves that have shown its pace lately

Ruled out: the weight of a sample. What is learned now rests on the pace that all believed when the move was planned.

--- a/crates/gateway/src/fleet_table.rs
+++ b/crates/gateway/src/fleet_table.rs
@@ -72,8 +72,6 @@
 /// An endpoint whose entry is gone may go on serving for this long, in milliseconds: the longest
 /// deadline of requests that were sent before, and more.
 const AFTERLIFE_MILLIS: u64 = 15_000;
-/// A store's pace is told from this multiple of the stated one on.
-const PACE_TOLD: f32 = 1.05;
 /// Ids of ended incarnations that are remembered, so that a late entry does not revive one.
 const ENDED_MOST: usize = 4_096;
 
@@ -137,30 +135,30 @@
     }
 
     /// How long the moves of this VM, and of the VMs that `counts` names, still take each store's link,
-    /// in microseconds, and the pace that they see; links at rest and at their stated pace are left out.
+    /// in microseconds, and the pace that their moves have shown lately; links at rest are left out.
     pub(crate) fn moves_of(
         &self,
         counts: impl Fn(VmKey) -> bool,
         now: Moment,
-    ) -> Vec<(EndpointKey, u64, f32)> {
+    ) -> Vec<(EndpointKey, u64, Option<f32>)> {
         let moves = self.stores.iter().map(|(key, row)| {
             let (micros, pace) = row.moves_of(&counts, now);
-            (*key, micros, pace as f32)
+            (*key, micros, pace.map(|pace| pace as f32))
         });
-        moves.filter(|(_, micros, pace)| *micros > 0 || *pace > PACE_TOLD).collect()
+        moves.filter(|(_, micros, pace)| *micros > 0 || pace.is_some()).collect()
     }
 
     /// Takes what another VM says of its moves from stores.
     pub(crate) fn apply_peer_moves(
         &mut self,
         source: LoadSource,
-        moves: &[(EndpointKey, u64, f32)],
+        moves: &[(EndpointKey, u64, Option<f32>)],
         now: Moment,
     ) {
         for (key, row) in &mut self.stores {
             let told = moves.iter().find(|(told, _, _)| told == key);
-            // A link that is not named is at rest, at its stated pace.
-            let (micros, pace) = told.map_or((0, 1.0), |(_, micros, pace)| (*micros, f64::from(*pace)));
+            // A link that is not named is at rest.
+            let (micros, pace) = told.map_or((0, None), |(_, micros, pace)| (*micros, pace.map(f64::from)));
             row.set_peer(source, micros, pace, now);
         }
     }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -84,7 +84,7 @@
         };
         if let Some(row) = table.store_mut(*store) {
             let rest = self.expected_micros as f64 - self.move_micros;
-            row.learn_pace(taken as f64 - rest, self.move_micros);
+            row.learn_pace(taken as f64 - rest, self.move_micros, self.gateway.now());
         }
     }
 
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -31,8 +31,8 @@
     placed: Vec<PlacedNote>,
     /// Engines that get no new work, and for how long, in microseconds.
     closed: Vec<(EndpointKey, u64)>,
-    /// How long moves still take each store's link, in microseconds, and the link's pace.
-    moves: Vec<(EndpointKey, u64, f32)>,
+    /// How long moves still take each store's link, in microseconds, and the pace that they have shown lately.
+    moves: Vec<(EndpointKey, u64, Option<f32>)>,
     /// Weights that were just seen: engine, digest of the model, version.
     weights: Vec<(EndpointKey, u64, u64)>,
     /// Weights that were named: digest of the model, version, and for how long that is known.
--- a/crates/gateway/src/store_row.rs
+++ b/crates/gateway/src/store_row.rs
@@ -22,8 +22,8 @@
 /// Part of the distance to the stated pace that is forgotten in each sweep: a link that was slow is
 /// tried again after some seconds.
 const PACE_RELAX: f64 = 0.06;
-/// A pace that a peer told counts for this long, in milliseconds.
-const PEER_PACE_MILLIS: u64 = 1_500;
+/// A pace counts for this long after the move that showed it, in milliseconds, here and at peers.
+const PACE_COUNTS_MILLIS: u64 = 1_500;
 /// Slowest pace that is believed, as a multiple of the stated one.
 const PACE_MOST: f64 = 12.0;
 
@@ -32,8 +32,8 @@
 struct PeerMoves {
     /// When the moves that it asked for will be over.
     until: Moment,
-    /// The pace that it sees, and until when that counts.
-    pace: f64,
+    /// The pace that it sees, if moves have shown it lately, and until when that counts.
+    pace: Option<f64>,
     pace_until: Moment,
 }
 
@@ -66,6 +66,8 @@
     /// The same of other VMs, as they told.
     peers: HashMap<LoadSource, PeerMoves>,
     pace: f64,
+    /// When a move showed the pace last; none yet if zero.
+    pace_at: Moment,
 }
 
 /// Identity of a part under the text that it is shared under.
@@ -88,6 +90,7 @@
             own_until: Moment(0),
             peers: HashMap::new(),
             pace: 1.0,
+            pace_at: Moment(0),
         }
     }
 
@@ -231,17 +234,28 @@
         tokens as f64 * cross * token_micros * self.pace(now)
     }
 
-    /// The link's pace as this VM and its peers see it, as a multiple of the stated one.
+    /// The link's pace as a multiple of the stated one: the mean of what those saw whose moves have shown
+    /// it lately, this VM included; if there are none, what this VM saw before, relaxing.
     pub fn pace(&self, now: Moment) -> f64 {
-        let told = self.peers.values().filter(|moves| now < moves.pace_until).map(|moves| moves.pace);
-        let (sum, count) = told.fold((self.pace, 1.0), |(sum, count), pace| (sum + pace, count + 1.0));
-        sum / count
+        let told = self.peers.values().filter(|moves| now < moves.pace_until).filter_map(|moves| moves.pace);
+        mean(self.own_pace(now).into_iter().chain(told)).unwrap_or(self.pace)
+    }
+
+    /// The pace as this VM's own moves have shown it lately.
+    fn own_pace(&self, now: Moment) -> Option<f64> {
+        let counts = self.pace_at.0 != 0 && now < self.pace_at.after_millis(PACE_COUNTS_MILLIS);
+        counts.then_some(self.pace)
     }
 
     /// Learns the link's pace from a move that took `taken` where `expected` was expected.
-    pub(crate) fn learn_pace(&mut self, taken_micros: f64, expected_micros: f64) {
-        let sample = (self.pace * taken_micros / expected_micros.max(1.0)).clamp(1.0, PACE_MOST);
-        self.pace += PACE_WEIGHT * (sample - self.pace);
+    pub(crate) fn learn_pace(&mut self, taken_micros: f64, expected_micros: f64, now: Moment) {
+        // What was expected rested on the pace that all saw; so does what is learned, if nothing was
+        // seen here lately.
+        let believed = self.pace(now);
+        let sample = (believed * taken_micros / expected_micros.max(1.0)).clamp(1.0, PACE_MOST);
+        let before = self.own_pace(now).unwrap_or(believed);
+        self.pace = before + PACE_WEIGHT * (sample - before);
+        self.pace_at = now;
     }
 
     /// Notes that a move of `tokens` to an engine begins.
@@ -251,26 +265,26 @@
     }
 
     /// How long the moves of this VM and of the VMs that `counts` names still take, in microseconds, and
-    /// the mean of the paces that they see.
-    pub(crate) fn moves_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> (u64, f64) {
-        let mut micros = self.own_until.micros_since(now);
-        let (mut paces, mut tellers) = (self.pace, 1.0);
-        for (source, moves) in &self.peers {
-            if let LoadSource::Vm(vm) = source
-                && counts(*vm)
-            {
-                micros += moves.until.micros_since(now);
-                if now < moves.pace_until {
-                    paces += moves.pace;
-                    tellers += 1.0;
-                }
-            }
-        }
-        (micros, paces / tellers)
+    /// the mean of the paces that their moves have shown lately.
+    pub(crate) fn moves_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> (u64, Option<f64>) {
+        let counted = self.peers.iter().filter(|(source, _)| match source {
+            LoadSource::Vm(vm) => counts(*vm),
+            LoadSource::DataCentre(_) => false,
+        });
+        let counted: Vec<_> = counted.map(|(_, moves)| moves).collect();
+        let micros: u64 = counted.iter().map(|moves| moves.until.micros_since(now)).sum();
+        let told = counted.iter().filter(|moves| now < moves.pace_until).filter_map(|moves| moves.pace);
+        (self.own_until.micros_since(now) + micros, mean(self.own_pace(now).into_iter().chain(told)))
     }
 
-    pub(crate) fn set_peer(&mut self, source: LoadSource, micros: u64, pace: f64, now: Moment) {
-        let pace_until = now.after_millis(PEER_PACE_MILLIS);
+    /// Takes what another VM or data centre says of its moves.
+    pub fn set_peer(&mut self, source: LoadSource, micros: u64, pace: Option<f64>, now: Moment) {
+        let pace_until = now.after_millis(PACE_COUNTS_MILLIS);
         self.peers.insert(source, PeerMoves { until: now.after_micros(micros), pace, pace_until });
     }
 }
+
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    (count > 0.0).then(|| sum / count)
+}
--- a/crates/gateway/tests/kept.rs
+++ b/crates/gateway/tests/kept.rs
@@ -1,7 +1,9 @@
 //! What is kept where: plans, books of stores, and what is freed.
 
 use spanfold_entity::Moment;
-use spanfold_gateway::{KeptChange, KeptNews, NewsRhythm, StoreRow, StoreSpec, old_parts, short_digest};
+use spanfold_gateway::{
+    KeptChange, KeptNews, LoadSource, NewsRhythm, StoreRow, StoreSpec, VmKey, old_parts, short_digest,
+};
 
 fn change(salt: &str, part: u64, tokens: u32) -> KeptChange {
     KeptChange { salt: salt.to_owned(), part, part_text: part.to_string(), tokens }
@@ -130,3 +132,19 @@
     row.apply(&news(1, vec![change("s", 1, 600)]), now.after_millis(60_000));
     assert!(row.has_room(300) && !row.has_room(500));
 }
+
+#[test]
+fn a_links_pace_is_that_of_moves_that_were_seen_lately() {
+    let mut row = store(1_000);
+    let now = Moment(0).after_millis(1);
+    let stated = row.move_micros(1_000, "dc-a", now);
+    // Most VMs have moved nothing from there; the one that has saw a slow link.
+    for name in ["vm-1", "vm-2", "vm-3"] {
+        row.set_peer(LoadSource::Vm(VmKey::of(name)), 0, None, now);
+    }
+    row.set_peer(LoadSource::Vm(VmKey::of("vm-4")), 0, Some(4.0), now);
+    assert!((row.pace(now) - 4.0).abs() < 1e-9);
+    assert!(row.move_micros(1_000, "dc-a", now) > stated * 1.5);
+    // What it saw does not count for long.
+    assert!((row.pace(now.after_millis(2_000)) - 1.0).abs() < 1e-9);
+}
