--- a/crates/spanfoldd/tests/gateway_command.rs
+++ b/crates/spanfoldd/tests/gateway_command.rs
@@ -1,6 +1,8 @@
 //! `spanfoldd gateway` from the command line.
 
-use std::process::{Command, Output};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Command, Output, Stdio};
 
 fn gateway(arguments: &[&str], settings: Option<&str>) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_spanfoldd"));
@@ -60,3 +62,46 @@
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
     assert!(text.contains("[bounds]") && text.contains("retry_ratio = 0.2"), "{text}");
 }
+
+/// Asks for a path on an open connection; the answer's status line.
+fn ask(stream: &mut TcpStream, path: &str) -> String {
+    write!(stream, "GET {path} HTTP/1.1\r\nHost: a.example\r\n\r\n").unwrap();
+    let mut reader = BufReader::new(stream);
+    let (mut status, mut length, mut line) = (String::new(), 0, String::new());
+    reader.read_line(&mut status).unwrap();
+    while {
+        line.clear();
+        reader.read_line(&mut line).unwrap() > 2
+    } {
+        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap();
+        }
+    }
+    reader.read_exact(&mut vec![0; length]).unwrap();
+    status.trim().to_owned()
+}
+
+#[test]
+fn a_hangup_checks_the_settings_and_cuts_no_connection() {
+    let callers = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let text = GOOD.replacen("callers = 127.0.0.1:0", &format!("callers = {callers}"), 1);
+    let path = std::env::temp_dir().join(format!("spanfold-hangup-{}.ini", std::process::id()));
+    std::fs::write(&path, &text).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_spanfoldd"))
+        .args(["gateway", "--settings"])
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = BufReader::new(child.stdout.take().unwrap()).lines().map(Result::unwrap);
+    assert!(log.any(|line| line.contains("gateway.started")));
+    let mut stream = TcpStream::connect(callers).unwrap();
+    assert!(ask(&mut stream, "/read/").contains("503"));
+    std::fs::write(&path, format!("{text}[boat]\n")).unwrap();
+    let pid = nix::unistd::Pid::from_raw(child.id() as i32);
+    nix::sys::signal::kill(pid, nix::sys::signal::Signal::SIGHUP).unwrap();
+    assert!(log.any(|line| line.contains("settings.reloaded")));
+    assert!(ask(&mut stream, "/read/").contains("503"));
+    child.kill().unwrap();
+    child.wait().unwrap();
+}
