--- a/crates/spanfoldd/tests/gateway_command.rs
+++ b/crates/spanfoldd/tests/gateway_command.rs
@@ -66,7 +66,9 @@
 
 /// Asks for a path on an open connection; the answer's status line.
 fn ask(stream: &mut TcpStream, path: &str) -> String {
-    write!(stream, "GET {path} HTTP/1.1\r\nHost: a.example\r\n\r\n").unwrap();
+    // In one write: the parts of a request would wait for one another's acknowledgements.
+    let request = format!("GET {path} HTTP/1.1\r\nHost: a.example\r\n\r\n");
+    stream.write_all(request.as_bytes()).unwrap();
     let mut reader = BufReader::new(stream);
     let (mut status, mut length, mut line) = (String::new(), 0, String::new());
     reader.read_line(&mut status).unwrap();
