Decisions in a crate of their own, without input or output

Moves and renames only: the pure modules of the gateway (placement, kept parts and plans, books of stores, returns, retry budget, weight desk, fleet table, routes, VMs, store history) form spanfold-decide, in folders by job, with their tests. All tests pass.

--- a/crates/gateway/src/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -8,8 +8,8 @@
 //! decides by itself on loads that peers told it some milliseconds ago: asking a home VM would cost
 //! more time than its exactness saves.
 
-use crate::endpoint_row::RANKS;
-use crate::kept_plan::{KeptPlan, PartHolders, REREAD_MICROS, plan_kept, plan_saves};
+use crate::RANKS;
+use crate::kept::{KeptPlan, PartHolders, REREAD_MICROS, plan_kept, plan_saves};
 use crate::{EndpointKey, EndpointRow, FleetTable, LoadCount, PromptPart, WantedWeights, short_digest};
 use spanfold_entity::Moment;
 
@@ -97,14 +97,14 @@
 ///
 /// # Examples
 /// ```
-/// assert_eq!(spanfold_gateway::salt_text("shared", "m", 2), "shared.m.2");
+/// assert_eq!(spanfold_decide::salt_text("shared", "m", 2), "shared.m.2");
 /// ```
 pub fn salt_text(wall: &str, model: &str, version: u64) -> String {
     format!("{wall}.{model}.{version}")
 }
 
 /// The model and version in a text made by [`salt_text`].
-pub(crate) fn salt_version(salt: &str) -> Option<(&str, u64)> {
+pub fn salt_version(salt: &str) -> Option<(&str, u64)> {
     let (rest, version) = salt.rsplit_once('.')?;
     let (_, model) = rest.rsplit_once('.')?;
     Some((model, version.parse().ok()?))
--- a/crates/gateway/src/retry_budget.rs
+++ b/crates/decide/src/admit/retry_budget.rs
@@ -51,7 +51,7 @@
     /// # Examples
     /// ```
     /// use spanfold_entity::Moment;
-    /// use spanfold_gateway::{BudgetTerms, RetryBudget};
+    /// use spanfold_decide::{BudgetTerms, RetryBudget};
     /// let mut budget = RetryBudget::new(BudgetTerms { ratio: 0.2, slack: 5.0, window_millis: 10_000 });
     /// assert!(budget.try_spend("s", 2, Moment(0)));
     /// assert!(budget.try_spend("s", 2, Moment(0)));
--- a/crates/gateway/src/return_book.rs
+++ b/crates/decide/src/admit/return_book.rs
@@ -5,7 +5,6 @@
 //! can still be in time, or one burst would make all that follow late, too. It comes back under
 //! another id and mostly to another VM; the last part of its prompt tells it, and peers are told.
 
-use crate::RequestTicketView;
 use spanfold_entity::Moment;
 use std::collections::HashMap;
 
@@ -19,6 +18,17 @@
 /// Refusals told in one digest; those beyond it are not told.
 const NEWS_MOST: usize = 32;
 
+/// What decides whether a request is refused early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestTicketView {
+    /// Identity of the prompt's last part, which is the request's own.
+    pub last_part: u64,
+    /// Latency objective of its route, in milliseconds.
+    pub objective_millis: u64,
+    /// What its caller will still wait, in milliseconds.
+    pub left_millis: u64,
+}
+
 /// Refused requests by the last part of their prompt.
 #[derive(Debug, Default)]
 pub struct ReturnBook {
@@ -44,7 +54,7 @@
     /// # Examples
     /// ```
     /// use spanfold_entity::Moment;
-    /// use spanfold_gateway::{LateVerdict, RequestTicketView, ReturnBook};
+    /// use spanfold_decide::{LateVerdict, RequestTicketView, ReturnBook};
     /// let view = RequestTicketView { last_part: 7, objective_millis: 500, left_millis: 4_000 };
     /// let mut book = ReturnBook::default();
     /// assert_eq!(book.judge(&view, 100_000, Moment(0)), LateVerdict::InTime);
@@ -84,7 +94,7 @@
     }
 
     /// Forgets those whose time is over.
-    pub(crate) fn sweep(&mut self, now: Moment) {
+    pub fn sweep(&mut self, now: Moment) {
         self.refused.retain(|_, until| now < *until);
     }
 }
--- a/crates/gateway/src/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -24,7 +24,7 @@
     ///
     /// # Examples
     /// ```
-    /// use spanfold_gateway::LoadCount;
+    /// use spanfold_decide::LoadCount;
     /// let load = LoadCount { unread_tokens: [100, 5_000, 0, 0], ..LoadCount::default() };
     /// assert_eq!(load.tokens_before(1), 5_100);
     /// assert_eq!(load.tokens_before(0), 612);
@@ -39,7 +39,7 @@
     ///
     /// # Examples
     /// ```
-    /// use spanfold_gateway::LoadCount;
+    /// use spanfold_decide::LoadCount;
     /// let load = LoadCount { memory_tokens: [100, 5_000, 0, 900], ..LoadCount::default() };
     /// assert_eq!(load.memory_before(1), 5_100);
     /// ```
@@ -47,13 +47,15 @@
         self.memory_tokens.iter().take(rank + 1).sum()
     }
 
-    pub(crate) fn add(&mut self, other: Self) {
+    /// Counts more work.
+    pub fn add(&mut self, other: Self) {
         self.running += other.running;
         add_ranks(&mut self.unread_tokens, other.unread_tokens);
         add_ranks(&mut self.memory_tokens, other.memory_tokens);
     }
 
-    pub(crate) fn subtract(&mut self, other: Self) {
+    /// Counts work as ended; never below zero.
+    pub fn subtract(&mut self, other: Self) {
         self.running = self.running.saturating_sub(other.running);
         subtract_ranks(&mut self.unread_tokens, other.unread_tokens);
         subtract_ranks(&mut self.memory_tokens, other.memory_tokens);
@@ -107,7 +109,7 @@
 
 /// Who said that an engine's weights are about to change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CloseTeller {
+pub enum CloseTeller {
     /// This VM, which orders the change.
     Own,
     /// A VM of this data centre.
@@ -122,19 +124,23 @@
     /// What service discovery says.
     pub entry: EndpointEntry,
     /// Its entry vanished; until this moment it may return, and the endpoint goes on getting work.
-    pub(crate) missing_until: Option<Moment>,
-    pub(crate) own: LoadCount,
-    pub(crate) peers: HashMap<LoadSource, (LoadCount, Moment)>,
-    pub(crate) kept: KeptParts,
-    pub(crate) closing_until: Moment,
+    pub missing_until: Option<Moment>,
+    /// What this VM has in flight there.
+    pub own: LoadCount,
+    /// What others have in flight there, with the moment at which they told it.
+    pub peers: HashMap<LoadSource, (LoadCount, Moment)>,
+    /// What it is believed to keep.
+    pub kept: KeptParts,
+    /// Until when it gets no new work, because its weights are about to change.
+    pub closing_until: Moment,
     /// Who said that the weights are about to change.
-    pub(crate) closed_by: CloseTeller,
+    pub closed_by: CloseTeller,
     /// Weights as service discovery told them last; `entry` holds newer ones that were seen.
-    pub(crate) listed_weights: BTreeMap<String, u64>,
+    pub listed_weights: BTreeMap<String, u64>,
     /// When this VM last saw newer weights itself, so that peers are told.
-    pub(crate) weights_seen: Option<Moment>,
+    pub weights_seen: Option<Moment>,
     /// When a VM of this data centre told of newer weights, so that other data centres are told.
-    pub(crate) weights_told: Option<Moment>,
+    pub weights_told: Option<Moment>,
     ejected_until: Moment,
     breaks: u32,
     failure_ratio: f64,
@@ -142,7 +148,8 @@
 }
 
 impl EndpointRow {
-    pub(crate) fn new(entry: EndpointEntry) -> Self {
+    /// An endpoint that nothing is known of but its entry.
+    pub fn new(entry: EndpointEntry) -> Self {
         Self {
             missing_until: None,
             own: LoadCount::default(),
@@ -173,7 +180,7 @@
     }
 
     /// Load of this VM and of the VMs that `counts` names.
-    pub(crate) fn load_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> LoadCount {
+    pub fn load_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> LoadCount {
         let mut sum = self.own;
         for (source, (load, told_at)) in &self.peers {
             if let LoadSource::Vm(vm) = source
@@ -248,7 +255,7 @@
     }
 
     /// Lets the pace of an endpoint that gets no work relax, so that it is tried again.
-    pub(crate) fn relax(&mut self) {
+    pub fn relax(&mut self) {
         self.pace += 0.05 * (1.0 - self.pace);
     }
 }
--- a/crates/gateway/src/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -4,7 +4,7 @@
 //! its incarnation; ids are never used twice. Rows are found by a short digest of the id, which is
 //! the same on all VMs, so that digests of loads need no names.
 
-use crate::endpoint_row::CloseTeller;
+use crate::CloseTeller;
 use crate::{
     DeploymentConfig, EndpointEntry, EndpointRow, LoadCount, PromptPart, SendOutcome, ServiceRow, StoreRow,
     StoreSpec,
@@ -41,7 +41,7 @@
 ///
 /// # Examples
 /// ```
-/// use spanfold_gateway::short_digest;
+/// use spanfold_decide::short_digest;
 /// assert_ne!(short_digest("a"), short_digest("b"));
 /// ```
 pub fn short_digest(text: &str) -> u64 {
@@ -120,7 +120,7 @@
     }
 
     /// All stores of kept cache, to be changed.
-    pub(crate) fn stores_mut(&mut self) -> impl Iterator<Item = (EndpointKey, &mut StoreRow)> {
+    pub fn stores_mut(&mut self) -> impl Iterator<Item = (EndpointKey, &mut StoreRow)> {
         self.stores.iter_mut().map(|(key, row)| (*key, row))
     }
 
@@ -136,7 +136,7 @@
 
     /// How long the moves of this VM, and of the VMs that `counts` names, still take each store's link,
     /// in microseconds, and the pace that their moves have shown lately; links at rest are left out.
-    pub(crate) fn moves_of(
+    pub fn moves_of(
         &self,
         counts: impl Fn(VmKey) -> bool,
         now: Moment,
@@ -149,7 +149,7 @@
     }
 
     /// Takes what another VM says of its moves from stores.
-    pub(crate) fn apply_peer_moves(
+    pub fn apply_peer_moves(
         &mut self,
         source: LoadSource,
         moves: &[(EndpointKey, u64, Option<f32>)],
@@ -339,7 +339,7 @@
     }
 
     /// The same, as told by the VM that orders the change or by one that passes it on.
-    pub(crate) fn close_as_told(&mut self, key: EndpointKey, until: Moment, is_near: bool) {
+    pub fn close_as_told(&mut self, key: EndpointKey, until: Moment, is_near: bool) {
         if let Some(row) = self.rows.get_mut(&key) {
             row.closing_until = until;
             row.closed_by = if is_near { CloseTeller::Near } else { CloseTeller::Far };
@@ -359,7 +359,7 @@
     }
 
     /// Takes a version that a peer saw at an engine, if it is newer than what is known here.
-    pub(crate) fn raise_weights(
+    pub fn raise_weights(
         &mut self,
         key: EndpointKey,
         model_digest: u64,
--- /dev/null
+++ b/crates/decide/src/fleet/mod.rs
@@ -0,0 +1,20 @@
+//! What is there: endpoints with their loads, VMs, routes, and the store's changes.
+
+mod deployment;
+mod endpoint_row;
+mod fleet_table;
+mod news_history;
+mod peer_book;
+mod route_table;
+mod store_event;
+
+pub use deployment::{
+    AccountRow, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews, PromptPart,
+    RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec, WeightTarget,
+};
+pub use endpoint_row::{CloseTeller, EndpointRow, LoadCount, RANKS, SendOutcome};
+pub use fleet_table::{EndpointKey, FleetTable, LoadSource, VmKey, short_digest};
+pub use news_history::NewsHistory;
+pub use peer_book::{LEADS, PeerBook, VmEntry};
+pub use route_table::{RouteTable, pick_target};
+pub use store_event::{StoreEvent, StoreItem};
--- a/crates/gateway/src/news_history.rs
+++ b/crates/decide/src/fleet/news_history.rs
@@ -46,7 +46,7 @@
     /// # Examples
     /// ```
     /// use spanfold_entity::Moment;
-    /// use spanfold_gateway::NewsHistory;
+    /// use spanfold_decide::NewsHistory;
     /// let mut history = NewsHistory::default();
     /// history.push(4, 7, &[], Moment(0));
     /// assert_eq!(history.since(4), Some((7, vec![])));
--- a/crates/gateway/src/peer_book.rs
+++ b/crates/decide/src/fleet/peer_book.rs
@@ -27,7 +27,7 @@
 /// second, about as many as within a data centre of 25.
 const DIRECT_MOST: usize = 12;
 /// Leads of a data centre that tell other data centres: the death of one costs freshness only.
-pub(crate) const LEADS: usize = 2;
+pub const LEADS: usize = 2;
 
 /// What a VM writes of itself into the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -148,7 +148,7 @@
     }
 
     /// The other VMs of this data centre.
-    pub(crate) fn near_vms(&self) -> BTreeSet<VmKey> {
+    pub fn near_vms(&self) -> BTreeSet<VmKey> {
         self.rows.iter().filter(|(_, row)| self.is_near_row(row)).map(|(key, _)| *key).collect()
     }
 
@@ -157,7 +157,7 @@
     }
 
     /// Where a VM sends its messages from, if it is known.
-    pub(crate) fn address_of(&self, vm: VmKey) -> Option<SocketAddr> {
+    pub fn address_of(&self, vm: VmKey) -> Option<SocketAddr> {
         self.rows.get(&vm).map(|row| row.entry.address)
     }
 
@@ -171,7 +171,7 @@
     /// # Examples
     /// ```
     /// use spanfold_entity::Moment;
-    /// use spanfold_gateway::{PeerBook, VmEntry, VmKey};
+    /// use spanfold_decide::{PeerBook, VmEntry, VmKey};
     /// let vm = |name: &str, link_mbps| VmEntry {
     ///     name: name.into(),
     ///     address: "127.0.0.1:9".parse().unwrap(),
--- a/crates/gateway/src/route_table.rs
+++ b/crates/decide/src/fleet/route_table.rs
@@ -43,7 +43,7 @@
     ///
     /// # Examples
     /// ```
-    /// use spanfold_gateway::{DeploymentConfig, RouteTable};
+    /// use spanfold_decide::{DeploymentConfig, RouteTable};
     /// let table = RouteTable::new(DeploymentConfig::default());
     /// assert!(table.route("a.example", "/b/").is_none());
     /// ```
--- /dev/null
+++ b/crates/decide/src/fleet/store_event.rs
@@ -0,0 +1,28 @@
+//! Items of the platform's store and their changes, as values.
+
+use serde::{Deserialize, Serialize};
+
+/// One item of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoreItem {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Vec<u8>,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// One change in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreEvent {
+    /// An item was written.
+    Written(StoreItem),
+    /// A key was removed.
+    Removed {
+        /// The key.
+        key: String,
+        /// Revision of the removal.
+        revision: u64,
+    },
+}
--- a/crates/gateway/src/kept_parts.rs
+++ b/crates/decide/src/kept/kept_parts.rs
@@ -6,7 +6,7 @@
 //! time, never an answer.
 
 use crate::PromptPart;
-use crate::store_row::salted_key;
+use crate::salted_key;
 use std::collections::{BTreeMap, HashMap};
 
 /// Parts believed kept, with the least recently used one first to go.
@@ -23,7 +23,7 @@
     ///
     /// # Examples
     /// ```
-    /// use spanfold_gateway::{KeptParts, PromptPart};
+    /// use spanfold_decide::{KeptParts, PromptPart};
     /// let parts = [PromptPart { key: 1, tokens: 100 }, PromptPart { key: 2, tokens: 50 }];
     /// let mut kept = KeptParts::default();
     /// kept.note(&parts[1..], 7, 1_000);
--- a/crates/gateway/src/kept_plan.rs
+++ b/crates/decide/src/kept/kept_plan.rs
@@ -5,7 +5,7 @@
 //! fastest store with room, unless a store has it or waits for it. The last part belongs to one
 //! request and is not saved.
 
-use crate::store_row::salted_key;
+use crate::salted_key;
 use crate::{EndpointKey, FleetTable, PromptPart, StoreRow};
 use spanfold_entity::Moment;
 
--- /dev/null
+++ b/crates/decide/src/kept/mod.rs
@@ -0,0 +1,16 @@
+//! What is kept where, and which parts of a prompt move or are saved.
+
+mod kept_parts;
+mod kept_plan;
+mod kept_row;
+mod news_rhythm;
+mod old_parts;
+mod store_row;
+
+pub use kept_parts::KeptParts;
+pub use kept_plan::KeptPlan;
+pub(crate) use kept_plan::{PartHolders, REREAD_MICROS, plan_kept, plan_saves};
+pub use kept_row::KeptRow;
+pub use news_rhythm::NewsRhythm;
+pub use old_parts::old_parts;
+pub use store_row::{StoreRow, salted_key};
--- a/crates/gateway/src/news_rhythm.rs
+++ b/crates/decide/src/kept/news_rhythm.rs
@@ -32,7 +32,7 @@
     ///
     /// # Examples
     /// ```
-    /// use spanfold_gateway::NewsRhythm;
+    /// use spanfold_decide::NewsRhythm;
     /// assert_eq!(NewsRhythm::new(9, 12), NewsRhythm { held_millis: 400, rest_millis: 101 });
     /// assert_eq!(NewsRhythm::new(91, 12), NewsRhythm { held_millis: 250, rest_millis: 2_910 });
     /// ```
--- a/crates/gateway/src/old_parts.rs
+++ b/crates/decide/src/kept/old_parts.rs
@@ -6,14 +6,14 @@
 //! freeing comes soon after a change of weights.
 
 use crate::KeptNews;
-use crate::placement::salt_version;
+use crate::salt_version;
 use std::collections::HashSet;
 
 /// Salts and parts of `model` in a listing that weights older than `version` made.
 ///
 /// # Examples
 /// ```
-/// use spanfold_gateway::{KeptChange, KeptNews, old_parts};
+/// use spanfold_decide::{KeptChange, KeptNews, old_parts};
 /// let part = |salt: &str| KeptChange { salt: salt.into(), part: 7, part_text: "7".into(), tokens: 9 };
 /// let news = KeptNews { changes: vec![part("shared.m.1")], ..KeptNews::default() };
 /// assert_eq!(old_parts(&news, "m", 2), [("shared.m.1".to_owned(), "7".to_owned())]);
--- a/crates/gateway/src/store_row.rs
+++ b/crates/decide/src/kept/store_row.rs
@@ -4,7 +4,7 @@
 //! incarnation, which it does once a part is whole. The store drops nothing by itself; room is
 //! estimated from what it told and from what was sent there and has not been told yet.
 
-use crate::kept_digest::KeptRow;
+use crate::KeptRow;
 use crate::{EndpointKey, KeptNews, LoadSource, StoreSpec, VmKey, short_digest};
 use spanfold_entity::Moment;
 use std::collections::HashMap;
@@ -71,7 +71,7 @@
 }
 
 /// Identity of a part under the text that it is shared under.
-pub(crate) fn salted_key(part: u64, salt_digest: u64) -> u64 {
+pub fn salted_key(part: u64, salt_digest: u64) -> u64 {
     part ^ salt_digest
 }
 
@@ -134,20 +134,20 @@
     }
 
     /// What was heard and has not been told to other VMs.
-    pub(crate) fn take_untold(&mut self, store: EndpointKey) -> KeptRow {
+    pub fn take_untold(&mut self, store: EndpointKey) -> KeptRow {
         let parts = std::mem::take(&mut self.untold).into_iter().collect();
         KeptRow { store, incarnation: self.incarnation, used_tokens: self.used_tokens, parts }
     }
 
     /// At most so many of the parts held; others with another `turn` if there are more.
-    pub(crate) fn some_parts(&self, most: usize, turn: usize) -> Vec<(u64, u32)> {
+    pub fn some_parts(&self, most: usize, turn: usize) -> Vec<(u64, u32)> {
         let from = (turn * most) % self.parts.len().max(1);
         let turned = self.parts.iter().cycle().skip(if self.parts.len() > most { from } else { 0 });
         turned.take(most.min(self.parts.len())).map(|(key, tokens)| (*key, *tokens)).collect()
     }
 
     /// Takes what another VM heard from the store.
-    pub(crate) fn apply_told(&mut self, told: &KeptRow, until: Moment) {
+    pub fn apply_told(&mut self, told: &KeptRow, until: Moment) {
         if self.incarnation != told.incarnation {
             self.parts.clear();
             self.asked.clear();
@@ -209,7 +209,7 @@
     }
 
     /// Forgets parts that were sent and never told of.
-    pub(crate) fn sweep(&mut self, now: Moment) {
+    pub fn sweep(&mut self, now: Moment) {
         let mut lost = 0;
         self.asked.retain(|_, asked| {
             let waits = now < asked.until;
@@ -248,7 +248,7 @@
     }
 
     /// Learns the link's pace from a move that took `taken` where `expected` was expected.
-    pub(crate) fn learn_pace(&mut self, taken_micros: f64, expected_micros: f64, now: Moment) {
+    pub fn learn_pace(&mut self, taken_micros: f64, expected_micros: f64, now: Moment) {
         // What was expected rested on the pace that all saw; so does what is learned, if nothing was
         // seen here lately.
         let believed = self.pace(now);
@@ -259,14 +259,14 @@
     }
 
     /// Notes that a move of `tokens` to an engine begins.
-    pub(crate) fn take(&mut self, tokens: u64, data_centre: &str, now: Moment) {
+    pub fn take(&mut self, tokens: u64, data_centre: &str, now: Moment) {
         let micros = self.link_micros(tokens, data_centre, now) as u64;
         self.own_until = self.own_until.max(now).after_micros(micros);
     }
 
     /// How long the moves of this VM and of the VMs that `counts` names still take, in microseconds, and
     /// the mean of the paces that their moves have shown lately.
-    pub(crate) fn moves_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> (u64, Option<f64>) {
+    pub fn moves_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> (u64, Option<f64>) {
         let counted = self.peers.iter().filter(|(source, _)| match source {
             LoadSource::Vm(vm) => counts(*vm),
             LoadSource::DataCentre(_) => false,
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,30 @@
+//! Decisions of a gateway, and the soft state that they read, as values.
+//!
+//! Invariant: nothing here reads or writes anything outside the process, nor asks for the time: each
+//! decision is a function of the state and of a [`Moment`](spanfold_entity::Moment) that its caller names. So each can be
+//! tested, and replayed, without a network; the gateway's tasks carry out what is decided.
+//!
+//! | folder | decides |
+//! | --- | --- |
+//! | `fleet` | what is there: endpoints with their loads, VMs, routes, the store's changes |
+//! | `kept` | what is kept where, and which parts of a prompt move or are saved |
+//! | `admit` | where a request goes, whether it is refused, whether it is sent again |
+//! | `weights` | which engine loads which weights next |
+
+mod admit;
+mod fleet;
+mod kept;
+mod weights;
+
+pub use admit::{
+    BudgetTerms, LateVerdict, PlacementAsk, PlacementChoice, RequestTicketView, RetryBudget, ReturnBook,
+    place, salt_text, salt_version,
+};
+pub use fleet::{
+    AccountRow, CloseTeller, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow, EngineReport,
+    EngineSpec, FleetTable, KeptChange, KeptNews, LEADS, LoadCount, LoadSource, NewsHistory, PeerBook,
+    PromptPart, RANKS, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, ServiceRow,
+    ServiceWeight, StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, pick_target, short_digest,
+};
+pub use kept::{KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, old_parts, salted_key};
+pub use weights::{DeskStep, EngineState, HolderRecord, HolderStanding, WantedWeights, WeightDesk};
--- a/crates/gateway/src/weight_desk.rs
+++ b/crates/decide/src/weights/weight_desk.rs
@@ -70,7 +70,7 @@
     ///
     /// # Examples
     /// ```
-    /// use spanfold_gateway::{HolderRecord, HolderStanding};
+    /// use spanfold_decide::{HolderRecord, HolderStanding};
     /// let own = HolderRecord { name: "vm-1".into(), incarnation: 7, lease: 3 };
     /// let before = HolderRecord { lease: 2, ..own.clone() };
     /// assert_eq!(before.standing(&own), HolderStanding::Lapsed);
@@ -141,7 +141,7 @@
     /// # Examples
     /// ```
     /// use spanfold_entity::Moment;
-    /// use spanfold_gateway::{DeskStep, EndpointKey, EngineState, WeightDesk};
+    /// use spanfold_decide::{DeskStep, EndpointKey, EngineState, WeightDesk};
     /// let engine = EngineState {
     ///     key: EndpointKey(1), model: "m".into(), version: 1, target: 2, running: 0,
     /// };
--- a/crates/gateway/tests/fleet_table.rs
+++ b/crates/decide/tests/fleet_table.rs
@@ -1,7 +1,7 @@
 //! Which endpoints count as there.
 
+use spanfold_decide::{EndpointEntry, EndpointKey, FleetTable, LoadCount, LoadSource, SendOutcome, VmKey};
 use spanfold_entity::Moment;
-use spanfold_gateway::{EndpointEntry, EndpointKey, FleetTable, LoadCount, LoadSource, SendOutcome, VmKey};
 use std::collections::{BTreeMap, HashSet};
 
 fn entry(id: &str, version: u64) -> EndpointEntry {
--- a/crates/gateway/tests/kept.rs
+++ b/crates/decide/tests/kept.rs
@@ -1,9 +1,9 @@
 //! What is kept where: plans, books of stores, and what is freed.
 
-use spanfold_entity::Moment;
-use spanfold_gateway::{
+use spanfold_decide::{
     KeptChange, KeptNews, LoadSource, NewsRhythm, StoreRow, StoreSpec, VmKey, old_parts, short_digest,
 };
+use spanfold_entity::Moment;
 
 fn change(salt: &str, part: u64, tokens: u32) -> KeptChange {
     KeptChange { salt: salt.to_owned(), part, part_text: part.to_string(), tokens }
--- a/crates/gateway/tests/news_history.rs
+++ b/crates/decide/tests/news_history.rs
@@ -1,7 +1,7 @@
 //! Which changes of the store a VM can hand to one that missed some.
 
+use spanfold_decide::{NewsHistory, StoreEvent};
 use spanfold_entity::Moment;
-use spanfold_gateway::{NewsHistory, StoreEvent};
 
 fn removed(revision: u64) -> StoreEvent {
     StoreEvent::Removed { key: format!("key-{revision}"), revision }
--- a/crates/gateway/tests/peer_book.rs
+++ b/crates/decide/tests/peer_book.rs
@@ -1,7 +1,7 @@
 //! Which VMs are there, and which data centres are silent.
 
+use spanfold_decide::{PeerBook, VmEntry, VmKey};
 use spanfold_entity::Moment;
-use spanfold_gateway::{PeerBook, VmEntry, VmKey};
 
 fn entry(name: &str, data_centre: &str) -> VmEntry {
     VmEntry {
--- a/crates/gateway/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -1,11 +1,11 @@
 //! Where requests go.
 
-use spanfold_entity::Moment;
-use spanfold_gateway::{
+use spanfold_decide::{
     DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, KeptChange, KeptNews, LoadCount,
     LoadSource, PlacementAsk, PlacementChoice, PromptPart, SendOutcome, ServiceRow, StoreSpec, VmKey,
     WantedWeights, place,
 };
+use spanfold_entity::Moment;
 use std::collections::BTreeMap;
 
 const MEMORY: u64 = 40_000;
@@ -220,7 +220,7 @@
 #[test]
 fn an_engine_that_keeps_the_prompt_is_worth_some_waiting() {
     let mut table = two();
-    let salt = spanfold_gateway::short_digest("shared.m.1");
+    let salt = spanfold_decide::short_digest("shared.m.1");
     table.note_parts(key("i-2"), &PARTS[..2], salt);
     table.take(key("i-2"), load(1, 3_000, 3_000), &[], 0);
     let choice = chosen(&table, &ask());
--- a/crates/gateway/tests/weight_desk.rs
+++ b/crates/decide/tests/weight_desk.rs
@@ -1,6 +1,6 @@
 //! The holder's decisions: how many engines load at once, and which come first.
+use spanfold_decide::{DeskStep, EndpointKey, EngineState, HolderRecord, HolderStanding, WeightDesk};
 use spanfold_entity::Moment;
-use spanfold_gateway::{DeskStep, EndpointKey, EngineState, HolderRecord, HolderStanding, WeightDesk};
 
 fn engine(key: u64, version: u64, running: u32) -> EngineState {
     EngineState { key: EndpointKey(key), model: "m".to_owned(), version, target: 3, running }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -3,10 +3,11 @@
 //! Invariant: a dialect translates and decides nothing. It never waits, retries or picks; each
 //! function is pure, so that a stand-in and the real platform meet the same code.
 
-use crate::{DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, WeightTarget};
+use crate::{
+    DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, StoreEvent, StoreItem, WeightTarget,
+};
 use hyper::Method;
 use hyper::header::HeaderName;
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// All that differs between platforms.
@@ -91,31 +92,6 @@
     pub body: Option<Vec<u8>>,
 }
 
-/// One item of the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreItem {
-    /// Its key.
-    pub key: String,
-    /// Its value.
-    pub value: Vec<u8>,
-    /// Revision of its last change.
-    pub revision: u64,
-}
-
-/// One change in the store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum StoreEvent {
-    /// An item was written.
-    Written(StoreItem),
-    /// A key was removed.
-    Removed {
-        /// The key.
-        key: String,
-        /// Revision of the removal.
-        revision: u64,
-    },
-}
-
 /// A page of a listing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RangePage {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,7 +8,7 @@
 use crate::gateway_metrics::KindLabel;
 use crate::outgoing_body::OutgoingBody;
 use crate::request_run::RequestRun;
-use crate::store_row::salted_key;
+use crate::salted_key;
 use crate::travel_notes::PlacedNote;
 use crate::{EndpointKey, FleetTable, LateVerdict, PlacementAsk, PlacementChoice, SendOutcome, salt_text};
 use bytes::Bytes;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -3,8 +3,8 @@
 //! Invariant: whatever way a send ends, also by being dropped because the caller left, its load is
 //! given back once and its connection is cut unless the answer was whole.
 
+use crate::RANKS;
 use crate::endpoint_pool::EndpointConnection;
-use crate::endpoint_row::RANKS;
 use crate::gateway::Gateway;
 use crate::{EndpointKey, LoadCount, PlacementChoice, SendOutcome};
 use hyper::header::HeaderMap;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,11 +7,11 @@
 //! the store itself when that is over. The lead's time is zero; if it falls silent or is cut off from
 //! the store, the next one's time runs out first, and its answers are news for those behind it.
 
+use crate::NewsHistory;
 use crate::call_link::CallLink;
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::gossip;
-use crate::news_history::NewsHistory;
 use crate::peer_message::{PeerKey, PeerMessage};
 use crate::store_news::StoreNews;
 use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreView};
--- a/crates/gateway/src/free_task.rs
+++ b/crates/gateway/src/free_task.rs
@@ -9,7 +9,7 @@
 use crate::call_link::CallLink;
 use crate::gateway::Gateway;
 use crate::lease_keeper::OrderRight;
-use crate::old_parts::old_parts;
+use crate::old_parts;
 use crate::{EndpointKey, StoreSpec};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,13 +1,13 @@
 //! What the tasks of one gateway share.
 
+use crate::PeerBook;
 use crate::endpoint_pool::EndpointPool;
 use crate::gateway_metrics::GatewayMetrics;
-use crate::peer_book::PeerBook;
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::travel_notes::{PlacedNote, TravelNotes};
 use crate::{
     BudgetTerms, FleetTable, PlacementAsk, PlacementChoice, RetryBudget, ReturnBook, RouteTable, VmEntry,
-    VmKey, WeightTarget, WireDialect, place, short_digest,
+    VmKey, WantedWeights, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -32,32 +32,6 @@
 #[derive(Clone, Debug, Default)]
 struct NamedWeights(Vec<(u64, Moment)>);
 
-/// What is wanted of the weights that a request starts on.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct WantedWeights {
-    /// The newest version.
-    pub newest: u64,
-    /// Versions that were named, each with the moment from which no request may start on older ones.
-    pub bounds: Vec<(u64, Moment)>,
-}
-
-impl WantedWeights {
-    /// The moment from which no request may start on `version`.
-    ///
-    /// # Examples
-    /// ```
-    /// use spanfold_entity::Moment;
-    /// use spanfold_gateway::WantedWeights;
-    /// let wanted = WantedWeights { newest: 3, bounds: vec![(2, Moment(20)), (3, Moment(10))] };
-    /// assert_eq!(wanted.last_start(1), Moment(10));
-    /// assert_eq!(wanted.last_start(3), Moment::NEVER);
-    /// ```
-    pub fn last_start(&self, version: u64) -> Moment {
-        let newer = self.bounds.iter().filter(|(named, _)| *named > version);
-        newer.map(|(_, bound)| *bound).min().unwrap_or(Moment::NEVER)
-    }
-}
-
 /// State that the tasks of one gateway share.
 #[derive(Debug)]
 pub(crate) struct Gateway {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,12 +6,12 @@
 //! VM's messages grow with its data centre, not with the deployment. What a message means is decided
 //! where its kind is defined.
 
+use crate::LEADS;
 use crate::VmKey;
 use crate::follow::{StoreWord, ToldNews};
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::load_digest::{DigestScope, LoadDigest};
-use crate::peer_book::LEADS;
 use crate::peer_message::PeerMessage;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/gateway/src/kept_digest.rs
+++ b/crates/gateway/src/kept_digest.rs
@@ -5,7 +5,7 @@
 //! which costs reading it. That a part was freed may be missed, too: only parts of weights that no
 //! engine has are freed, and nobody asks for those.
 
-use crate::EndpointKey;
+use crate::KeptRow;
 use crate::gateway::Gateway;
 use crate::gossip;
 use crate::peer_message::PeerMessage;
@@ -26,17 +26,6 @@
 /// What is told counts for this long, in milliseconds: several digests.
 const COUNTS_MILLIS: u64 = 1_500;
 
-/// What is told of one store.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct KeptRow {
-    pub store: EndpointKey,
-    pub incarnation: u64,
-    /// Tokens that it holds.
-    pub used_tokens: u64,
-    /// Parts under their text, and the tokens that are held of them from now on.
-    pub parts: Vec<(u64, u32)>,
-}
-
 /// What is told of all stores.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct KeptDigest {
--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -8,7 +8,7 @@
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::store_view::OrdersView;
-use crate::weight_desk::{HolderRecord, HolderStanding};
+use crate::{HolderRecord, HolderStanding};
 use crate::{StoreDecoder, StoreRefusal, StoreTransaction, WireCall};
 use spanfold_entity::Moment;
 use std::sync::Arc;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,13 +11,10 @@
 //! - [`EventReader`] cuts streams into whole events.
 
 mod call_link;
-mod deployment;
 mod dialect;
 mod dispatch;
 mod endpoint_pool;
-mod endpoint_row;
 mod event_reader;
-mod fleet_table;
 mod flight;
 mod follow;
 mod free_task;
@@ -27,58 +24,36 @@
 mod gateway_metrics;
 mod gossip;
 mod kept_digest;
-mod kept_parts;
-mod kept_plan;
 mod kept_task;
 mod lease_keeper;
 mod load_digest;
-mod news_history;
-mod news_rhythm;
-mod old_parts;
 mod order_task;
 mod outgoing_body;
 mod own_answer;
-mod peer_book;
 mod peer_message;
-mod placement;
 mod relay;
 mod request_run;
 mod request_ticket;
-mod retry_budget;
-mod return_book;
-mod route_table;
 mod store_news;
-mod store_row;
 mod store_view;
 mod stream_relay;
 mod travel_notes;
-mod weight_desk;
 
-pub use deployment::{
-    AccountRow, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews, PromptPart,
-    RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec, WeightTarget,
-};
 pub use dialect::{
     EngineDialect, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder, StoreDialect,
-    StoreEvent, StoreItem, StoreKeys, StoreRefusal, StoreTransaction, ValueDialect, WatchPage, WeightOrder,
-    WireCall, WireDialect,
+    StoreKeys, StoreRefusal, StoreTransaction, ValueDialect, WatchPage, WeightOrder, WireCall, WireDialect,
 };
-pub use endpoint_row::{EndpointRow, LoadCount, RANKS, SendOutcome};
 pub use event_reader::{EventError, EventReader};
-pub use fleet_table::{EndpointKey, FleetTable, LoadSource, VmKey, short_digest};
-pub use gateway::WantedWeights;
 pub use gateway_daemon::{GatewayDaemon, GatewayError};
 pub use gateway_metrics::KindLabel;
-pub use kept_parts::KeptParts;
-pub use kept_plan::KeptPlan;
-pub use news_history::NewsHistory;
-pub use news_rhythm::NewsRhythm;
-pub use old_parts::old_parts;
-pub use peer_book::{PeerBook, VmEntry};
-pub use placement::{PlacementAsk, PlacementChoice, place, salt_text};
-pub use request_ticket::RequestTicketView;
-pub use retry_budget::{BudgetTerms, RetryBudget};
-pub use return_book::{LateVerdict, ReturnBook};
-pub use route_table::{RouteTable, pick_target};
-pub use store_row::StoreRow;
-pub use weight_desk::{DeskStep, EngineState, HolderRecord, HolderStanding, WeightDesk};
+pub use spanfold_decide::{
+    AccountRow, DeploymentConfig, EndpointEntry, EndpointKey, EngineReport, EngineSpec, KeptChange, KeptNews,
+    PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreEvent, StoreItem,
+    StoreSpec, WeightTarget, salt_text,
+};
+pub(crate) use spanfold_decide::{
+    BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable, HolderRecord, HolderStanding, KeptRow,
+    LEADS, LateVerdict, LoadCount, LoadSource, NewsHistory, NewsRhythm, PeerBook, PlacementAsk,
+    PlacementChoice, RANKS, RequestTicketView, RetryBudget, ReturnBook, RouteTable, SendOutcome, VmEntry,
+    VmKey, WantedWeights, WeightDesk, old_parts, pick_target, place, salted_key, short_digest,
+};
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -4,9 +4,9 @@
 //! costs accuracy only. A lead sums its data centre: what it tells others counts each VM once, because
 //! only what VMs say of themselves is summed.
 
-use crate::endpoint_row::{CloseTeller, RANKS};
 use crate::gateway::Gateway;
 use crate::travel_notes::PlacedNote;
+use crate::{CloseTeller, RANKS};
 use crate::{EndpointKey, FleetTable, LoadCount, LoadSource, VmKey, short_digest};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -5,7 +5,7 @@
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::lease_keeper::OrderRight;
-use crate::weight_desk::{DeskStep, EngineState, WeightDesk};
+use crate::{DeskStep, EngineState, WeightDesk};
 use crate::{EndpointKey, EngineReport};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
--- a/crates/gateway/src/request_ticket.rs
+++ b/crates/gateway/src/request_ticket.rs
@@ -5,8 +5,8 @@
 
 use crate::gateway::Gateway;
 use crate::own_answer::OwnAnswer;
-use crate::route_table::pick_target;
-use crate::{AccountRow, HeaderNames, PromptPart, RouteKind, RouteRow};
+use crate::pick_target;
+use crate::{AccountRow, HeaderNames, PromptPart, RequestTicketView, RouteKind, RouteRow};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
@@ -31,17 +31,6 @@
     "expect",
 ];
 
-/// What decides whether a request is refused early.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RequestTicketView {
-    /// Identity of the prompt's last part, which is the request's own.
-    pub last_part: u64,
-    /// Latency objective of its route, in milliseconds.
-    pub objective_millis: u64,
-    /// What its caller will still wait, in milliseconds.
-    pub left_millis: u64,
-}
-
 /// One request, checked and ready to be placed.
 #[derive(Debug)]
 pub(crate) struct RequestTicket {
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -2,9 +2,9 @@
 //!
 //! Invariant: no key's older revision replaces a newer one, so a change told twice or late does no harm.
 
+use crate::HolderRecord;
 use crate::gateway::Gateway;
 use crate::lease_keeper::{ORDERS_KEY, VM_PREFIX};
-use crate::weight_desk::HolderRecord;
 use crate::{RouteTable, StoreEvent, StoreItem, VmEntry};
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
--- a/crates/gateway/src/travel_notes.rs
+++ b/crates/gateway/src/travel_notes.rs
@@ -1,6 +1,6 @@
 //! Placements and refusals that wait to be told to other VMs.
 
-use crate::store_row::salted_key;
+use crate::salted_key;
 use crate::{EndpointKey, FleetTable, PlacementChoice, PromptPart};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
--- /dev/null
+++ b/crates/gateway/tests/event_reader.rs
@@ -0,0 +1,62 @@
+//! Whole events, however a stream cuts them.
+
+use bytes::Bytes;
+use http_body_util::StreamBody;
+use hyper::body::Frame;
+use spanfold_gateway::{EventError, EventReader};
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+struct Pieces<'a>(std::slice::Iter<'a, &'static str>);
+
+impl futures_core::Stream for Pieces<'_> {
+    type Item = Result<Frame<Bytes>, Infallible>;
+
+    fn poll_next(mut self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        Poll::Ready(self.0.next().map(|piece| Ok(Frame::data(Bytes::from_static(piece.as_bytes())))))
+    }
+}
+
+async fn read(pieces: &[&'static str]) -> (Vec<String>, Option<EventError>, Option<String>) {
+    let mut reader = EventReader::new(StreamBody::new(Pieces(pieces.iter())));
+    let mut events = Vec::new();
+    let error = loop {
+        match reader.next().await {
+            Ok(Some(event)) => events.push(String::from_utf8(event.to_vec()).unwrap()),
+            Ok(None) => break None,
+            Err(error) => break Some(error),
+        }
+    };
+    let last = reader.last_id().map(|id| String::from_utf8(id.to_vec()).unwrap());
+    (events, error, last)
+}
+
+#[tokio::test]
+async fn events_come_out_whole_however_they_are_cut() {
+    let text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let whole = (vec![text.to_owned()], None, Some("2".to_owned()));
+    assert_eq!(read(&[text]).await, whole);
+    for cut in 1..text.len() {
+        let (one, other) = text.split_at(cut);
+        let (events, error, last) = read(&[one, other]).await;
+        assert_eq!(
+            (events.concat().as_str(), error, last.as_deref()),
+            (text, None, Some("2")),
+            "cut at {cut}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_within_an_event_says_so() {
+    let (events, error, last) = read(&["id: 1\ndata: a\n\nid: 2\nda"]).await;
+    assert_eq!(events, ["id: 1\ndata: a\n\n"]);
+    assert_eq!((error, last.as_deref()), (Some(EventError::Partial), Some("1")));
+}
+
+#[tokio::test]
+async fn events_may_end_their_lines_with_returns() {
+    let (events, error, _) = read(&["id: 1\r\ndata: a\r\n", "\r\nid: 2\r\ndata: b\r\n\r\n"]).await;
+    assert_eq!((events.concat().as_str(), error), ("id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n", None));
+}
