--- a/crates/spanfoldd/tests/gateway_command.rs
+++ b/crates/spanfoldd/tests/gateway_command.rs
@@ -84,22 +84,34 @@
     status.trim().to_owned()
 }
 
-/// A gateway that listens for callers at a free port, without a store; its process and that address.
-fn running_gateway(name: &str) -> (Child, SocketAddr, PathBuf) {
-    let callers = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+/// Ports that are tried: a port found free may be in use a moment later.
+const PORT_TRIES: usize = 5;
+
+/// Lines of a process's log.
+type LogLines = Box<dyn Iterator<Item = String>>;
+
+/// A gateway without a store that listens for callers; its process, that address, its settings, its log.
+fn running_gateway(name: &str) -> (Child, SocketAddr, PathBuf, LogLines) {
     let path = std::env::temp_dir().join(format!("spanfold-{name}-{}.ini", std::process::id()));
-    let text = GOOD.replacen("callers = 127.0.0.1:0", &format!("callers = {callers}"), 1);
-    std::fs::write(&path, &text).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_spanfoldd"));
-    let child = command.args(["gateway", "--settings"]).arg(&path).stdout(Stdio::piped()).spawn().unwrap();
-    (child, callers, path)
+    for _ in 0..PORT_TRIES {
+        let callers = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let text = GOOD.replacen("callers = 127.0.0.1:0", &format!("callers = {callers}"), 1);
+        std::fs::write(&path, &text).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_spanfoldd"));
+        let command = command.args(["gateway", "--settings"]).arg(&path);
+        let mut child = command.stdout(Stdio::piped()).spawn().unwrap();
+        let mut log = BufReader::new(child.stdout.take().unwrap()).lines().map(Result::unwrap);
+        if log.any(|line| line.contains("gateway.started")) {
+            return (child, callers, path, Box::new(log));
+        }
+        child.wait().unwrap();
+    }
+    panic!("no gateway started in {PORT_TRIES} tries");
 }
 
 #[test]
 fn a_reader_that_does_not_read_holds_up_nothing_and_is_told_what_it_missed() {
-    let (mut child, callers, _path) = running_gateway("unread");
-    let mut log = BufReader::new(child.stdout.take().unwrap()).lines().map(Result::unwrap);
-    assert!(log.any(|line| line.contains("gateway.started")));
+    let (mut child, callers, _path, mut log) = running_gateway("unread");
     // Each request writes a line; a pipe and the lines that wait hold fewer.
     let mut stream = TcpStream::connect(callers).unwrap();
     for _ in 0..8_000 {
@@ -114,9 +126,7 @@
 
 #[test]
 fn a_hangup_checks_the_settings_and_cuts_no_connection() {
-    let (mut child, callers, path) = running_gateway("hangup");
-    let mut log = BufReader::new(child.stdout.take().unwrap()).lines().map(Result::unwrap);
-    assert!(log.any(|line| line.contains("gateway.started")));
+    let (mut child, callers, path, mut log) = running_gateway("hangup");
     let mut stream = TcpStream::connect(callers).unwrap();
     assert!(ask(&mut stream, "/read/").contains("503"));
     let text = std::fs::read_to_string(&path).unwrap();
--- a/crates/standin/src/deployment.rs
+++ b/crates/standin/src/deployment.rs
@@ -8,12 +8,13 @@
 use nix::unistd::Pid;
 use spanfold_declare::{Bundle, Document, Settings, key_digest};
 use spanfold_keyvalue::{AcceptError, ConfigurationHead, KeyValueClient, PlatformVm, accept_bundle};
-use spanfoldd::Daemon;
+use spanfold_peer::IdentityError;
+use spanfoldd::{Daemon, DaemonError};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
@@ -21,6 +22,9 @@
 /// Ports below the range that outgoing connections use.
 const FIRST_PORT: u16 = 20_000;
 const PORT_COUNT: u16 = 12_000;
+/// Ports that are tried for one VM: one port in some three hundred was in use by the time it was
+/// listened on, with other processes being started beside.
+pub const START_TRIES: u32 = 5;
 /// Longest wait for a deployment to be ready.
 const READY_WAIT: Duration = Duration::from_secs(20);
 
@@ -104,6 +108,27 @@
     Beside(Child),
 }
 
+/// Where one VM listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VmPorts {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other VMs.
+    pub peers: SocketAddr,
+}
+
+impl VmPorts {
+    /// Ports that nobody listens on now.
+    ///
+    /// # Errors
+    /// If there are none.
+    pub fn find() -> io::Result<Self> {
+        Ok(Self { callers: free_port()?, operators: free_port()?, peers: free_port()? })
+    }
+}
+
 /// One entry VM of a deployment.
 #[derive(Debug)]
 struct VmStandin {
@@ -238,7 +263,53 @@
     /// # Errors
     /// If it cannot be started.
     pub async fn start_vm(&mut self, name: &str, data_centre: &str) -> io::Result<()> {
-        let [callers, operators, peers] = [free_port()?, free_port()?, free_port()?];
+        self.start_vm_at(name, data_centre, VmPorts::find).await
+    }
+
+    /// Starts a VM at the ports that `next_ports` gives, or at the next ones if those turn out to be in use.
+    ///
+    /// A port found free may be in use a moment later: a process that another thread starts holds a copy of
+    /// the socket that probed it until that process runs its own program.
+    ///
+    /// # Errors
+    /// If it cannot be started, or [`START_TRIES`] times in a row its ports were in use.
+    pub async fn start_vm_at(
+        &mut self,
+        name: &str,
+        data_centre: &str,
+        mut next_ports: impl FnMut() -> io::Result<VmPorts>,
+    ) -> io::Result<()> {
+        let mut tries = 0;
+        let (ports, process) = loop {
+            tries += 1;
+            let ports = next_ports()?;
+            let file = self.write_settings(name, data_centre, ports)?;
+            match self.launch(&file, ports).await {
+                Ok(process) => break (ports, process),
+                Err(error) if error.kind() == io::ErrorKind::AddrInUse && tries < START_TRIES => {}
+                Err(error) => return Err(error),
+            }
+        };
+        let VmPorts { callers, operators, peers } = ports;
+        self.platform.change_vms(|vms| {
+            vms.retain(|vm| vm.name != name);
+            vms.push(PlatformVm {
+                name: name.to_owned(),
+                role: "entry".to_owned(),
+                address: peers.to_string(),
+                data_centre: data_centre.to_owned(),
+                state: "live".to_owned(),
+            });
+        });
+        let data_centre = data_centre.to_owned();
+        let vm = VmStandin { name: name.to_owned(), data_centre, callers, operators, peers, process };
+        self.vms.insert(name.to_owned(), vm);
+        Ok(())
+    }
+
+    /// Writes a VM's settings; gives their file.
+    fn write_settings(&self, name: &str, data_centre: &str, ports: VmPorts) -> io::Result<PathBuf> {
+        let VmPorts { callers, operators, peers } = ports;
         let [certificate, key, authority] = write_identity(&self.authority, self.folder.path(), name)?;
         let mut sections: BTreeMap<String, String> = BTreeMap::new();
         sections.insert("vm".into(), format!("name = {name}\ndata_centre = {data_centre}\n"));
@@ -268,33 +339,42 @@
         let text: String = sections.iter().map(|(section, lines)| format!("[{section}]\n{lines}")).collect();
         let file = self.folder.path().join(format!("{name}.ini"));
         std::fs::write(&file, &text)?;
-        self.platform.change_vms(|vms| {
-            vms.retain(|vm| vm.name != name);
-            vms.push(PlatformVm {
-                name: name.to_owned(),
-                role: "entry".to_owned(),
-                address: peers.to_string(),
-                data_centre: data_centre.to_owned(),
-                state: "live".to_owned(),
-            });
-        });
-        let process = if let Some(binary) = &self.plan.binary {
-            VmProcess::Beside(
-                Command::new(binary)
-                    .arg("--settings")
-                    .arg(&file)
-                    .stdin(Stdio::null())
-                    .stdout(Stdio::null())
-                    .spawn()?,
-            )
-        } else {
+        Ok(file)
+    }
+
+    /// Starts a daemon, in this process or as one of its own; `AddrInUse` if it cannot listen.
+    async fn launch(&self, file: &Path, ports: VmPorts) -> io::Result<VmProcess> {
+        let Some(binary) = &self.plan.binary else {
+            let text = std::fs::read_to_string(file)?;
             let settings = Settings::parse("test", &text).map_err(io::Error::other)?;
-            VmProcess::Inside(Some(Daemon::start(settings).await.map_err(io::Error::other)?))
+            return match Daemon::start(settings).await {
+                Ok(daemon) => Ok(VmProcess::Inside(Some(daemon))),
+                Err(
+                    DaemonError::Listen { cause, .. } | DaemonError::Identity(IdentityError::Listen(cause)),
+                ) => Err(cause),
+                Err(error) => Err(io::Error::other(error)),
+            };
         };
-        let data_centre = data_centre.to_owned();
-        let vm = VmStandin { name: name.to_owned(), data_centre, callers, operators, peers, process };
-        self.vms.insert(name.to_owned(), vm);
-        Ok(())
+        let mut child = Command::new(binary)
+            .arg("--settings")
+            .arg(file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .spawn()?;
+        // A daemon that cannot listen ends at once; one that answers its operators has all its ports.
+        let caller = crate::Caller::new("");
+        let end = tokio::time::Instant::now() + READY_WAIT;
+        while caller.send(ports.operators, "GET", "/healthz", &[], "").await.is_err() {
+            if child.try_wait()?.is_some() {
+                return Err(io::ErrorKind::AddrInUse.into());
+            }
+            if tokio::time::Instant::now() >= end {
+                child.kill()?;
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(VmProcess::Beside(child))
     }
 
     /// Waits until every VM serves and knows the others of its data centre.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -26,7 +26,7 @@
 pub use answer::{PIECE_BYTES, expected_answer, render_messages};
 pub use authority::{Authority, write_identity};
 pub use caller::{Answer, Caller, CallerError};
-pub use deployment::{Deployment, DeploymentPlan, EnginePlan, StorePlan};
+pub use deployment::{Deployment, DeploymentPlan, EnginePlan, START_TRIES, StorePlan, VmPorts};
 pub use engine::{EngineRates, EngineStandin};
 pub use fault::FaultSwitch;
 pub use platform::PlatformStandin;
