Prompts wait at their VM until an engine has memory for them; engines run all alike

Cause: runs thrown away. An engine takes in what it is sent; when its memory runs out it throws away the newest of the least urgent runs, which is read again from its start. Refusing at once what is expected late does not answer this: it counts first events, not memory, and its callers came back behind others (priority 9) to be thrown away. Change: admission as a module without network: a prompt goes where its memory fits (1.15 of an engine's for those in time, 0.85 for those late anyway), else waits at its VM, else is refused as soon as its caller would leave before the first event. No priorities at engines. Gone with it: the book of refusals that return, its news between VMs, ranks in loads and digests. Tests: admission.rs plays a burst of three times the traffic; sent at once as before, more than ten runs are thrown away.

--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -1,9 +1,9 @@
 //! Where a request goes, whether it is refused, and whether it is sent again.
 
+mod admission;
 mod placement;
 mod retry_budget;
-mod return_book;
 
+pub use admission::{AdmissionVerdict, AdmissionView};
 pub use placement::{PlacementAsk, PlacementChoice, place, salt_text, salt_version};
 pub use retry_budget::{BudgetTerms, RetryBudget};
-pub use return_book::{LateVerdict, RequestTicketView, ReturnBook};
--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -8,7 +8,6 @@
 //! decides by itself on loads that peers told it some milliseconds ago: asking a home VM would cost
 //! more time than its exactness saves.
 
-use crate::RANKS;
 use crate::kept::{KeptPlan, MoveTerms, PartHolders, REREAD_MICROS, plan_kept, plan_saves};
 use crate::{EndpointKey, EndpointRow, FleetTable, LoadCount, PromptPart, WantedWeights, short_digest};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -22,6 +21,9 @@
 const PLAIN_MICROS: f64 = 30_000.0;
 /// Memory that is out is waited for at this multiple of the time to read as much.
 const MEMORY_FACTOR: f64 = 1.5;
+/// Cost of a token beyond the memory that the request may fill, in microseconds: the request waits, while others that
+/// ask for less are served, so that an engine with room goes before one whose queue is shorter.
+const OVER_TOKEN_MICROS: f64 = 60.0;
 /// Cost of one request byte that crosses data centres, in microseconds; such bytes are priced.
 const CROSS_BYTE_MICROS: f64 = 3.0;
 /// Cost of any crossing, in microseconds: the round trip.
@@ -56,8 +58,6 @@
     pub prompt_tokens: u32,
     /// Tokens that may be generated.
     pub output_tokens: u32,
-    /// Rank of the request; zero goes first.
-    pub rank: u8,
     /// Latency objective of its route, in milliseconds.
     pub objective_millis: u64,
     /// Bytes of the request.
@@ -66,8 +66,8 @@
     pub model: Option<&'a str>,
     /// The versions of its weights that are wanted, if any was named.
     pub wanted: Option<&'a WantedWeights>,
-    /// When it starts at the latest, if it goes behind others and may wait for long.
-    pub starts_by: Option<Moment>,
+    /// Part of an engine's memory that the request may fill up.
+    pub memory_part: f64,
     /// Who may share cached parts: all accounts, or one alone.
     pub wall: &'a str,
     /// Endpoints that this request was sent to already.
@@ -77,7 +77,7 @@
 }
 
 /// Where a request goes.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct PlacementChoice {
     /// The endpoint.
     pub key: EndpointKey,
@@ -85,6 +85,10 @@
     pub load: LoadCount,
     /// Expected time to the first event, in microseconds.
     pub expected_micros: u64,
+    /// Tokens by which the engine's memory would be filled beyond the part that the request may fill.
+    pub over_tokens: u64,
+    /// Time for which prompts that came before are read, in microseconds.
+    pub queue_micros: u64,
     /// Weights that the engine is believed to have.
     pub version: Option<u64>,
     /// Digest of the text under which parts are shared.
@@ -150,8 +154,11 @@
             continue;
         }
         let rereading = choice.kept.reread_tokens as f64 * REREAD_MICROS;
-        let cost =
-            choice.expected_micros as f64 + rereading + surcharge(row, ask) + SPREAD_MICROS * (ask.draw)();
+        let cost = choice.expected_micros as f64
+            + choice.over_tokens as f64 * OVER_TOKEN_MICROS
+            + rereading
+            + surcharge(row, ask)
+            + SPREAD_MICROS * (ask.draw)();
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             best = Some((cost, choice));
         }
@@ -171,7 +178,7 @@
     let (Some(model), Some(wanted)) = (ask.model, ask.wanted) else { return false };
     let Some(version) = row.entry.weights.get(model) else { return false };
     let expected = now.after_micros(choice.expected_micros * OVERDUE_FACTOR);
-    let start = ask.starts_by.unwrap_or(expected).after_millis(OVERDUE_MARGIN_MILLIS);
+    let start = expected.after_millis(OVERDUE_MARGIN_MILLIS);
     start >= wanted.last_start(*version)
 }
 
@@ -221,20 +228,27 @@
     let unread_tokens = u64::from(ask.prompt_tokens) - ready_tokens;
     let output = if ask.output_tokens == 0 { UNNAMED_OUTPUT } else { ask.output_tokens };
     let need = u64::from(ask.prompt_tokens) + u64::from(output);
-    let rank = usize::from(ask.rank).min(RANKS - 1);
-    let over = (load.memory_before(rank) + need).saturating_sub(view.memory_tokens);
-    let queue = load.tokens_before(rank) as f64 * read_micros;
+    let over_memory = (load.memory_tokens + need).saturating_sub(view.memory_tokens);
+    let room = (view.memory_tokens as f64 * ask.memory_part) as u64;
+    let over_tokens = (load.memory_tokens + need).saturating_sub(room);
+    let queue = load.unread_tokens as f64 * read_micros;
     let reading = unread_tokens as f64 * read_micros;
-    let memory_wait = over as f64 * read_micros * MEMORY_FACTOR;
+    let memory_wait = over_memory as f64 * read_micros * MEMORY_FACTOR;
     // Parts move while prompts that came before are read.
     let expected_micros = (FIRST_MICROS + queue.max(kept.move_micros) + reading + memory_wait) as u64;
-    let mut unread = [0; RANKS];
-    unread[rank] = unread_tokens;
-    let mut memory = [0; RANKS];
-    memory[rank] = need;
-    let load = LoadCount { running: 1, unread_tokens: unread, memory_tokens: memory };
+    let load = LoadCount { running: 1, unread_tokens, memory_tokens: need };
     let (version, salt) = (view.version, view.salt);
-    PlacementChoice { key, load, expected_micros, version, salt, kept, candidates: 0 }
+    PlacementChoice {
+        key,
+        load,
+        expected_micros,
+        over_tokens,
+        queue_micros: queue as u64,
+        version,
+        salt,
+        kept,
+        candidates: 0,
+    }
 }
 
 fn plain_choice(key: EndpointKey, row: &EndpointRow, now: Moment) -> PlacementChoice {
@@ -245,6 +259,5 @@
     let queue = f64::from((running + 1).saturating_sub(slots)) / f64::from(slots);
     let expected_micros = (PLAIN_MICROS * row.pace() * (1.0 + 0.3 * fill + queue)) as u64;
     let load = LoadCount { running: 1, ..LoadCount::default() };
-    let kept = KeptPlan::default();
-    PlacementChoice { key, load, expected_micros, version: None, salt: 0, kept, candidates: 0 }
+    PlacementChoice { key, load, expected_micros, ..PlacementChoice::default() }
 }
--- a/crates/decide/src/fleet/deployment.rs
+++ b/crates/decide/src/fleet/deployment.rs
@@ -22,19 +22,23 @@
     pub limits: RequestLimits,
 }
 
+/// Callers leave no stream sooner than after this long without an event, in milliseconds (the users' pages).
+const SILENCE_LEAST_MILLIS: u64 = 2_000;
+
 /// How often a request may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RouteKind {
     /// More than once.
     Idempotent,
     /// Once at most for each attempt of the caller.
+    #[default]
     NotRepeatable,
     /// An event stream; repeatable only where the route may be resumed.
     Stream,
 }
 
 /// One route: which requests it takes and how they are to be served.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteRow {
     /// Its name.
     pub name: String,
@@ -63,6 +67,17 @@
 }
 
 impl RouteRow {
+    /// Time without an event after which callers leave a stream, in milliseconds (the users' pages).
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::RouteRow;
+    /// assert_eq!(RouteRow { objective_millis: 1_200, gap_millis: 300, ..RouteRow::default() }.silence_millis(), 4_800);
+    /// ```
+    pub fn silence_millis(&self) -> u64 {
+        SILENCE_LEAST_MILLIS.max(self.objective_millis * 4).max(self.gap_millis * 8)
+    }
+
     /// Whether its requests may run more than once.
     pub fn repeatable(&self) -> bool {
         match self.kind {
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -4,79 +4,33 @@
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, HashMap};
 
-/// Ranks that are told apart; all lower ones count as the last.
-pub const RANKS: usize = 4;
-
 /// Work that one VM has in flight at an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadCount {
     /// Requests that were sent and have not ended.
     pub running: u32,
-    /// Prompt tokens that the endpoint has yet to read before first events, by rank.
-    pub unread_tokens: [u64; RANKS],
-    /// Memory that those requests hold or will hold, in tokens, by rank.
-    pub memory_tokens: [u64; RANKS],
+    /// Prompt tokens that the endpoint has yet to read before first events.
+    pub unread_tokens: u64,
+    /// Memory that those requests hold or will hold, in tokens.
+    pub memory_tokens: u64,
 }
 
 impl LoadCount {
-    /// Tokens that are read before a request of `rank`: those of its own rank and of higher ones, and
-    /// what is left of a piece of a lower one.
-    ///
-    /// # Examples
-    /// ```
-    /// use spanfold_decide::LoadCount;
-    /// let load = LoadCount { unread_tokens: [100, 5_000, 0, 0], ..LoadCount::default() };
-    /// assert_eq!(load.tokens_before(1), 5_100);
-    /// assert_eq!(load.tokens_before(0), 612);
-    /// ```
-    pub fn tokens_before(&self, rank: usize) -> u64 {
-        let ahead = self.unread_tokens.iter().take(rank + 1).sum::<u64>();
-        let behind = self.unread_tokens.iter().skip(rank + 1).sum::<u64>();
-        ahead + behind.min(PIECE_TOKENS / 2)
-    }
-
-    /// Memory of requests that a request of `rank` does not displace.
-    ///
-    /// # Examples
-    /// ```
-    /// use spanfold_decide::LoadCount;
-    /// let load = LoadCount { memory_tokens: [100, 5_000, 0, 900], ..LoadCount::default() };
-    /// assert_eq!(load.memory_before(1), 5_100);
-    /// ```
-    pub fn memory_before(&self, rank: usize) -> u64 {
-        self.memory_tokens.iter().take(rank + 1).sum()
-    }
-
     /// Counts more work.
     pub fn add(&mut self, other: Self) {
         self.running += other.running;
-        add_ranks(&mut self.unread_tokens, other.unread_tokens);
-        add_ranks(&mut self.memory_tokens, other.memory_tokens);
+        self.unread_tokens += other.unread_tokens;
+        self.memory_tokens += other.memory_tokens;
     }
 
     /// Counts work as ended; never below zero.
     pub fn subtract(&mut self, other: Self) {
         self.running = self.running.saturating_sub(other.running);
-        subtract_ranks(&mut self.unread_tokens, other.unread_tokens);
-        subtract_ranks(&mut self.memory_tokens, other.memory_tokens);
-    }
-}
-
-fn add_ranks(sums: &mut [u64; RANKS], more: [u64; RANKS]) {
-    for (sum, more) in sums.iter_mut().zip(more) {
-        *sum += more;
-    }
-}
-
-fn subtract_ranks(sums: &mut [u64; RANKS], less: [u64; RANKS]) {
-    for (sum, less) in sums.iter_mut().zip(less) {
-        *sum = sum.saturating_sub(less);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
     }
 }
 
-/// Tokens that engines read in one piece (the users' sheet); half of one is left on average.
-const PIECE_TOKENS: u64 = 1_024;
-
 /// How a send to an endpoint went, as far as its health is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendOutcome {
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -14,7 +14,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// Short digest of an endpoint's id.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointKey(pub u64);
 
 /// Short digest of a VM's name.
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -12,7 +12,7 @@
     AccountRow, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews, PromptPart,
     RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec, WeightTarget,
 };
-pub use endpoint_row::{CloseTeller, EndpointRow, LoadCount, RANKS, SendOutcome};
+pub use endpoint_row::{CloseTeller, EndpointRow, LoadCount, SendOutcome};
 pub use fleet_table::{EndpointKey, FleetTable, LoadSource, VmKey, short_digest};
 pub use news_history::NewsHistory;
 pub use peer_book::{LEADS, PeerBook, VmEntry};
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,14 +17,14 @@
 mod weights;
 
 pub use admit::{
-    BudgetTerms, LateVerdict, PlacementAsk, PlacementChoice, RequestTicketView, RetryBudget, ReturnBook,
-    place, salt_text, salt_version,
+    AdmissionVerdict, AdmissionView, BudgetTerms, PlacementAsk, PlacementChoice, RetryBudget, place,
+    salt_text, salt_version,
 };
 pub use fleet::{
     AccountRow, CloseTeller, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow, EngineReport,
     EngineSpec, FleetTable, KeptChange, KeptNews, LEADS, LoadCount, LoadSource, NewsHistory, PeerBook,
-    PromptPart, RANKS, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, ServiceRow,
-    ServiceWeight, StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, pick_target, short_digest,
+    PromptPart, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, ServiceRow, ServiceWeight,
+    StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, pick_target, short_digest,
 };
 pub use kept::{KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, old_parts, salted_key};
 pub use weights::{DeskStep, EngineState, HolderRecord, HolderStanding, WantedWeights, WeightDesk};
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -50,8 +50,6 @@
     pub token_usage: HeaderName,
     /// The prompt's parts.
     pub prompt_parts: HeaderName,
-    /// Priority at the engine; zero is the highest.
-    pub priority: HeaderName,
     /// Text under which an engine shares cached parts.
     pub cache_salt: HeaderName,
     /// Version of the weights that a request is meant for.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -5,12 +5,15 @@
 
 use crate::endpoint_pool::ExchangeError;
 use crate::flight::SendFlight;
+use crate::gateway::CountGuard;
 use crate::gateway_metrics::KindLabel;
 use crate::outgoing_body::OutgoingBody;
 use crate::request_run::RequestRun;
 use crate::salted_key;
 use crate::travel_notes::PlacedNote;
-use crate::{EndpointKey, FleetTable, LateVerdict, PlacementAsk, PlacementChoice, SendOutcome, salt_text};
+use crate::{
+    AdmissionVerdict, EndpointKey, FleetTable, PlacementAsk, PlacementChoice, SendOutcome, salt_text,
+};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
@@ -19,9 +22,13 @@
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-/// Priority of requests that will be late: engines admit all others before them.
-const LAST_PRIORITY: u8 = 9;
+/// Pause before a waiting prompt looks for room again, in milliseconds: a part of the time for which an engine runs one.
+const LOOK_MILLIS: u64 = 20;
+/// Pause for each other prompt that waits here, in milliseconds: a VM looks some 250 times a second at most.
+const LOOK_SHARE_MILLIS: u64 = 4;
 /// A repeatable request is sent elsewhere after this multiple of its objective without an answer.
 const PATIENCE_FACTOR: u64 = 2;
 /// The shortest such wait, in milliseconds: below it, a second send costs more than it saves.
@@ -37,7 +44,9 @@
 enum PlaceResult {
     /// To this endpoint.
     Placed(Box<PlacementChoice>, Box<SendFlight>, SocketAddr),
-    /// Nowhere now: its answer would be late. Its caller may come back after so many milliseconds.
+    /// Nowhere yet: no engine has room.
+    Wait,
+    /// Nowhere: its caller would leave before the answer. It may come back after so many milliseconds.
     Late(u64),
 }
 
@@ -58,16 +67,19 @@
     Refused,
     /// It may have run, but no answer came.
     Lost(&'static str),
-    /// It was not sent, because its answer would be late.
+    /// It was not sent, because its caller would leave before the answer.
     Late(u64),
 }
 
 impl RequestRun {
     /// Chooses an endpoint and sends the request there once; none if there is no endpoint.
     pub(crate) async fn send_once(&mut self, last_event_id: Option<&Bytes>) -> Option<SendResult> {
-        let (choice, flight, address) = match self.choose()? {
-            PlaceResult::Placed(choice, flight, address) => (*choice, *flight, address),
-            PlaceResult::Late(back_millis) => return Some(SendResult::Late(back_millis)),
+        let (choice, flight, address) = loop {
+            match self.choose()? {
+                PlaceResult::Placed(choice, flight, address) => break (*choice, *flight, address),
+                PlaceResult::Late(back_millis) => return Some(SendResult::Late(back_millis)),
+                PlaceResult::Wait => self.wait_for_room().await,
+            }
         };
         self.choice = Some(choice);
         let request = self.endpoint_request(&flight, last_event_id);
@@ -75,10 +87,23 @@
         Some(self.send_to(flight, address, request).await)
     }
 
+    /// Waits a little before the next look at the engines.
+    async fn wait_for_room(&mut self) {
+        let begun = self.gateway.now();
+        let waiting = CountGuard::new(&self.gateway, |gateway| &gateway.waiting_prompts);
+        let others = self.gateway.waiting_prompts.load(Ordering::Relaxed).saturating_sub(1);
+        let pause = LOOK_MILLIS.max(others * LOOK_SHARE_MILLIS);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        drop(waiting);
+        self.waited_micros += self.gateway.now().micros_since(begun);
+    }
+
     fn choose(&mut self) -> Option<PlaceResult> {
         let gateway = Arc::clone(&self.gateway);
         let ticket = &self.ticket;
         let model = ticket.model.as_deref();
+        // What went out once was admitted.
+        let admission = ticket.admission().filter(|_| self.sends == 0);
         let wanted = model.and_then(|model| gateway.wanted_weights(model));
         let silent = gateway.cut_data_centres();
         let silent: Vec<&str> = silent.iter().map(String::as_str).collect();
@@ -89,39 +114,22 @@
             parts: &ticket.parts,
             prompt_tokens: ticket.prompt_tokens,
             output_tokens: ticket.output_tokens,
-            rank: ticket.priority,
             objective_millis: ticket.route.objective_millis,
             bytes: self.body.len(),
             model,
             wanted: wanted.as_ref(),
-            starts_by: None,
+            memory_part: admission.map_or(1.0, |view| view.memory_part(gateway.now())),
             wall: &ticket.wall,
             exclude: &self.tried,
             draw: rand::random,
         };
-        let mut choice = gateway.place(&ask)?;
-        if self.sends == 0
-            && let Some(view) = ticket.view(gateway.now())
-        {
-            match gateway.returns().judge(&view, choice.expected_micros, gateway.now()) {
-                LateVerdict::InTime => {}
-                LateVerdict::Back(back_millis) => {
-                    self.choice = Some(choice);
-                    return Some(PlaceResult::Late(back_millis));
-                }
-                LateVerdict::Behind => {
-                    choice = gateway.place(&PlacementAsk {
-                        rank: LAST_PRIORITY,
-                        starts_by: Some(ticket.limit),
-                        ..ask
-                    })?;
-                    self.behind = true;
-                    // It would run out of time where it waits: its final answer goes out now.
-                    if choice.expected_micros > view.left_millis * MICROS_PER_MILLI {
-                        self.choice = Some(choice);
-                        return Some(PlaceResult::Late(view.left_millis / 4));
-                    }
-                }
+        let choice = gateway.place(&ask)?;
+        match admission.map_or(AdmissionVerdict::Go, |view| view.admit(&choice, gateway.now())) {
+            AdmissionVerdict::Go => {}
+            AdmissionVerdict::Wait => return Some(PlaceResult::Wait),
+            AdmissionVerdict::Refuse(back_millis) => {
+                self.choice = Some(choice);
+                return Some(PlaceResult::Late(back_millis));
             }
         }
         let moves: Vec<_> = choice.kept.moves(&ticket.parts).collect();
@@ -170,10 +178,6 @@
         if let Some(account) = &ticket.account {
             set(&names.account, account.as_bytes());
         }
-        if ticket.model.is_some() {
-            let priority = if self.behind { LAST_PRIORITY } else { ticket.priority };
-            set(&names.priority, priority.to_string().as_bytes());
-        }
         if let Some(choice) = &self.choice
             && let Some(model) = &ticket.model
         {
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -3,7 +3,6 @@
 //! Invariant: whatever way a send ends, also by being dropped because the caller left, its load is
 //! given back once and its connection is cut unless the answer was whole.
 
-use crate::RANKS;
 use crate::endpoint_pool::EndpointConnection;
 use crate::gateway::Gateway;
 use crate::{EndpointKey, LoadCount, PlacementChoice, SendOutcome};
@@ -69,7 +68,7 @@
         let mut table = self.gateway.table();
         let read = LoadCount { unread_tokens: self.load.unread_tokens, ..LoadCount::default() };
         table.release(self.key, read);
-        self.load.unread_tokens = [0; RANKS];
+        self.load.unread_tokens = 0;
         drop(table);
         self.gateway.loads_changed.notify_one();
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,8 +6,8 @@
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::travel_notes::{PlacedNote, TravelNotes};
 use crate::{
-    BudgetTerms, FleetTable, PlacementAsk, PlacementChoice, RetryBudget, ReturnBook, RouteTable, VmEntry,
-    VmKey, WantedWeights, WeightTarget, WireDialect, place, short_digest,
+    BudgetTerms, FleetTable, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, VmEntry, VmKey,
+    WantedWeights, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -43,7 +43,6 @@
     budget: Mutex<RetryBudget>,
     weights: RwLock<BTreeMap<String, NamedWeights>>,
     peers: Mutex<PeerBook>,
-    returns: Mutex<ReturnBook>,
     /// The engines' clock in milliseconds, and when it was told.
     engine_clock: Mutex<Option<(u64, Moment)>>,
     pub pool: EndpointPool,
@@ -54,8 +53,7 @@
     pub kept_changed: Notify,
     /// Placements that peers have not been told.
     pub near_notes: TravelNotes,
-    /// Placements and refusals that other data centres have not been told: those of this VM and of the
-    /// ones beside it.
+    /// Placements that other data centres have not been told: those of this VM and of the ones beside it.
     pub far_notes: TravelNotes,
     /// Authenticates what VMs tell one another; none until the store told it.
     peer_key: RwLock<Option<PeerKey>>,
@@ -65,6 +63,8 @@
     /// When a call to the store last failed, in microseconds; zero if none has.
     store_trouble: AtomicU64,
     pub open_requests: AtomicU64,
+    /// Prompts that wait here because no engine has room.
+    pub waiting_prompts: AtomicU64,
     pub caller_connections: AtomicU64,
     /// Incarnation of this process, never zero.
     pub incarnation: u64,
@@ -94,7 +94,6 @@
             budget: Mutex::new(RetryBudget::new(terms)),
             weights: RwLock::default(),
             peers: Mutex::new(peers),
-            returns: Mutex::default(),
             engine_clock: Mutex::default(),
             pool: EndpointPool::default(),
             metrics: GatewayMetrics::new(),
@@ -107,6 +106,7 @@
             stopping: watch::channel(false).0,
             store_trouble: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
+            waiting_prompts: AtomicU64::new(0),
             caller_connections: AtomicU64::new(0),
             incarnation,
         }
@@ -172,11 +172,6 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Refused requests that may return. Never held across a wait.
-    pub(crate) fn returns(&self) -> MutexGuard<'_, ReturnBook> {
-        self.returns.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The weight version that each model's engines should have.
     pub(crate) fn weights(&self) -> BTreeMap<String, u64> {
         let weights = self.weights.read().unwrap_or_else(PoisonError::into_inner);
@@ -200,8 +195,8 @@
 
     /// Notes a placement, so that peers are told.
     pub(crate) fn note_placed(&self, note: &PlacedNote) {
-        self.near_notes.push_placed(note);
-        self.far_notes.push_placed(note);
+        self.near_notes.push(note);
+        self.far_notes.push(note);
         self.loads_changed.notify_one();
     }
 
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -153,6 +153,5 @@
         }
         gateway.pool.sweep();
         gateway.peers().sweep(now);
-        gateway.returns().sweep(now);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,8 +52,8 @@
     StoreSpec, WeightTarget, salt_text,
 };
 pub(crate) use spanfold_decide::{
-    BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable, HolderRecord, HolderStanding, KeptRow,
-    LEADS, LateVerdict, LoadCount, LoadSource, NewsHistory, NewsRhythm, PeerBook, PlacementAsk,
-    PlacementChoice, RANKS, RequestTicketView, RetryBudget, ReturnBook, RouteTable, SendOutcome, VmEntry,
-    VmKey, WantedWeights, WeightDesk, old_parts, pick_target, place, salted_key, short_digest,
+    AdmissionVerdict, AdmissionView, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
+    HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NewsHistory, NewsRhythm, PeerBook,
+    PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights,
+    WeightDesk, old_parts, pick_target, place, salted_key, short_digest,
 };
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -4,9 +4,9 @@
 //! costs accuracy only. A lead sums its data centre: what it tells others counts each VM once, because
 //! only what VMs say of themselves is summed.
 
+use crate::CloseTeller;
 use crate::gateway::Gateway;
 use crate::travel_notes::PlacedNote;
-use crate::{CloseTeller, RANKS};
 use crate::{EndpointKey, FleetTable, LoadCount, LoadSource, VmKey, short_digest};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -27,7 +27,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct LoadDigest {
     pub scope: DigestScope,
-    loads: Vec<(EndpointKey, u32, [u64; RANKS], [u64; RANKS])>,
+    loads: Vec<(EndpointKey, u32, u64, u64)>,
     placed: Vec<PlacedNote>,
     /// Engines that get no new work, and for how long, in microseconds.
     closed: Vec<(EndpointKey, u64)>,
@@ -37,31 +37,26 @@
     weights: Vec<(EndpointKey, u64, u64)>,
     /// Weights that were named: digest of the model, version, and for how long that is known.
     named: Vec<(u64, u64, u64)>,
-    /// Requests that were refused a moment ago and may return.
-    refused: Vec<u64>,
 }
 
 impl LoadDigest {
     /// What this VM has to tell of itself.
     pub(crate) fn own(gateway: &Gateway) -> Self {
-        let placed = gateway.near_notes.take().0;
-        let refused = gateway.returns().take_news();
-        gateway.far_notes.push_refused(&refused);
-        Self::build(gateway, DigestScope::Vm, placed, refused, |_| false)
+        let placed = gateway.near_notes.take();
+        Self::build(gateway, DigestScope::Vm, placed, |_| false)
     }
 
     /// What this VM, as a lead, has to tell of its data centre.
     pub(crate) fn of_data_centre(gateway: &Gateway) -> Self {
         let near = gateway.peers().near_vms();
-        let (placed, refused) = gateway.far_notes.take();
-        Self::build(gateway, DigestScope::DataCentre, placed, refused, |vm| near.contains(&vm))
+        let placed = gateway.far_notes.take();
+        Self::build(gateway, DigestScope::DataCentre, placed, |vm| near.contains(&vm))
     }
 
     fn build(
         gateway: &Gateway,
         scope: DigestScope,
         placed: Vec<PlacedNote>,
-        refused: Vec<u64>,
         counts: impl Fn(VmKey) -> bool,
     ) -> Self {
         let now = gateway.now();
@@ -77,7 +72,6 @@
             moves: table.moves_of(&counts, now),
             weights: seen_weights(&table, scope, now),
             named: gateway.named_ages(),
-            refused,
         }
     }
 
@@ -111,10 +105,8 @@
         }
         drop(table);
         gateway.apply_named_ages(&self.named);
-        gateway.returns().hear(&self.refused, now);
         if is_near {
-            self.placed.iter().for_each(|note| gateway.far_notes.push_placed(note));
-            gateway.far_notes.push_refused(&self.refused);
+            self.placed.iter().for_each(|note| gateway.far_notes.push(note));
         }
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -93,7 +93,7 @@
                 continue;
             }
             SendResult::Late(back_millis) => {
-                return run.refuse("the answer would be late", back_millis);
+                return run.refuse("no engine has room in time", back_millis);
             }
             SendResult::Refused => "refused by the endpoint",
             SendResult::Lost(cause) => cause,
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -32,8 +32,8 @@
     /// What the last choice was made on, for the log.
     pub choice: Option<PlacementChoice>,
     pub endpoint: String,
-    /// Whether it goes behind requests that can still be in time.
-    pub behind: bool,
+    /// How long it waited here for an engine with room, in microseconds.
+    pub waited_micros: u64,
     pub first_at: Option<Moment>,
     /// An endpoint's own failure, to be passed on if nothing better comes.
     pub failure: Option<(Box<response::Parts>, Bytes)>,
@@ -61,7 +61,7 @@
             endpoint = self.endpoint.as_str(),
             sends = self.sends,
             candidates,
-            behind = self.behind,
+            waited_ms = self.waited_micros / MICROS_PER_MILLI,
             expected_ms = expected,
             prompt = self.ticket.prompt_tokens,
             kept,
@@ -89,7 +89,7 @@
             may_have_run: false,
             choice: None,
             endpoint: String::new(),
-            behind: false,
+            waited_micros: 0,
             first_at: None,
             failure: None,
             outcome: "caller left",
--- a/crates/gateway/src/request_ticket.rs
+++ b/crates/gateway/src/request_ticket.rs
@@ -6,11 +6,11 @@
 use crate::gateway::Gateway;
 use crate::own_answer::OwnAnswer;
 use crate::pick_target;
-use crate::{AccountRow, HeaderNames, PromptPart, RequestTicketView, RouteKind, RouteRow};
+use crate::{AccountRow, AdmissionView, HeaderNames, PromptPart, RouteKind, RouteRow};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
-use spanfold_entity::{MICROS_PER_MILLI, Moment};
+use spanfold_entity::Moment;
 
 /// When to come back to a VM that knows no configuration yet, in milliseconds.
 const UNCONFIGURED_RETRY_MILLIS: u64 = 500;
@@ -110,11 +110,15 @@
         self.route.kind == RouteKind::Stream
     }
 
-    /// What decides whether it is refused early; none if its service knows no prompts.
-    pub(crate) fn view(&self, now: Moment) -> Option<RequestTicketView> {
-        let last_part = self.parts.last()?.key;
-        let left_millis = self.limit.micros_since(now) / MICROS_PER_MILLI;
-        Some(RequestTicketView { last_part, objective_millis: self.route.objective_millis, left_millis })
+    /// What decides whether it goes, waits or is refused; none if its service knows no prompts.
+    pub(crate) fn admission(&self) -> Option<AdmissionView> {
+        (!self.parts.is_empty()).then(|| AdmissionView {
+            received: self.received,
+            limit: self.limit,
+            objective_millis: self.route.objective_millis,
+            silence_millis: self.route.silence_millis(),
+            rank: self.priority,
+        })
     }
 
     /// The request's id as text, for logs.
--- a/crates/gateway/src/travel_notes.rs
+++ b/crates/gateway/src/travel_notes.rs
@@ -1,4 +1,4 @@
-//! Placements and refusals that wait to be told to other VMs.
+//! Placements that wait to be told to other VMs.
 
 use crate::salted_key;
 use crate::{EndpointKey, FleetTable, PlacementChoice, PromptPart};
@@ -6,7 +6,7 @@
 use spanfold_entity::Moment;
 use std::sync::{Mutex, PoisonError};
 
-/// Placements and refusals that wait at most: those beyond it are not told.
+/// Placements that wait at most: those beyond it are not told.
 const NOTES_MOST: usize = 64;
 
 /// A request that was placed: where, and which parts its engine will keep.
@@ -50,36 +50,21 @@
     }
 }
 
-/// What happened and has not been told.
+/// Placements that wait to be told.
 #[derive(Debug, Default)]
-struct UntoldNotes {
-    placed: Vec<PlacedNote>,
-    refused: Vec<u64>,
-}
-
-/// Placements and refusals that wait to be told.
-#[derive(Debug, Default)]
-pub(crate) struct TravelNotes(Mutex<UntoldNotes>);
+pub(crate) struct TravelNotes(Mutex<Vec<PlacedNote>>);
 
 impl TravelNotes {
     /// Adds a placement.
-    pub(crate) fn push_placed(&self, note: &PlacedNote) {
+    pub(crate) fn push(&self, note: &PlacedNote) {
         let mut notes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if notes.placed.len() < NOTES_MOST && !note.parts.is_empty() {
-            notes.placed.push(note.clone());
+        if notes.len() < NOTES_MOST && !note.parts.is_empty() {
+            notes.push(note.clone());
         }
     }
 
-    /// Adds requests that were refused and may return, by the last part of their prompt.
-    pub(crate) fn push_refused(&self, parts: &[u64]) {
-        let mut notes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let free = NOTES_MOST.saturating_sub(notes.refused.len());
-        notes.refused.extend(parts.iter().take(free));
-    }
-
-    /// Takes all that waits: placements, and refused requests.
-    pub(crate) fn take(&self) -> (Vec<PlacedNote>, Vec<u64>) {
-        let notes = std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner));
-        (notes.placed, notes.refused)
+    /// Takes all that wait.
+    pub(crate) fn take(&self) -> Vec<PlacedNote> {
+        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
