Sight: how far a VM is behind the store, and how much of an answer had come

Cause: a call given up for lack of time logged the same words whether nothing or nearly all of its answer had come, and no metric told that a VM knew of changes which it did not have. Change: the cause of a failed call names the bytes that came; metrics store_revision and told_revision; log event changes.lacking after a second. No change of decisions.

--- a/crates/gateway/src/call_link.rs
+++ b/crates/gateway/src/call_link.rs
@@ -7,8 +7,9 @@
 use crate::endpoint_pool::open_stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use tokio::task::AbortHandle;
@@ -19,6 +20,12 @@
 #[error("no answer: {0}")]
 pub(crate) struct LinkError(String);
 
+impl From<hyper::Error> for LinkError {
+    fn from(error: hyper::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
 /// One caller's connection to one place.
 #[derive(Debug)]
 pub(crate) struct CallLink {
@@ -50,28 +57,25 @@
         deadline: Instant,
     ) -> Result<(u16, Bytes), LinkError> {
         let kept = self.open.take();
-        let exchange = exchange(self.address, kept, call);
-        match tokio::time::timeout_at(deadline, exchange).await {
-            Ok(Ok((status, body, link))) => {
-                self.open = Some(link);
-                Ok((status, body))
-            }
-            Ok(Err(error)) => Err(error),
-            Err(_elapsed) => Err(LinkError("no answer in time".to_owned())),
-        }
+        let sent = tokio::time::timeout_at(deadline, send(self.address, kept, call)).await;
+        let (response, link) = sent.map_err(|_elapsed| LinkError("no answer in time".to_owned()))??;
+        let status = response.status().as_u16();
+        let body = read_body(response.into_body(), deadline).await?;
+        self.open = Some(link);
+        Ok((status, body))
     }
 }
 
-async fn exchange(
+/// Sends a call over the kept connection or a new one; gives the answer's head.
+async fn send(
     address: SocketAddr,
     kept: Option<OpenCall>,
     call: &WireCall,
-) -> Result<(u16, Bytes, OpenCall), LinkError> {
+) -> Result<(Response<Incoming>, OpenCall), LinkError> {
     let mut link = match kept {
         Some(link) if !link.sender.is_closed() => link,
         _ => open(address).await?,
     };
-    let failed = |error: hyper::Error| LinkError(error.to_string());
     let mut request =
         Request::builder().method(call.method.clone()).uri(&call.path).header("host", address.to_string());
     for (name, value) in &call.headers {
@@ -82,11 +86,23 @@
     }
     let body = Full::new(Bytes::from(call.body.clone().unwrap_or_default()));
     let request = request.body(body).map_err(|error| LinkError(error.to_string()))?;
-    link.sender.ready().await.map_err(failed)?;
-    let response = link.sender.send_request(request).await.map_err(failed)?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await.map_err(failed)?.to_bytes();
-    Ok((status, body, link))
+    link.sender.ready().await?;
+    let response = link.sender.send_request(request).await?;
+    Ok((response, link))
+}
+
+/// Reads an answer's body until `deadline`.
+async fn read_body(mut body: Incoming, deadline: Instant) -> Result<Bytes, LinkError> {
+    let mut content = Vec::new();
+    loop {
+        let Ok(frame) = tokio::time::timeout_at(deadline, body.frame()).await else {
+            return Err(LinkError(format!("{} bytes of an answer in time", content.len())));
+        };
+        let Some(frame) = frame else { return Ok(content.into()) };
+        if let Ok(piece) = frame?.into_data() {
+            content.extend_from_slice(&piece);
+        }
+    }
 }
 
 async fn open(address: SocketAddr) -> Result<OpenCall, LinkError> {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -49,6 +49,8 @@
 const CATCH_UP_MILLIS: u64 = 150;
 /// It asks other VMs again with what they tell later than this, in milliseconds.
 const ASK_AGAIN_MILLIS: u64 = 100;
+/// A VM that lacks changes for so long says so, in milliseconds: by then they should have been fetched.
+const LACKING_MILLIS: u64 = 1_000;
 /// Who leads may change at any moment: looked at anew after this long, in milliseconds.
 const LOOK_MILLIS: u64 = 100;
 
@@ -81,6 +83,8 @@
         news_at: Moment(0),
         rest_until: Moment(0),
         behind_since: None,
+        lacking_since: None,
+        told_revision: 0,
         history: NewsHistory::default(),
         is_asking: false,
         watches: 0,
@@ -108,6 +112,10 @@
     rest_until: Moment,
     /// Since when other VMs tell of a revision whose changes this one lacks.
     behind_since: Option<Moment>,
+    /// Since when changes are lacking that others tell of; [`Moment::NEVER`] once that was logged.
+    lacking_since: Option<Moment>,
+    /// Newest revision that another VM or the store told of.
+    told_revision: u64,
     /// Changes that were applied a short while ago.
     history: NewsHistory,
     /// Whether this VM, though not the first one, goes on asking because those before it brought no news.
@@ -121,6 +129,7 @@
     /// Takes news or, when its turn has come, asks the store once; false if all must be listed anew.
     async fn step(&mut self, told: &mut mpsc::Receiver<ToldNews>) -> bool {
         let now = self.gateway.now();
+        self.note_lacking(now);
         let turn = self.turn(now);
         let wake = self.gateway.instant(turn.min(now.after_millis(LOOK_MILLIS)));
         tokio::select! {
@@ -156,12 +165,13 @@
         if let Some(micros) = news.trouble_micros {
             self.gateway.note_store_trouble(Moment(now.0.saturating_sub(micros)));
         }
+        self.note_told(news.to);
         if news.to > self.revision {
             match &news.events {
                 Some(events) if news.from <= self.revision => {
                     self.view.apply_all(events, "peer");
                     self.history.push(self.revision, news.to, events, now);
-                    self.revision = news.to;
+                    self.set_revision(news.to);
                     self.behind_since = None;
                 }
                 _ => {
@@ -276,11 +286,37 @@
 
     /// Notes that all changes up to `revision` are applied, as the store has just said.
     fn answered(&mut self, revision: u64) {
-        self.revision = revision;
+        self.set_revision(revision);
+        self.note_told(revision);
         self.news_at = self.gateway.now();
         self.behind_since = None;
     }
 
+    fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+        self.gateway.metrics.store_revision.set(revision as i64);
+    }
+
+    /// Notes that the store has come to `revision`.
+    fn note_told(&mut self, revision: u64) {
+        self.told_revision = self.told_revision.max(revision);
+        self.gateway.metrics.told_revision.set(self.told_revision as i64);
+    }
+
+    /// Logs once that changes have been lacking for long.
+    fn note_lacking(&mut self, now: Moment) {
+        if self.told_revision <= self.revision {
+            self.lacking_since = None;
+            return;
+        }
+        let since = *self.lacking_since.get_or_insert(now);
+        if now >= since.after_millis(LACKING_MILLIS) {
+            let (revision, told) = (self.revision, self.told_revision);
+            log::warn!(revision, told, failures = self.failures; "changes.lacking");
+            self.lacking_since = Some(Moment::NEVER);
+        }
+    }
+
     /// Writes a peer key if the store holds none: the first VMs of a deployment do, and the first
     /// of their writes stands.
     ///
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -38,6 +38,10 @@
     pub prompt_tokens: Counter,
     pub kept_tokens: Counter,
     pub configuration_version: Gauge,
+    /// Revision of the store up to which all changes are applied.
+    pub store_revision: Gauge,
+    /// Newest revision of the store that this VM was told of; beyond `store_revision` it lacks changes.
+    pub told_revision: Gauge,
     /// Messages of other VMs, by kind.
     pub peer_messages: Family<KindLabel, Counter>,
     pub open_requests: Gauge,
@@ -56,6 +60,9 @@
         let peer_messages = Family::<KindLabel, Counter>::default();
         registry.register("peer_messages", "Messages of other VMs, by kind", peer_messages.clone());
         let (configuration_version, open_requests) = (Gauge::default(), Gauge::default());
+        let (store_revision, told_revision) = (Gauge::default(), Gauge::default());
+        registry.register("store_revision", "Revision of the store that is applied", store_revision.clone());
+        registry.register("told_revision", "Newest revision that this VM was told of", told_revision.clone());
         registry.register("answers", "Ended requests, by outcome", answers.clone());
         registry.register("sends", "Sends to endpoints, by outcome", sends.clone());
         registry.register("store_calls", "Calls to the platform's store, by kind", store_calls.clone());
@@ -79,6 +86,8 @@
             prompt_tokens,
             kept_tokens,
             configuration_version,
+            store_revision,
+            told_revision,
             peer_messages,
             open_requests,
         }
