An answer that goes on coming is read to its end

Where the link needs longer for it (0.75 MB at 10 Mbit/s: 0.6 s, given up after 0.5 s), each call failed, and the next began at the first byte: VMs stood still at an old revision. Change: the deadline is for the head of the answer; its body may take as long as pieces come within a second of each other.

--- a/crates/gateway/src/call_link.rs
+++ b/crates/gateway/src/call_link.rs
@@ -2,6 +2,10 @@
 //!
 //! Invariant: a connection on which an answer failed to come is never used again. Whether a call
 //! that got no answer was done is unknown; callers make their calls conditional or repeatable.
+//!
+//! A deadline bounds the wait for an answer's head. Its body may be large and the link narrow, so it may
+//! take as long as it goes on coming: a limit on the whole would fail each time, and a repeated call
+//! begins at the first byte again.
 
 use crate::WireCall;
 use crate::endpoint_pool::open_stream;
@@ -12,9 +16,14 @@
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+/// An answer that brings nothing for this long has broken off: several retransmissions fit, and large
+/// pieces over links of 10 Mbit/s that others use too.
+const BODY_SILENCE: Duration = Duration::from_secs(1);
+
 /// Why a call brought no answer; it may have been done.
 #[derive(Debug, thiserror::Error)]
 #[error("no answer: {0}")]
@@ -50,7 +59,7 @@
         Self { address, open: None }
     }
 
-    /// Makes one call; gives the answer's status and body.
+    /// Makes one call whose answer begins before `deadline`; gives the answer's status and body.
     pub(crate) async fn call(
         &mut self,
         call: &WireCall,
@@ -60,7 +69,7 @@
         let sent = tokio::time::timeout_at(deadline, send(self.address, kept, call)).await;
         let (response, link) = sent.map_err(|_elapsed| LinkError("no answer in time".to_owned()))??;
         let status = response.status().as_u16();
-        let body = read_body(response.into_body(), deadline).await?;
+        let body = read_body(response.into_body()).await?;
         self.open = Some(link);
         Ok((status, body))
     }
@@ -91,12 +100,12 @@
     Ok((response, link))
 }
 
-/// Reads an answer's body until `deadline`.
-async fn read_body(mut body: Incoming, deadline: Instant) -> Result<Bytes, LinkError> {
+/// Reads an answer's body for as long as it goes on coming.
+async fn read_body(mut body: Incoming) -> Result<Bytes, LinkError> {
     let mut content = Vec::new();
     loop {
-        let Ok(frame) = tokio::time::timeout_at(deadline, body.frame()).await else {
-            return Err(LinkError(format!("{} bytes of an answer in time", content.len())));
+        let Ok(frame) = tokio::time::timeout(BODY_SILENCE, body.frame()).await else {
+            return Err(LinkError(format!("the answer broke off after {} bytes", content.len())));
         };
         let Some(frame) = frame else { return Ok(content.into()) };
         if let Ok(piece) = frame?.into_data() {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -27,9 +27,9 @@
 /// and the turn of the next VM, a change is in force within 2 s (the shortest bound of the users'
 /// sheets) although the lead is cut off without a word.
 const WATCH_MILLIS: u64 = 900;
-/// An answer to a watch that comes later than this after its time is not waited for.
+/// An answer to a watch that has not begun so long after its time is not waited for.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
-/// A listing that takes longer has failed.
+/// A listing whose answer has not begun by then has failed.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a watch that brought changes, in milliseconds: one call then brings a burst of them.
 const GATHER_MILLIS: u64 = 150;
