VMs tell one another large changes, compressed and in pieces

Cause: changes of over 48 KiB were not told; each VM fetched them from the store, over its own link and all at once. Change: changes are deflated and told in pieces of 16 KiB, paced for links of 10 Mbit/s and for the teller's own; one that misses a piece asks, in the end the store; what would take longer than fetching is fetched as before. A large value that a later one replaces is neither told nor applied.

--- a/crates/decide/src/fleet/news_history.rs
+++ b/crates/decide/src/fleet/news_history.rs
@@ -2,7 +2,7 @@
 //!
 //! Invariant: what is handed out is whole from the revision asked for to the newest one known here.
 
-use crate::StoreEvent;
+use crate::{StoreEvent, without_replaced};
 use spanfold_entity::Moment;
 use std::collections::VecDeque;
 
@@ -58,6 +58,7 @@
             return None;
         }
         let steps = self.0.iter().filter(|step| step.to > revision);
-        Some((last.to, steps.flat_map(|step| step.events.iter().cloned()).collect()))
+        let events = steps.flat_map(|step| step.events.iter().cloned()).collect();
+        Some((last.to, without_replaced(events)))
     }
 }
--- /dev/null
+++ b/crates/decide/src/fleet/news_pieces.rs
@@ -0,0 +1,132 @@
+//! Changes of the store cut into pieces that fit into datagrams, and put together again.
+//!
+//! Invariant: changes count only as a whole; until the last piece is there, nothing of them is applied.
+//! They are compressed: a configuration of thousands of routes repeats itself, and VMs with narrow links
+//! would otherwise need most of a second of their links for it, in which callers wait.
+
+use crate::{StoreEvent, VmKey};
+use flate2::Compression;
+use flate2::read::DeflateDecoder;
+use flate2::write::DeflateEncoder;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::io::{Read, Write};
+
+/// Largest piece, in bytes: a link of 10 Mbit/s takes 13 ms for it.
+pub const PIECE_BYTES: usize = 16 << 10;
+/// Largest changes once decompressed, in bytes: several values of the largest size that a store takes.
+const CONTENT_MOST_BYTES: u64 = 32 << 20;
+/// News whose pieces are collected at once: a few VMs may tell at once, each of a few changes.
+const OPEN_MOST: usize = 8;
+
+/// One piece of changes that a VM tells others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NewsPiece {
+    /// Its place among the pieces, from zero.
+    pub place: u32,
+    /// How many pieces there are.
+    pub count: u32,
+    /// Its part of the compressed changes.
+    pub content: Vec<u8>,
+}
+
+/// What has come of some news.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NewsProgress {
+    /// All changes.
+    Whole(Vec<StoreEvent>),
+    /// Pieces are missing still.
+    Partial,
+    /// The pieces make no changes.
+    Unreadable,
+}
+
+/// Cuts changes into pieces; none for no changes.
+///
+/// # Examples
+/// ```
+/// use spanfold_decide::{NewsAssembly, NewsProgress, StoreEvent, VmKey, cut_news};
+/// let events = vec![StoreEvent::Removed { key: "a".into(), revision: 7 }];
+/// let pieces = cut_news(&events);
+/// assert_eq!(pieces.len(), 1);
+/// let mut assembly = NewsAssembly::default();
+/// let progress = assembly.take(VmKey::of("vm-1"), 6, 7, &pieces[0]);
+/// assert_eq!(progress, NewsProgress::Whole(events));
+/// ```
+pub fn cut_news(events: &[StoreEvent]) -> Vec<NewsPiece> {
+    if events.is_empty() {
+        return Vec::new();
+    }
+    let packed = pack(events);
+    let count = packed.chunks(PIECE_BYTES).len() as u32;
+    let pieces = packed.chunks(PIECE_BYTES).zip(0..);
+    pieces.map(|(content, place)| NewsPiece { place, count, content: content.to_vec() }).collect()
+}
+
+fn pack(events: &[StoreEvent]) -> Vec<u8> {
+    // Events always have a binary form, and writing to memory does not fail.
+    let plain = postcard::to_stdvec(events).unwrap_or_default();
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    let _ = encoder.write_all(&plain);
+    encoder.finish().unwrap_or_default()
+}
+
+fn unpack(packed: &[u8]) -> Option<Vec<StoreEvent>> {
+    let mut plain = Vec::new();
+    DeflateDecoder::new(packed).take(CONTENT_MOST_BYTES).read_to_end(&mut plain).ok()?;
+    postcard::from_bytes(&plain).ok()
+}
+
+/// Pieces of one VM's news.
+#[derive(Debug)]
+struct OpenNews {
+    teller: VmKey,
+    from: u64,
+    to: u64,
+    pieces: Vec<Option<Vec<u8>>>,
+}
+
+impl OpenNews {
+    fn is_of(&self, teller: VmKey, from: u64, to: u64, count: u32) -> bool {
+        (self.teller, self.from, self.to, self.pieces.len()) == (teller, from, to, count as usize)
+    }
+}
+
+/// Collects the pieces of other VMs' news.
+#[derive(Debug, Default)]
+pub struct NewsAssembly(VecDeque<OpenNews>);
+
+impl NewsAssembly {
+    /// Takes a piece of the changes between two revisions; tells what has come of them.
+    pub fn take(&mut self, teller: VmKey, from: u64, to: u64, piece: &NewsPiece) -> NewsProgress {
+        let (place, count) = (piece.place as usize, piece.count as usize);
+        if place >= count || count as u64 > CONTENT_MOST_BYTES / PIECE_BYTES as u64 {
+            return NewsProgress::Unreadable;
+        }
+        let open = self.open(teller, from, to, piece.count);
+        self.0[open].pieces[place] = Some(piece.content.clone());
+        if self.0[open].pieces.iter().any(Option::is_none) {
+            return NewsProgress::Partial;
+        }
+        let pieces = self.0.remove(open).map(|news| news.pieces).unwrap_or_default();
+        let packed: Vec<u8> = pieces.into_iter().flatten().flatten().collect();
+        unpack(&packed).map_or(NewsProgress::Unreadable, NewsProgress::Whole)
+    }
+
+    /// Forgets pieces of changes up to `revision`: they are known.
+    pub fn forget_until(&mut self, revision: u64) {
+        self.0.retain(|news| news.to > revision);
+    }
+
+    /// Where the pieces of these news are collected; the oldest others make room.
+    fn open(&mut self, teller: VmKey, from: u64, to: u64, count: u32) -> usize {
+        if let Some(place) = self.0.iter().position(|news| news.is_of(teller, from, to, count)) {
+            return place;
+        }
+        if self.0.len() >= OPEN_MOST {
+            self.0.pop_front();
+        }
+        self.0.push_back(OpenNews { teller, from, to, pieces: vec![None; count as usize] });
+        self.0.len() - 1
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -22,9 +22,10 @@
 };
 pub use fleet::{
     AccountRow, CloseTeller, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow, EngineReport,
-    EngineSpec, FleetTable, KeptChange, KeptNews, LEADS, LoadCount, LoadSource, NewsHistory, PeerBook,
-    PromptPart, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, ServiceRow, ServiceWeight,
-    StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, pick_target, short_digest,
+    EngineSpec, FleetTable, KeptChange, KeptNews, LEADS, LoadCount, LoadSource, NewsAssembly, NewsHistory,
+    NewsPiece, NewsProgress, PIECE_BYTES, PeerBook, PromptPart, RequestLimits, RouteKind, RouteRow,
+    RouteTable, SendOutcome, ServiceRow, ServiceWeight, StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey,
+    WeightTarget, cut_news, pick_target, short_digest, without_replaced,
 };
 pub use kept::{KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, old_parts, salted_key};
 pub use weights::{DeskStep, EngineState, HolderRecord, HolderStanding, WantedWeights, WeightDesk};
--- /dev/null
+++ b/crates/decide/tests/news_pieces.rs
@@ -0,0 +1,72 @@
+//! Changes in pieces: whole or not at all.
+
+use spanfold_decide::{NewsAssembly, NewsProgress, StoreEvent, StoreItem, VmKey, cut_news};
+
+const TELLER: VmKey = VmKey(1);
+
+/// A change whose value does not compress, so that it needs several pieces.
+fn large_change(revision: u64) -> Vec<StoreEvent> {
+    let mut state = revision;
+    let value = (0..100_000).map(|_| {
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (state >> 56) as u8
+    });
+    vec![StoreEvent::Written(StoreItem { key: "key".to_owned(), value: value.collect(), revision })]
+}
+
+#[test]
+fn pieces_make_the_changes_in_any_order_and_twice_told() {
+    let events = large_change(7);
+    let mut pieces = cut_news(&events);
+    assert!(pieces.len() > 4);
+    pieces.reverse();
+    let again = pieces[0].clone();
+    let last = pieces.pop().unwrap();
+    let mut assembly = NewsAssembly::default();
+    for piece in pieces.iter().chain([&again]) {
+        assert_eq!(assembly.take(TELLER, 6, 7, piece), NewsProgress::Partial);
+    }
+    assert_eq!(assembly.take(TELLER, 6, 7, &last), NewsProgress::Whole(events));
+}
+
+#[test]
+fn pieces_of_other_vms_and_of_other_changes_are_kept_apart() {
+    let (one, other) = (large_change(7), large_change(8));
+    let (one_pieces, other_pieces) = (cut_news(&one), cut_news(&other));
+    let mut assembly = NewsAssembly::default();
+    for (mine, theirs) in one_pieces.iter().zip(&other_pieces).skip(1) {
+        assert_eq!(assembly.take(TELLER, 6, 7, mine), NewsProgress::Partial);
+        assert_eq!(assembly.take(TELLER, 7, 8, theirs), NewsProgress::Partial);
+        assert_eq!(assembly.take(VmKey(2), 6, 7, mine), NewsProgress::Partial);
+    }
+    assert_eq!(assembly.take(TELLER, 7, 8, &other_pieces[0]), NewsProgress::Whole(other));
+    assembly.forget_until(7);
+    // The other pieces are gone: this one is a first one again.
+    assert_eq!(assembly.take(TELLER, 6, 7, &one_pieces[0]), NewsProgress::Partial);
+}
+
+#[test]
+fn repeated_text_is_told_in_few_bytes() {
+    let value: Vec<u8> = (0..2_000)
+        .flat_map(|number| {
+            format!("{{\"name\":\"r-{number}\",\"pathPrefix\":\"/p-{number}/\",\"timeoutMs\":3000}},")
+                .into_bytes()
+        })
+        .collect();
+    let size = value.len();
+    let events = vec![StoreEvent::Written(StoreItem { key: "key".to_owned(), value, revision: 3 })];
+    let told: usize = cut_news(&events).iter().map(|piece| piece.content.len()).sum();
+    assert!(told * 4 < size, "{told} bytes for {size}");
+}
+
+#[test]
+fn what_is_no_piece_changes_nothing() {
+    let mut piece = cut_news(&large_change(7)).remove(0);
+    let mut assembly = NewsAssembly::default();
+    for (place, count) in [(0, 0), (3, 3), (0, u32::MAX)] {
+        (piece.place, piece.count) = (place, count);
+        assert_eq!(assembly.take(TELLER, 6, 7, &piece), NewsProgress::Unreadable);
+    }
+    (piece.place, piece.count) = (0, 1);
+    assert_eq!(assembly.take(TELLER, 6, 7, &piece), NewsProgress::Unreadable);
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,16 +7,19 @@
 //! the store itself when that is over. The lead's time is zero; if it falls silent or is cut off from
 //! the store, the next one's time runs out first, and its answers are news for those behind it.
 
-use crate::NewsHistory;
 use crate::call_link::CallLink;
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::gossip;
 use crate::peer_message::{PeerKey, PeerMessage};
-use crate::store_news::StoreNews;
+use crate::store_news::{NewsBody, NewsPlan, StoreNews};
 use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreView};
-use crate::{StoreEvent, StoreRefusal, StoreTransaction, VmKey};
+use crate::{
+    NewsAssembly, NewsHistory, NewsProgress, StoreEvent, StoreRefusal, StoreTransaction, VmKey,
+    without_replaced,
+};
 use spanfold_entity::Moment;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -86,6 +89,7 @@
         lacking_since: None,
         told_revision: 0,
         history: NewsHistory::default(),
+        assembly: NewsAssembly::default(),
         is_asking: false,
         watches: 0,
         failures: 0,
@@ -118,6 +122,8 @@
     told_revision: u64,
     /// Changes that were applied a short while ago.
     history: NewsHistory,
+    /// Pieces of changes that other VMs are telling.
+    assembly: NewsAssembly,
     /// Whether this VM, though not the first one, goes on asking because those before it brought no news.
     is_asking: bool,
     /// Watches that were answered.
@@ -137,7 +143,7 @@
             Some((vm, word)) = told.recv() => {
                 match word {
                     StoreWord::News(news) => self.take_news(vm, &news).await,
-                    StoreWord::Ask(revision) => self.answer_ask(vm, revision).await,
+                    StoreWord::Ask(revision) => self.answer_ask(vm, revision),
                 }
                 true
             }
@@ -166,22 +172,8 @@
             self.gateway.note_store_trouble(Moment(now.0.saturating_sub(micros)));
         }
         self.note_told(news.to);
-        if news.to > self.revision {
-            match &news.events {
-                Some(events) if news.from <= self.revision => {
-                    self.view.apply_all(events, "peer");
-                    self.history.push(self.revision, news.to, events, now);
-                    self.set_revision(news.to);
-                    self.behind_since = None;
-                }
-                _ => {
-                    if self.behind_since.is_none_or(|since| now >= since.after_millis(ASK_AGAIN_MILLIS)) {
-                        self.ask_peer(vm).await;
-                    }
-                    self.behind_since.get_or_insert(now);
-                    return;
-                }
-            }
+        if news.to > self.revision && !self.take_changes(vm, news, now).await {
+            return;
         }
         self.news_at = self.news_at.max(Moment(now.0.saturating_sub(news.age_micros)));
         if self.is_asking && self.gateway.peers().leads_before(vm) {
@@ -190,6 +182,40 @@
         }
     }
 
+    /// Applies changes that another VM tells; false while some are lacking.
+    async fn take_changes(&mut self, vm: VmKey, news: &StoreNews, now: Moment) -> bool {
+        if news.from > self.revision {
+            if self.behind_since.is_none_or(|since| now >= since.after_millis(ASK_AGAIN_MILLIS)) {
+                self.ask_peer(vm).await;
+            }
+            self.behind_since.get_or_insert(now);
+            return false;
+        }
+        let progress = match &news.body {
+            NewsBody::Unchanged => NewsProgress::Whole(Vec::new()),
+            NewsBody::Piece(piece) => self.assembly.take(vm, news.from, news.to, piece),
+            NewsBody::TooLarge => NewsProgress::Unreadable,
+        };
+        match progress {
+            NewsProgress::Whole(events) => {
+                self.view.apply_all(&events, "peer");
+                self.history.push(self.revision, news.to, &events, now);
+                self.set_revision(news.to);
+                self.behind_since = None;
+                true
+            }
+            // The store is asked only if the next piece does not come.
+            NewsProgress::Partial => {
+                self.behind_since = Some(now);
+                false
+            }
+            NewsProgress::Unreadable => {
+                self.behind_since.get_or_insert(now);
+                false
+            }
+        }
+    }
+
     /// Asks another VM for the changes that this one lacks: that costs nothing, and the store may be out
     /// of reach.
     async fn ask_peer(&self, vm: VmKey) {
@@ -198,17 +224,15 @@
         gossip::tell(&self.gateway, &self.socket, &message, target.as_slice()).await;
     }
 
-    /// Tells another VM the changes that it lacks, if they are known here and fit into a datagram.
-    async fn answer_ask(&self, vm: VmKey, revision: u64) {
+    /// Tells another VM the changes that it lacks, if they are known here.
+    fn answer_ask(&self, vm: VmKey, revision: u64) {
         let Some((to, events)) = self.history.since(revision) else { return };
+        let Some(target) = self.gateway.peers().address_of(vm) else { return };
         let age_micros = self.gateway.now().micros_since(self.news_at);
-        let trouble_micros = self.gateway.store_trouble_age();
-        let news = StoreNews { age_micros, ..StoreNews::new(revision, to, &events, trouble_micros) };
-        if news.events.is_some() {
-            let message = PeerMessage::Store(self.gateway.next_stamp(), news);
-            let target = self.gateway.peers().address_of(vm);
-            gossip::tell(&self.gateway, &self.socket, &message, target.as_slice()).await;
-        }
+        let (gateway, socket) = (Arc::clone(&self.gateway), Arc::clone(&self.socket));
+        tokio::spawn(async move {
+            tell_changes(&gateway, &socket, (revision, to), &events, age_micros, &[target]).await;
+        });
     }
 
     /// Notes that this VM asks the store for its data centre from now on.
@@ -221,11 +245,11 @@
     }
 
     /// Tells the other VMs of this data centre what the store has just said.
+    ///
+    /// The next news wait for the last piece of these: who has one piece need not ask for the others.
     async fn tell_news(&self, from: u64, events: &[StoreEvent]) {
-        let news = StoreNews::new(from, self.revision, events, self.gateway.store_trouble_age());
-        let message = PeerMessage::Store(self.gateway.next_stamp(), news);
         let targets = self.gateway.peers().near_addresses();
-        gossip::tell(&self.gateway, &self.socket, &message, &targets).await;
+        tell_changes(&self.gateway, &self.socket, (from, self.revision), events, 0, &targets).await;
     }
 
     /// Lists everything; false if a call failed.
@@ -269,14 +293,15 @@
                 return false;
             }
         };
-        self.view.apply_all(&page.events, "watch");
+        let events = without_replaced(page.events);
+        self.view.apply_all(&events, "watch");
         self.answered(page.revision.max(from));
-        self.history.push(from, self.revision, &page.events, self.news_at);
+        self.history.push(from, self.revision, &events, self.news_at);
         if waits {
             self.note_asking();
         }
-        self.tell_news(from, &page.events).await;
-        if !page.events.is_empty() {
+        self.tell_news(from, &events).await;
+        if !events.is_empty() {
             self.rest_until = self.gateway.now().after_millis(GATHER_MILLIS);
         }
         self.offer_peer_key().await;
@@ -294,6 +319,7 @@
 
     fn set_revision(&mut self, revision: u64) {
         self.revision = revision;
+        self.assembly.forget_until(revision);
         self.gateway.metrics.store_revision.set(revision as i64);
     }
 
@@ -379,3 +405,22 @@
         self.failures = 0;
     }
 }
+
+/// Tells VMs at `targets` of the changes between two revisions, in pieces if they are large.
+async fn tell_changes(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    (from, to): (u64, u64),
+    events: &[StoreEvent],
+    age_micros: u64,
+    targets: &[SocketAddr],
+) {
+    let plan = NewsPlan::new(events, targets.len(), gateway.settings.link_mbps);
+    for (place, body) in plan.bodies.into_iter().enumerate() {
+        if place > 0 {
+            tokio::time::sleep(plan.pause).await;
+        }
+        let news = StoreNews { from, to, body, age_micros, trouble_micros: gateway.store_trouble_age() };
+        gossip::tell(gateway, socket, &PeerMessage::Store(gateway.next_stamp(), news), targets).await;
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,7 +53,8 @@
 };
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
-    HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NewsHistory, NewsRhythm, PeerBook,
-    PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights,
-    WeightDesk, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NewsAssembly, NewsHistory,
+    NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, RetryBudget,
+    RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target,
+    place, salted_key, short_digest, take_part, without_replaced,
 };
--- a/crates/gateway/src/store_news.rs
+++ b/crates/gateway/src/store_news.rs
@@ -1,14 +1,20 @@
 //! What one VM of a data centre tells the others of the platform's store.
 //!
-//! Invariant: news say which revision they build on. A VM that has not come that far does not take
-//! them; it asks the store itself, which loses nothing. So a lost datagram costs one call.
+//! Invariant: news say which revision they build on. A VM that has not come that far, or that misses a
+//! piece, does not take them; it asks, in the end the store itself, which loses nothing. So a lost
+//! datagram costs one call.
 
-use crate::StoreEvent;
+use crate::{NewsPiece, PIECE_BYTES, StoreEvent, cut_news};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
-/// Largest news that go into one datagram, in bytes; VMs fetch larger changes themselves. A link of
-/// 10 Mbit/s takes 39 ms for as much.
-const NEWS_MOST_BYTES: usize = 48 << 10;
+/// Shortest pause between pieces: they take half of a link of 10 Mbit/s, and callers have the rest.
+const PIECE_PAUSE: Duration = Duration::from_millis(25);
+/// Part of the teller's own link that pieces may take.
+const LINK_PART: f64 = 0.5;
+/// Changes that take longer to tell are not told but fetched by each VM itself: a link of 10 Mbit/s brings
+/// the largest value of a store in 1.2 s.
+const TELL_MOST: Duration = Duration::from_millis(800);
 
 /// Changes in the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,26 +23,50 @@
     pub from: u64,
     /// The revision that stands with them.
     pub to: u64,
-    /// The changes; none if they are too large to be told.
-    pub events: Option<Vec<StoreEvent>>,
+    /// The changes.
+    pub body: NewsBody,
     /// How long ago the store told them, in microseconds.
     pub age_micros: u64,
     /// How long ago a call to the store failed last, in microseconds, if that matters still.
     pub trouble_micros: Option<u64>,
 }
 
-impl StoreNews {
-    /// News of changes that the store has just told.
-    pub(crate) fn new(from: u64, to: u64, events: &[StoreEvent], trouble_micros: Option<u64>) -> Self {
-        let size: usize = events.iter().map(event_bytes).sum();
-        let events = (size <= NEWS_MOST_BYTES).then(|| events.to_vec());
-        Self { from, to, events, age_micros: 0, trouble_micros }
-    }
+/// The changes of some news.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum NewsBody {
+    /// There are none.
+    Unchanged,
+    /// One piece of them.
+    Piece(NewsPiece),
+    /// Too large to be told to so many: each VM fetches them.
+    TooLarge,
+}
+
+/// The messages that tell some changes, and the pause between them.
+#[derive(Debug)]
+pub(crate) struct NewsPlan {
+    pub bodies: Vec<NewsBody>,
+    pub pause: Duration,
 }
 
-fn event_bytes(event: &StoreEvent) -> usize {
-    match event {
-        StoreEvent::Written(item) => item.key.len() + item.value.len(),
-        StoreEvent::Removed { key, .. } => key.len(),
+impl NewsPlan {
+    /// How a VM with a link of `link_mbps` tells `targets` others of `events`.
+    pub(crate) fn new(events: &[StoreEvent], targets: usize, link_mbps: f64) -> Self {
+        let pieces = cut_news(events);
+        let pause = piece_pause(targets, link_mbps);
+        let bodies = if pieces.is_empty() {
+            vec![NewsBody::Unchanged]
+        } else if pieces.len() > 1 && pause * pieces.len() as u32 > TELL_MOST {
+            vec![NewsBody::TooLarge]
+        } else {
+            pieces.into_iter().map(NewsBody::Piece).collect()
+        };
+        Self { bodies, pause }
     }
 }
+
+/// Time in which a VM sends one piece to each of `targets` over its part of the link.
+fn piece_pause(targets: usize, link_mbps: f64) -> Duration {
+    let micros = (targets * PIECE_BYTES * 8) as f64 / (link_mbps.max(1.0) * LINK_PART);
+    PIECE_PAUSE.max(Duration::from_micros(micros as u64))
+}
