Only answers that may be large are read for as long as they come

Cause: since answers that go on coming are read to their end, an engine that lets a report trickle would hold up whoever asks it, and a store that trickles would hold up its follower for ever. Change: small answers (leases, orders, reports, frees) come whole before their deadline, as they did; listings, watches and news are read while pieces come within a second of each other and 12.5 kB a second on the whole.

--- a/crates/gateway/src/call_link.rs
+++ b/crates/gateway/src/call_link.rs
@@ -3,9 +3,9 @@
 //! Invariant: a connection on which an answer failed to come is never used again. Whether a call
 //! that got no answer was done is unknown; callers make their calls conditional or repeatable.
 //!
-//! A deadline bounds the wait for an answer's head. Its body may be large and the link narrow, so it may
-//! take as long as it goes on coming: a limit on the whole would fail each time, and a repeated call
-//! begins at the first byte again.
+//! Small answers are waited for until a deadline. Of an answer that may be large the deadline bounds the
+//! wait for its head only: over a narrow link its body takes as long as it takes, a limit on the whole
+//! would fail each time, and a repeated call begins at the first byte again.
 
 use crate::WireCall;
 use crate::endpoint_pool::open_stream;
@@ -20,10 +20,14 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// An answer that brings nothing for this long has broken off: several retransmissions fit, and large
+/// A large answer that brings nothing for this long has broken off: several retransmissions fit, and large
 /// pieces over links of 10 Mbit/s that others use too.
 const BODY_SILENCE: Duration = Duration::from_secs(1);
 
+/// A large answer that comes more slowly than this on the whole, in bytes a second, is as good as silent: a
+/// hundredth of a link of 10 Mbit/s.
+const LEAST_BYTES_PER_S: u64 = 12_500;
+
 /// Why a call brought no answer; it may have been done.
 #[derive(Debug, thiserror::Error)]
 #[error("no answer: {0}")]
@@ -59,17 +63,40 @@
         Self { address, open: None }
     }
 
-    /// Makes one call whose answer begins before `deadline`; gives the answer's status and body.
+    /// Makes one call whose whole answer comes before `deadline`; gives the answer's status and body.
     pub(crate) async fn call(
         &mut self,
         call: &WireCall,
         deadline: Instant,
+    ) -> Result<(u16, Bytes), LinkError> {
+        self.exchange(call, deadline, |_| deadline).await
+    }
+
+    /// Makes one call whose answer begins before `deadline` and may be large.
+    pub(crate) async fn call_large(
+        &mut self,
+        call: &WireCall,
+        deadline: Instant,
+    ) -> Result<(u16, Bytes), LinkError> {
+        self.exchange(call, deadline, |received| {
+            let earned = Duration::from_millis(received as u64 * 1_000 / LEAST_BYTES_PER_S);
+            (Instant::now() + BODY_SILENCE).min(deadline + BODY_SILENCE + earned)
+        })
+        .await
+    }
+
+    /// Makes one call; `piece_deadline` tells by the bytes received until when the next piece must come.
+    async fn exchange(
+        &mut self,
+        call: &WireCall,
+        deadline: Instant,
+        piece_deadline: impl Fn(usize) -> Instant,
     ) -> Result<(u16, Bytes), LinkError> {
         let kept = self.open.take();
         let sent = tokio::time::timeout_at(deadline, send(self.address, kept, call)).await;
         let (response, link) = sent.map_err(|_elapsed| LinkError("no answer in time".to_owned()))??;
         let status = response.status().as_u16();
-        let body = read_body(response.into_body()).await?;
+        let body = read_body(response.into_body(), piece_deadline).await?;
         self.open = Some(link);
         Ok((status, body))
     }
@@ -100,11 +127,14 @@
     Ok((response, link))
 }
 
-/// Reads an answer's body for as long as it goes on coming.
-async fn read_body(mut body: Incoming) -> Result<Bytes, LinkError> {
+/// Reads an answer's body; `piece_deadline` as for an exchange.
+async fn read_body(
+    mut body: Incoming,
+    piece_deadline: impl Fn(usize) -> Instant,
+) -> Result<Bytes, LinkError> {
     let mut content = Vec::new();
     loop {
-        let Ok(frame) = tokio::time::timeout(BODY_SILENCE, body.frame()).await else {
+        let Ok(frame) = tokio::time::timeout_at(piece_deadline(content.len()), body.frame()).await else {
             return Err(LinkError(format!("the answer broke off after {} bytes", content.len())));
         };
         let Some(frame) = frame else { return Ok(content.into()) };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -375,7 +375,7 @@
         read: crate::StoreDecoder<T>,
     ) -> Option<Result<T, StoreRefusal>> {
         self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
-        let cause = match self.link.call(call, deadline).await {
+        let cause = match self.link.call_large(call, deadline).await {
             Ok((status, body)) => match read(status, &body) {
                 Err(StoreRefusal::NotDone(status)) => format!("status {status}"),
                 Err(error) => return Some(Err(error)),
--- a/crates/gateway/src/kept_task.rs
+++ b/crates/gateway/src/kept_task.rs
@@ -15,9 +15,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
-/// An answer that comes later than this after its time is not waited for.
+/// An answer that has not begun so long after its time is not waited for.
 const WAIT_MARGIN: Duration = Duration::from_millis(200);
-/// A listing that takes longer has failed.
+/// A listing whose answer has not begun by then has failed.
 const LIST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
@@ -149,7 +149,7 @@
     timeout: Duration,
     read: fn(&[u8]) -> Result<KeptNews, String>,
 ) -> Result<KeptNews, AskFailure> {
-    let cause = match link.call(call, Instant::now() + timeout).await {
+    let cause = match link.call_large(call, Instant::now() + timeout).await {
         Ok((200, body)) => match read(&body) {
             Ok(news) => return Ok(news),
             Err(cause) => cause,
