Who only catches up does not tell again what others told

Cause: a VM that had fetched what it lacked told it to its data centre once more; with pieces that is many bytes. Change: only a VM that watches for its data centre tells; the pause after a change begins before it is told.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -297,13 +297,14 @@
         self.view.apply_all(&events, "watch");
         self.answered(page.revision.max(from));
         self.history.push(from, self.revision, &events, self.news_at);
-        if waits {
-            self.note_asking();
-        }
-        self.tell_news(from, &events).await;
         if !events.is_empty() {
             self.rest_until = self.gateway.now().after_millis(GATHER_MILLIS);
         }
+        // Who only caught up was behind others that tell: what they told is not told again.
+        if waits {
+            self.note_asking();
+            self.tell_news(from, &events).await;
+        }
         self.offer_peer_key().await;
         self.watches += 1;
         true
