A naming's age outlasts the process that hears of it, and counts whoever tells it

Cause: a process's count of time began at zero at its start, so the age of a naming that other VMs tell was cut off there; and ages of versions that the VM had not read in the store, which holds each model's newest only, were passed over. Versions are forgotten when a newer one is overdue, not by their number. Each word that is news writes a line (weights.told, with its age). The same cut-off held for the age of troubles with the store and of its news (follow.rs), and is gone there too.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -27,4 +27,7 @@
     StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, pick_target, short_digest,
 };
 pub use kept::{KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, old_parts, salted_key};
-pub use weights::{DeskStep, EngineState, HolderRecord, HolderStanding, WantedWeights, WeightDesk};
+pub use weights::{
+    DeskStep, EngineState, HolderRecord, HolderStanding, NamedVersion, NamedWeights, WantedWeights,
+    WeightDesk,
+};
--- a/crates/decide/src/weights/mod.rs
+++ b/crates/decide/src/weights/mod.rs
@@ -1,7 +1,9 @@
 //! Which engine loads which weights next.
 
+mod named_weights;
 mod wanted_weights;
 mod weight_desk;
 
+pub use named_weights::{NamedVersion, NamedWeights};
 pub use wanted_weights::WantedWeights;
 pub use weight_desk::{DeskStep, EngineState, HolderRecord, HolderStanding, WeightDesk};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,8 +6,8 @@
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::travel_notes::{PlacedNote, TravelNotes};
 use crate::{
-    BudgetTerms, FleetTable, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, VmEntry, VmKey,
-    WantedWeights, WeightTarget, WireDialect, place, short_digest,
+    BudgetTerms, FleetTable, NamedVersion, NamedWeights, PlacementAsk, PlacementChoice, RetryBudget,
+    RouteTable, VmEntry, VmKey, WantedWeights, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -25,12 +25,10 @@
 const TROUBLE_MILLIS: u64 = 3_500;
 /// The shortest hold, in milliseconds: below the time for which leaving endpoints may get work.
 const RETURN_LEAST_MILLIS: u64 = 1_500;
-/// Versions of a model whose age matters: older ones have been overdue for long.
-const NAMED_MOST: usize = 8;
-/// The weight versions that a model's engines should have, each with the moment at which it became
-/// known, the newest last.
-#[derive(Clone, Debug, Default)]
-struct NamedWeights(Vec<(u64, Moment)>);
+/// The process's start in its own count of time, in microseconds. What others tell of lies before it at times, and
+/// must have a place there: with a count from zero, it would be taken for as late as the start. A day is far more than
+/// any age that matters.
+const START_MICROS: u64 = 86_400_000_000;
 
 /// State that the tasks of one gateway share.
 #[derive(Debug)]
@@ -41,7 +39,9 @@
     routes: RwLock<Option<Arc<RouteTable>>>,
     table: Mutex<FleetTable>,
     budget: Mutex<RetryBudget>,
-    weights: RwLock<BTreeMap<String, NamedWeights>>,
+    /// What was named for each model, by the digest of its name: other VMs tell of models too that this one
+    /// has not read of in the store.
+    weights: RwLock<BTreeMap<u64, NamedWeights>>,
     peers: Mutex<PeerBook>,
     /// The engines' clock in milliseconds, and when it was told.
     engine_clock: Mutex<Option<(u64, Moment)>>,
@@ -114,12 +114,12 @@
 
     /// The time, in this process's count.
     pub(crate) fn now(&self) -> Moment {
-        Moment(self.origin.elapsed().as_micros() as u64)
+        Moment(START_MICROS + self.origin.elapsed().as_micros() as u64)
     }
 
-    /// The same moment for tokio's timers.
+    /// The same moment for tokio's timers; all that lies before the process's start is over alike.
     pub(crate) fn instant(&self, moment: Moment) -> tokio::time::Instant {
-        (self.origin + Duration::from_micros(moment.0)).into()
+        (self.origin + Duration::from_micros(moment.0.saturating_sub(START_MICROS))).into()
     }
 
     /// Notes that a call to the store failed at `at`, here or at another VM: entries may lapse although
@@ -172,11 +172,10 @@
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The weight version that each model's engines should have.
-    pub(crate) fn weights(&self) -> BTreeMap<String, u64> {
+    /// The weight version that each model's engines should have, by the digest of the model's name.
+    pub(crate) fn weights(&self) -> BTreeMap<u64, u64> {
         let weights = self.weights.read().unwrap_or_else(PoisonError::into_inner);
-        let newest = weights.iter().filter_map(|(model, named)| Some((model.clone(), named.0.last()?.0)));
-        newest.collect()
+        weights.iter().filter_map(|(model, named)| Some((*model, named.newest()?))).collect()
     }
 
     /// Takes the engines' clock from an answer that told it.
@@ -229,53 +228,43 @@
     /// The versions that a request to `model` may start on, if one was named.
     pub(crate) fn wanted_weights(&self, model: &str) -> Option<WantedWeights> {
         let weights = self.weights.read().unwrap_or_else(PoisonError::into_inner);
-        let named = weights.get(model)?;
-        let bounds = named.0.iter();
-        let bounds = bounds.map(|(version, since)| (*version, since.after_millis(self.settings.version_ms)));
-        Some(WantedWeights { newest: named.0.last()?.0, bounds: bounds.collect() })
+        weights.get(&short_digest(model))?.wanted(self.settings.version_ms)
     }
 
-    /// For peers: digest of each model, each version named, and microseconds since it is known.
+    /// For peers: digest of each model, each version named, and microseconds since then.
     pub(crate) fn named_ages(&self) -> Vec<(u64, u64, u64)> {
         let now = self.now();
         let weights = self.weights.read().unwrap_or_else(PoisonError::into_inner);
         let rows = weights.iter().flat_map(|(model, named)| {
-            let digest = short_digest(model);
-            named.0.iter().map(move |(version, since)| (digest, *version, now.micros_since(*since)))
+            let ages = named.versions().iter().map(|row| (row.version, now.micros_since(row.since)));
+            ages.map(|(version, age)| (*model, version, age))
         });
         rows.collect()
     }
 
-    /// Takes from a peer that a version has been known for longer than this VM knows it.
+    /// Takes from a peer which versions have been named, and for how long.
+    ///
+    /// A version that the store has not told here counts too: a listing holds each model's newest one only.
     pub(crate) fn apply_named_ages(&self, ages: &[(u64, u64, u64)]) {
-        if ages.is_empty() {
-            return;
-        }
         let now = self.now();
-        let mut weights = self.weights.write().unwrap_or_else(PoisonError::into_inner);
-        for (model, named) in weights.iter_mut() {
-            let digest = short_digest(model);
-            for (version, since) in &mut named.0 {
-                let told = ages.iter().filter(|(other, told, _)| *other == digest && told == version);
-                let age = told.map(|(_, _, age)| *age).max().unwrap_or(0);
-                *since = (*since).min(Moment(now.0.saturating_sub(age)));
+        for (model, version, age) in ages {
+            let since = Moment(now.0.saturating_sub(*age));
+            if self.note_named(*model, NamedVersion { version: *version, since }, now) {
+                log::info!(model, version, age_ms = age / MICROS_PER_MILLI; "weights.told");
             }
         }
     }
 
-    /// Takes a named version, unless a newer one is known.
+    /// Takes a version that the store has told; returns whether that is news.
     pub(crate) fn name_weights(&self, target: &WeightTarget) -> bool {
         let now = self.now();
+        let named = NamedVersion { version: target.version, since: now };
+        self.note_named(short_digest(&target.model), named, now)
+    }
+
+    fn note_named(&self, model: u64, named: NamedVersion, now: Moment) -> bool {
         let mut weights = self.weights.write().unwrap_or_else(PoisonError::into_inner);
-        let named = weights.entry(target.model.clone()).or_default();
-        if named.0.last().is_some_and(|(version, _)| *version >= target.version) {
-            return false;
-        }
-        named.0.push((target.version, now));
-        if named.0.len() > NAMED_MOST {
-            named.0.remove(0);
-        }
-        true
+        weights.entry(model).or_default().note(named, self.settings.version_ms, now)
     }
 
     /// Data centres that seem to be cut off: their VMs are silent, and a send to them broke.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,7 +53,8 @@
 };
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
-    HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NewsHistory, NewsRhythm, PeerBook,
-    PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights,
-    WeightDesk, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NamedVersion, NamedWeights,
+    NewsHistory, NewsRhythm, PeerBook, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome,
+    VmEntry, VmKey, WantedWeights, WeightDesk, old_parts, pick_target, place, salted_key, short_digest,
+    take_part,
 };
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -35,7 +35,7 @@
     moves: Vec<(EndpointKey, u64, Option<f32>)>,
     /// Weights that were just seen: engine, digest of the model, version.
     weights: Vec<(EndpointKey, u64, u64)>,
-    /// Weights that were named: digest of the model, version, and for how long that is known.
+    /// Weights that were named: digest of the model, version, and microseconds since then.
     named: Vec<(u64, u64, u64)>,
 }
 
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -6,7 +6,7 @@
 use crate::gateway_metrics::KindLabel;
 use crate::lease_keeper::OrderRight;
 use crate::{DeskStep, EngineState, WeightDesk};
-use crate::{EndpointKey, EngineReport};
+use crate::{EndpointKey, EngineReport, short_digest};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -60,7 +60,7 @@
     let mut states = Vec::new();
     for (key, row) in table.rows().filter(|(_, row)| !row.is_leaving(now)) {
         for (model, version) in &row.entry.weights {
-            let Some(named) = weights.get(model) else { continue };
+            let Some(named) = weights.get(&short_digest(model)) else { continue };
             states.push(EngineState {
                 key,
                 model: model.clone(),
