--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -28,4 +28,7 @@
     WeightTarget, cut_news, pick_target, short_digest, without_replaced,
 };
 pub use kept::{KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, old_parts, salted_key};
-pub use weights::{DeskStep, EngineState, HolderRecord, HolderStanding, WantedWeights, WeightDesk};
+pub use weights::{
+    DeskStep, EngineState, HolderRecord, HolderStanding, NamedVersion, NamedWeights, WantedWeights,
+    WeightDesk,
+};
