Pass on answers that are too long to be kept whole

Cause: an answer was read whole before it was passed on, up to 1 MiB; a longer one counted as broken, whatever had come of it. Change: beyond 1 MiB what has come goes out and the rest follows as it comes, with the length that the endpoint stated. A long answer that breaks, or does not end by the route's timeout, is broken off visibly, and its endpoint's work is cut.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod kept_task;
 mod lease_keeper;
 mod load_digest;
+mod long_answer;
 mod order_task;
 mod outgoing_body;
 mod own_answer;
--- /dev/null
+++ b/crates/gateway/src/long_answer.rs
@@ -0,0 +1,96 @@
+//! Passes on an answer that is too long to be kept here whole.
+//!
+//! Invariant: its beginning is out before its end is known, so it is not asked for again. One that
+//! breaks is broken off visibly: it never looks complete.
+
+use crate::SendOutcome;
+use crate::dispatch::ReceivedHead;
+use crate::flight::SendFlight;
+use crate::own_answer::{AnswerBody, BrokenAnswer};
+use crate::relay::answer_with;
+use crate::request_run::RequestRun;
+use crate::stream_relay::{Chunk, ChunkStream};
+use bytes::Bytes;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::Response;
+use hyper::body::{Frame, Incoming};
+use hyper::header::CONTENT_LENGTH;
+use tokio::sync::mpsc;
+
+/// Pieces that wait for a caller who reads slowly; beyond them the endpoint is held up.
+const PIECES_WAITING: usize = 8;
+
+/// Answers with what has `begun`, and passes the rest on from a task of its own.
+pub(crate) fn pass_on_long(
+    mut run: RequestRun,
+    received: ReceivedHead,
+    begun: Bytes,
+) -> Response<AnswerBody> {
+    let ReceivedHead { head, body, mut flight } = received;
+    flight.begin();
+    run.note_first();
+    run.set_status(head.status.as_u16());
+    run.end("broken off");
+    let (pieces, waiting) = mpsc::channel(PIECES_WAITING);
+    // The channel is empty and its receiver stands: this cannot fail.
+    let _ = pieces.try_send(Ok(Frame::data(begun)));
+    let mut response = answer_with(&head, StreamBody::new(ChunkStream(waiting)).boxed_unsync());
+    if let Some(length) = head.headers.get(CONTENT_LENGTH) {
+        response.headers_mut().insert(CONTENT_LENGTH, length.clone());
+    }
+    tokio::spawn(LongPump { run, flight, body, pieces }.pass_on());
+    response
+}
+
+struct LongPump {
+    run: RequestRun,
+    flight: SendFlight,
+    body: Incoming,
+    pieces: mpsc::Sender<Chunk>,
+}
+
+impl LongPump {
+    async fn pass_on(mut self) {
+        let limit = self.run.gateway.instant(self.run.ticket.limit);
+        let broken = match tokio::time::timeout_at(limit, self.pass_rest()).await {
+            Ok(Ok(outcome)) => return self.run.end(outcome),
+            Ok(Err(broken)) => broken,
+            Err(_elapsed) => {
+                self.run.end("answer out of time");
+                BrokenAnswer("no end in time".to_owned())
+            }
+        };
+        self.flight.cut();
+        // If the caller is gone, there is nobody to tell.
+        let _ = self.pieces.send(Err(broken)).await;
+    }
+
+    /// Passes on what follows; tells how the request ended.
+    async fn pass_rest(&mut self) -> Result<&'static str, BrokenAnswer> {
+        loop {
+            let next = tokio::select! {
+                biased;
+                next = self.body.frame() => next,
+                () = self.pieces.closed() => return Ok("caller left"),
+            };
+            match next {
+                None => break,
+                Some(Ok(frame)) => {
+                    let Ok(piece) = frame.into_data() else { continue };
+                    if self.pieces.send(Ok(Frame::data(piece))).await.is_err() {
+                        return Ok("caller left");
+                    }
+                }
+                Some(Err(error)) => {
+                    self.flight.learn(SendOutcome::Broken);
+                    log::warn!(request = self.run.ticket.id_text(), endpoint = self.flight.endpoint.as_str(),
+                        cause:% = error; "answer.broke");
+                    return Err(BrokenAnswer(error.to_string()));
+                }
+            }
+        }
+        self.flight.learn(SendOutcome::Answered);
+        self.flight.complete();
+        Ok("answered")
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,11 +7,12 @@
 use crate::dispatch::{ReceivedHead, SendResult};
 use crate::gateway::{CountGuard, Gateway};
 use crate::gateway_metrics::KindLabel;
+use crate::long_answer::pass_on_long;
 use crate::own_answer::{AnswerBody, OwnAnswer};
 use crate::request_run::RequestRun;
 use crate::request_ticket::{RequestTicket, is_hop_header, text};
 use crate::stream_relay;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
@@ -28,7 +29,7 @@
 /// When to come back after an endpoint's refusal, in milliseconds; a random part is added.
 const REFUSED_RETRY_MILLIS: u64 = 100;
 /// Answers up to this size are read whole before they are passed on, so that a broken one can be
-/// told or asked for again.
+/// told or asked for again; longer ones are passed on as they come.
 const WHOLE_ANSWER_BYTES: usize = 1 << 20;
 
 /// Serves one request of a caller.
@@ -128,23 +129,25 @@
     mut run: RequestRun,
     received: ReceivedHead,
 ) -> Result<Response<AnswerBody>, FailedAnswer> {
-    let ReceivedHead { head, body, mut flight } = received;
-    if run.ticket.is_stream() && head.status.is_success() {
+    let mut received = received;
+    if run.ticket.is_stream() && received.head.status.is_success() {
+        let ReceivedHead { head, body, flight } = received;
         return stream_relay::take_stream(run, head, body, flight).await;
     }
-    let collected = Limited::new(body, WHOLE_ANSWER_BYTES).collect();
     let limit = run.gateway.instant(run.ticket.limit);
-    let bytes = match tokio::time::timeout_at(limit, collected).await {
-        Ok(Ok(collected)) => collected.to_bytes(),
+    let bytes = match tokio::time::timeout_at(limit, read_answer(&mut received.body)).await {
+        Ok(Ok(AnswerStart::Whole(bytes))) => bytes,
+        Ok(Ok(AnswerStart::Long(begun))) => return Ok(pass_on_long(run, received, begun)),
         Ok(Err(_)) => {
-            flight.learn(SendOutcome::Broken);
+            received.flight.learn(SendOutcome::Broken);
             return Err(FailedAnswer { run, cause: "the answer broke off" });
         }
         Err(_elapsed) => {
-            flight.learn(SendOutcome::Silent);
+            received.flight.learn(SendOutcome::Silent);
             return Err(FailedAnswer { run, cause: "the answer did not end" });
         }
     };
+    let ReceivedHead { head, mut flight, .. } = received;
     run.note_first();
     flight.begin();
     flight.complete();
@@ -157,6 +160,26 @@
     Ok(run.pass_on(&head, bytes))
 }
 
+/// What was read of an answer's body.
+enum AnswerStart {
+    Whole(Bytes),
+    /// Its beginning, because there is more than is kept here.
+    Long(Bytes),
+}
+
+async fn read_answer(body: &mut Incoming) -> Result<AnswerStart, hyper::Error> {
+    let mut begun = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        if let Ok(piece) = frame?.into_data() {
+            begun.extend_from_slice(&piece);
+        }
+        if begun.len() > WHOLE_ANSWER_BYTES {
+            return Ok(AnswerStart::Long(begun.freeze()));
+        }
+    }
+    Ok(AnswerStart::Whole(begun.freeze()))
+}
+
 /// An endpoint's answer as it goes to the caller: unchanged but for what belongs to one connection.
 pub(crate) fn answer_with(head: &response::Parts, body: AnswerBody) -> Response<AnswerBody> {
     let mut response = Response::new(body);
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -29,10 +29,10 @@
 /// The shortest such pause, in milliseconds.
 const STALL_LEAST_MILLIS: u64 = 500;
 
-type Chunk = Result<Frame<Bytes>, BrokenAnswer>;
+pub(crate) type Chunk = Result<Frame<Bytes>, BrokenAnswer>;
 
 /// The chunks of one answer, as a stream that hyper reads.
-struct ChunkStream(mpsc::Receiver<Chunk>);
+pub(crate) struct ChunkStream(pub mpsc::Receiver<Chunk>);
 
 impl Stream for ChunkStream {
     type Item = Chunk;
