Read heads as long as the configuration allows

Cause: how much is read of a head stood in the code (32 KiB), and idle connections kept the time that was in force when they were opened. Change: a connection takes both from the configuration at its start; if they have changed since, its next answer says that it is the last one, and the caller opens another. Known red mended: a head of 200 kB was a 431 before where 256 KiB were allowed.

--- a/crates/gateway/src/front_door.rs
+++ b/crates/gateway/src/front_door.rs
@@ -1,5 +1,6 @@
 //! The listeners: for callers, for the balancer's readiness question, and for metrics.
 
+use crate::RequestLimits;
 use crate::gateway::{CountGuard, Gateway};
 use crate::own_answer::{AnswerBody, full_body};
 use crate::relay::relay;
@@ -18,8 +19,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Bytes of a head that are read before it is refused: a little over the usual limit of 16 KiB.
-const HEAD_BYTES: usize = 32 << 10;
+/// Bytes read at once in any case: what the configuration allows for a head may be less.
+const READ_BYTES: usize = 32 << 10;
+/// Bytes that a head's framing may take beside what the configuration counts.
+const FRAMING_BYTES: usize = 1 << 10;
 /// Pause after an accept that failed, as when descriptors ran out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -58,12 +61,12 @@
         log::debug!(cause:% = error; "connection.lost");
         return;
     }
-    let idle = gateway.routes().map_or(15_000, |table| table.config().limits.idle_millis);
-    let service = service_fn(|request| answer_caller(Arc::clone(&gateway), request));
+    let limits = present_limits(&gateway);
+    let service = service_fn(|request| answer_caller(Arc::clone(&gateway), limits, request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle))
-        .max_buf_size(HEAD_BYTES)
+        .header_read_timeout(Duration::from_millis(limits.idle_millis))
+        .max_buf_size(READ_BYTES.max(limits.header_bytes.saturating_add(FRAMING_BYTES)))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     tokio::select! {
@@ -80,15 +83,26 @@
     let _ = connection.await;
 }
 
+/// What the configuration in force lets a caller send.
+fn present_limits(gateway: &Gateway) -> RequestLimits {
+    gateway.routes().map_or_else(RequestLimits::default, |table| table.config().limits)
+}
+
+/// Answers one request on a connection that was opened under `limits`.
 async fn answer_caller(
     gateway: Arc<Gateway>,
+    limits: RequestLimits,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     // The parser drops a length that follows a transfer coding: whether what comes next is a
     // request of its own cannot be known, so nothing more is read from such a connection.
     let coded = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = relay(Arc::clone(&gateway), request).await;
-    if coded || gateway.is_stopping() {
+    let present = present_limits(&gateway);
+    // How much is read of a head and waited for stands from a connection's start on: after a change the
+    // caller opens another one. Bodies are measured anew with each request.
+    let changed = (present.header_bytes, present.idle_millis) != (limits.header_bytes, limits.idle_millis);
+    if coded || changed || gateway.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
