Free old parts again where a call failed

Cause: a model counted as freed once its stores had been asked, whether or not the calls were answered: one lost call, or a listing that takes longer than 1.5 s, left the old parts in their store until the next weights were named. Change: what is freed is noted for each store after all of its calls were done; others are tried again two seconds later, and stores that are done are not listed again.

--- a/crates/gateway/src/free_task.rs
+++ b/crates/gateway/src/free_task.rs
@@ -25,13 +25,25 @@
 const GONE_MILLIS: u64 = 1_200;
 /// A call that takes longer has failed.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// A store of which a call failed is tried again after this long, in milliseconds: a listing holds up the
+/// store's own work.
+const RETRY_MILLIS: u64 = 2_000;
 /// Parts freed by one call.
 const PARTS_MOST: usize = 256;
 
+/// How far a store is rid of a model's old parts.
+#[derive(Clone, Copy, Debug, Default)]
+struct FreedState {
+    /// Parts of weights below this version are freed.
+    below: u64,
+    /// After a failed call: not tried again before then.
+    rest_until: Moment,
+}
+
 /// Frees what old weights left in the stores, until the process ends.
 pub(crate) async fn free_old_parts(gateway: Arc<Gateway>, right: watch::Receiver<OrderRight>) {
     let mut oldest: BTreeMap<String, (u64, Moment)> = BTreeMap::new();
-    let mut freed: BTreeMap<String, u64> = BTreeMap::new();
+    let mut freed: BTreeMap<(String, EndpointKey), FreedState> = BTreeMap::new();
     loop {
         tokio::time::sleep(LOOK_PAUSE).await;
         let (held, now) = (*right.borrow(), gateway.now());
@@ -46,20 +58,43 @@
             if since.0 != version {
                 *since = (version, now);
             }
-            let done = freed.get(&model).copied().unwrap_or(1);
-            if version > done && now >= since.1.after_millis(GONE_MILLIS) {
-                let specs = gateway.table().store_specs();
-                for (key, spec) in specs {
-                    free_older(&gateway, key, &spec, &model, version).await;
-                }
-                freed.insert(model, version);
+            // The first weights have none before them.
+            if version > 1 && now >= since.1.after_millis(GONE_MILLIS) {
+                free_everywhere(&gateway, &model, version, &mut freed).await;
             }
         }
     }
 }
 
-/// Frees the parts of `model` that weights older than `version` made.
-async fn free_older(gateway: &Gateway, key: EndpointKey, spec: &StoreSpec, model: &str, version: u64) {
+/// Frees the parts of `model` that weights older than `version` made, in the stores where that is not done.
+async fn free_everywhere(
+    gateway: &Gateway,
+    model: &str,
+    version: u64,
+    freed: &mut BTreeMap<(String, EndpointKey), FreedState>,
+) {
+    let specs = gateway.table().store_specs();
+    for (key, spec) in specs {
+        let state = freed.entry((model.to_owned(), key)).or_default();
+        if state.below >= version || gateway.now() < state.rest_until {
+            continue;
+        }
+        if free_older(gateway, key, &spec, model, version).await {
+            state.below = version;
+        } else {
+            state.rest_until = gateway.now().after_millis(RETRY_MILLIS);
+        }
+    }
+}
+
+/// Frees the parts of `model` that weights older than `version` made; false if some may be left.
+async fn free_older(
+    gateway: &Gateway,
+    key: EndpointKey,
+    spec: &StoreSpec,
+    model: &str,
+    version: u64,
+) -> bool {
     let mut link = CallLink::new(spec.address);
     let kept = gateway.dialect.kept;
     let deadline = Instant::now() + CALL_TIMEOUT;
@@ -68,26 +103,27 @@
             Ok(news) => news,
             Err(cause) => {
                 log::warn!(store = key.0, cause = cause.as_str(); "store.unreadable");
-                return;
+                return false;
             }
         },
         Ok((status, _)) => {
             log::warn!(store = key.0, status; "store.unfreed");
-            return;
+            return false;
         }
         Err(cause) => {
             log::warn!(store = key.0, cause:% = cause; "store.unfreed");
-            return;
+            return false;
         }
     };
     let parts = old_parts(&news, model, version);
+    let mut is_done = true;
     for some in parts.chunks(PARTS_MOST) {
         let call = (kept.free)(some, news.incarnation);
-        let outcome = match link.call(&call, Instant::now() + CALL_TIMEOUT).await {
-            Ok((status, _)) => status.to_string(),
-            Err(cause) => cause.to_string(),
-        };
+        let answer = link.call(&call, Instant::now() + CALL_TIMEOUT).await;
+        is_done &= matches!(answer, Ok((200, _)));
+        let outcome = answer.map_or_else(|cause| cause.to_string(), |(status, _)| status.to_string());
         log::info!(store = key.0, model, below = version, parts = some.len(), outcome = outcome.as_str();
             "store.freed");
     }
+    is_done
 }
