Fetch a generation elsewhere if its source falls silent

Cause: whom chunks are asked from was settled with the first word of a generation, and later words of the same generation were not listened to. Change: after two questions in vain a heartbeat with that generation, or the platform's head, names the next source.

--- a/crates/policy/src/configuration.rs
+++ b/crates/policy/src/configuration.rs
@@ -14,6 +14,8 @@
 
 /// An unanswered pull is repeated after this long, in milliseconds.
 const PULL_MILLIS: u64 = 500;
+/// After so many pulls that brought nothing, chunks are asked for elsewhere.
+const VAIN_PULLS: u32 = 2;
 
 /// A generation on its way.
 #[derive(Debug, Clone)]
@@ -22,9 +24,22 @@
     digests: Vec<String>,
     source: Option<String>,
     ask_again: Moment,
+    /// Pulls since the last chunk came.
+    vain_pulls: u32,
     parsing: bool,
 }
 
+impl WantedHead {
+    /// Takes another source of the same generation, if the present one brings nothing.
+    fn offer_source(&mut self, generation: u64, source: Option<&str>) {
+        let is_other = self.source.as_deref() != source;
+        if generation == self.generation && self.vain_pulls >= VAIN_PULLS && is_other {
+            self.source = source.map(str::to_owned);
+            self.vain_pulls = 0;
+        }
+    }
+}
+
 /// State of the configuration plug-in: chunks in force and chunks on their way.
 #[derive(Debug)]
 pub struct ConfigurationStore {
@@ -77,6 +92,8 @@
                 self.pulled_until = context.now.after_millis(PULL_MILLIS);
                 context.send(from, Message::HeadPull);
             }
+            // Its source may be gone: whoever has the generation in force has its chunks.
+            Message::Beat(beat) => self.offer_source(beat.generation, Some(from)),
             Message::HeadPull if context.world.generation > 0 => {
                 let generation = context.world.generation;
                 context.send(from, Message::Head { generation, digests: self.digests.clone() });
@@ -117,6 +134,7 @@
 
     fn want(&mut self, context: &mut Context<'_>, generation: u64, digests: &[String], source: Option<&str>) {
         if generation <= self.newest(context.world) {
+            self.offer_source(generation, source);
             return;
         }
         self.wanted = Some(WantedHead {
@@ -124,12 +142,19 @@
             digests: digests.to_vec(),
             source: source.map(str::to_owned),
             ask_again: context.now,
+            vain_pulls: 0,
             parsing: false,
         });
         self.ask_again(context);
         self.configure_when_whole(context);
     }
 
+    fn offer_source(&mut self, generation: u64, source: Option<&str>) {
+        if let Some(wanted) = &mut self.wanted {
+            wanted.offer_source(generation, source);
+        }
+    }
+
     fn ask_again(&mut self, context: &mut Context<'_>) {
         let Some(wanted) = &mut self.wanted else { return };
         if wanted.parsing || context.now < wanted.ask_again {
@@ -143,6 +168,7 @@
             return;
         }
         wanted.ask_again = context.now.after_millis(PULL_MILLIS);
+        wanted.vain_pulls += 1;
         match wanted.source.clone() {
             Some(source) => context.send(&source, Message::ChunkPull { digests: missing }),
             None => context.emit(Effect::ReadChunks { digests: missing }),
@@ -153,6 +179,11 @@
         for text in texts {
             self.chunks.insert(chunk_digest(text), Arc::clone(text));
         }
+        if let Some(wanted) = &mut self.wanted
+            && !texts.is_empty()
+        {
+            wanted.vain_pulls = 0;
+        }
         self.configure_when_whole(context);
     }
 
