Test: chunks on their way are not asked for again

Each half second all missing chunks are asked for anew, of the platform or of another VM, whatever is on its way: on a narrow link the answers slow each other down, and a reading that one call of 64 fails gives up all that it had read.

--- a/crates/policy/tests/configuration.rs
+++ b/crates/policy/tests/configuration.rs
@@ -108,3 +108,28 @@
     effects.extend(vm.pass(10_000, &[]));
     assert!(asked(&effects).contains(&"platform"), "{:?}", asked(&effects));
 }
+
+/// All chunks were asked for anew each half second, whatever was on its way: on a narrow link each
+/// answer slowed down the ones before it, and none came to its end.
+#[test]
+fn chunks_that_take_long_are_asked_for_ever_more_seldom() {
+    let mut vm = Vm::new();
+    let digests = vec!["d1".to_owned(), "d2".to_owned()];
+    let first = vm.step(Event::HeadRead { generation: 5, digests });
+    assert_eq!(asked(&first), ["platform"]);
+    let count = asked(&vm.pass(30_000, &[])).len();
+    assert!((3..=7).contains(&count), "{count}");
+}
+
+#[test]
+fn chunks_that_go_on_coming_are_not_asked_for_again() {
+    let mut vm = Vm::new();
+    let texts: Vec<String> = (0..40).map(|row| format!("# chunk {row}\n")).collect();
+    let digests = texts.iter().map(|text| spanfold_declare::chunk_digest(text)).collect();
+    vm.step(Event::HeadRead { generation: 5, digests });
+    for text in &texts {
+        let effects = vm.pass(400, &[]);
+        assert!(asked(&effects).is_empty(), "{:?}", asked(&effects));
+        vm.step(Event::ChunksRead { texts: vec![text.as_str().into()] });
+    }
+}
