Read chunks one by one, and wait longer with each repeat

Cause: all missing chunks of a generation were asked for anew 500 ms after they had been asked for, whatever was on its way, and a reading of 64 chunks of which one call failed gave up all of them. A declaration of 24,000 accounts is 6 MB: 5 s on a link of 10 Mbit/s, on which ten further readings had begun by then. Change: chunks are told and taken one by one; while they go on coming nothing is asked again; without any, the wait doubles up to 8 s. A reading that ends without all of them says so and is repeated after 500 ms as before.

--- a/crates/kernel/src/event.rs
+++ b/crates/kernel/src/event.rs
@@ -244,7 +244,7 @@
     },
     /// Chunks were read from the platform.
     ChunksRead {
-        /// Their texts; each is named by its digest.
+        /// Their texts; each is named by its digest. None: the reading has ended.
         texts: Vec<Arc<str>>,
     },
     /// A generation has been parsed and checked.
--- a/crates/policy/src/configuration.rs
+++ b/crates/policy/src/configuration.rs
@@ -12,8 +12,11 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// An unanswered pull is repeated after this long, in milliseconds.
+/// An unanswered pull is repeated after this long, in milliseconds; chunks are waited for twice as long
+/// with each repeat, because an answer may be on its way over a narrow link.
 const PULL_MILLIS: u64 = 500;
+/// The longest such wait, in milliseconds: several times what the largest chunk takes at 1 Mbit/s.
+const PULL_MOST_MILLIS: u64 = 8_000;
 /// After so many pulls that brought nothing, chunks are asked for elsewhere.
 const VAIN_PULLS: u32 = 2;
 
@@ -24,6 +27,8 @@
     digests: Vec<String>,
     source: Option<String>,
     ask_again: Moment,
+    /// How long chunks are waited for, in milliseconds.
+    pause_millis: u64,
     /// Pulls since the last chunk came.
     vain_pulls: u32,
     parsing: bool,
@@ -35,9 +40,29 @@
         let is_other = self.source.as_deref() != source;
         if generation == self.generation && self.vain_pulls >= VAIN_PULLS && is_other {
             self.source = source.map(str::to_owned);
+            self.pause_millis = PULL_MILLIS;
             self.vain_pulls = 0;
         }
     }
+
+    /// Notes that chunks were asked for.
+    fn note_pull(&mut self, now: Moment) {
+        self.ask_again = now.after_millis(self.pause_millis);
+        self.pause_millis = (self.pause_millis * 2).min(PULL_MOST_MILLIS);
+        self.vain_pulls += 1;
+    }
+
+    /// Notes that a chunk came, with more of them behind it.
+    fn note_chunk(&mut self, now: Moment) {
+        self.ask_again = now.after_millis(self.pause_millis);
+        self.vain_pulls = 0;
+    }
+
+    /// Notes that a reading has ended without all chunks: nothing more is on its way.
+    fn note_end(&mut self, now: Moment) {
+        self.pause_millis = PULL_MILLIS;
+        self.ask_again = now.after_millis(self.pause_millis);
+    }
 }
 
 /// State of the configuration plug-in: chunks in force and chunks on their way.
@@ -102,9 +127,10 @@
                 self.want(context, *generation, digests, Some(from));
             }
             Message::ChunkPull { digests } => {
-                let texts: Vec<_> =
-                    digests.iter().filter_map(|digest| self.chunks.get(digest)).cloned().collect();
-                context.send(from, Message::Chunks { texts });
+                // One by one, so that each one that has arrived need not be asked for again.
+                for text in digests.iter().filter_map(|digest| self.chunks.get(digest)) {
+                    context.send(from, Message::Chunks { texts: vec![Arc::clone(text)] });
+                }
             }
             Message::Chunks { texts } => self.take_chunks(context, texts),
             _ => {}
@@ -142,6 +168,7 @@
             digests: digests.to_vec(),
             source: source.map(str::to_owned),
             ask_again: context.now,
+            pause_millis: PULL_MILLIS,
             vain_pulls: 0,
             parsing: false,
         });
@@ -167,8 +194,7 @@
         if missing.is_empty() {
             return;
         }
-        wanted.ask_again = context.now.after_millis(PULL_MILLIS);
-        wanted.vain_pulls += 1;
+        wanted.note_pull(context.now);
         match wanted.source.clone() {
             Some(source) => context.send(&source, Message::ChunkPull { digests: missing }),
             None => context.emit(Effect::ReadChunks { digests: missing }),
@@ -179,10 +205,8 @@
         for text in texts {
             self.chunks.insert(chunk_digest(text), Arc::clone(text));
         }
-        if let Some(wanted) = &mut self.wanted
-            && !texts.is_empty()
-        {
-            wanted.vain_pulls = 0;
+        if let Some(wanted) = &mut self.wanted {
+            if texts.is_empty() { wanted.note_end(context.now) } else { wanted.note_chunk(context.now) }
         }
         self.configure_when_whole(context);
     }
--- a/crates/spanfoldd/src/platform_task.rs
+++ b/crates/spanfoldd/src/platform_task.rs
@@ -100,14 +100,23 @@
     }
 }
 
+/// Reads chunks one by one, so that a call that fails costs none of those before it.
 pub(crate) async fn read_chunks(shared: &SharedState, digests: &[String]) {
-    match read_bundle(&shared.key_value, digests).await {
-        Ok(texts) => {
-            let texts = texts.into_iter().map(Arc::from).collect();
-            shared.raise_surely(Event::ChunksRead { texts }).await;
+    for digest in digests {
+        match read_bundle(&shared.key_value, std::slice::from_ref(digest)).await {
+            Ok(texts) if texts.is_empty() => log::warn!(digest = digest.as_str(); "chunk.missing"),
+            Ok(texts) => {
+                let texts = texts.into_iter().map(Arc::from).collect();
+                shared.raise_surely(Event::ChunksRead { texts }).await;
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "chunks.unread");
+                break;
+            }
         }
-        Err(error) => log::warn!(error:% = error; "chunks.unread"),
     }
+    // Nothing more is on its way.
+    shared.raise_surely(Event::ChunksRead { texts: Vec::new() }).await;
 }
 
 /// Parses a generation on a traffic thread, so that the control thread need not.
