Bound small answers of engines and of the lease by their whole time

Cause: an answer that goes on coming is now read to its end, which is right for configurations and listings; reports, orders and renewals are small, and one engine that let its report trickle held up the task that orders all loads. Change: these calls end at their time, whatever comes.

--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -282,7 +282,11 @@
         read: StoreDecoder<T>,
     ) -> Option<Result<T, StoreRefusal>> {
         self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
-        match self.link.call(call, Instant::now() + CALL_TIMEOUT).await {
+        let deadline = Instant::now() + CALL_TIMEOUT;
+        // These answers are small: one that goes on coming beyond its time would outlast the lease.
+        let answer = tokio::time::timeout_at(deadline, self.link.call(call, deadline)).await;
+        let answer = answer.map_err(|elapsed| elapsed.to_string());
+        match answer.and_then(|answer| answer.map_err(|error| error.to_string())) {
             Ok((status, body)) => {
                 let result = read(status, &body);
                 if matches!(result, Err(StoreRefusal::NotDone(_))) {
@@ -293,9 +297,9 @@
                 }
                 Some(result)
             }
-            Err(error) => {
+            Err(cause) => {
                 self.gateway.note_store_trouble(self.gateway.now());
-                log::warn!(call = kind, cause:% = error; "store.unanswered");
+                log::warn!(call = kind, cause = cause.as_str(); "store.unanswered");
                 None
             }
         }
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -198,11 +198,13 @@
     let deadline = if until == Moment::NEVER { deadline } else { deadline.min(gateway.instant(until)) };
     let mut call = call.clone();
     call.headers.push((gateway.dialect.headers.expect_endpoint.clone(), id.clone()));
-    match CallLink::new(address).call(&call, deadline).await {
-        Ok((status, body)) => Some((status, body)),
-        Err(error) => {
-            log::warn!(endpoint = id.as_str(), path = call.path.as_str(), cause:% = error; "engine.unanswered");
-            None
-        }
-    }
+    let mut link = CallLink::new(address);
+    // These answers are small: one that goes on coming beyond its time would hold up all other engines.
+    let cause = match tokio::time::timeout_at(deadline, link.call(&call, deadline)).await {
+        Ok(Ok((status, body))) => return Some((status, body)),
+        Ok(Err(error)) => error.to_string(),
+        Err(elapsed) => elapsed.to_string(),
+    };
+    log::warn!(endpoint = id.as_str(), path = call.path.as_str(), cause = cause.as_str(); "engine.unanswered");
+    None
 }
