--- a/crates/gateway/src/call_link.rs
+++ b/crates/gateway/src/call_link.rs
@@ -2,23 +2,43 @@
 //!
 //! Invariant: a connection on which an answer failed to come is never used again. Whether a call
 //! that got no answer was done is unknown; callers make their calls conditional or repeatable.
+//!
+//! Small answers are waited for until a deadline. Of an answer that may be large the deadline bounds the
+//! wait for its head only: over a narrow link its body takes as long as it takes, a limit on the whole
+//! would fail each time, and a repeated call begins at the first byte again.
 
 use crate::WireCall;
 use crate::endpoint_pool::open_stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
-use hyper::Request;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
+/// A large answer that brings nothing for this long has broken off: several retransmissions fit, and large
+/// pieces over links of 10 Mbit/s that others use too.
+const BODY_SILENCE: Duration = Duration::from_secs(1);
+
+/// A large answer that comes more slowly than this on the whole, in bytes a second, is as good as silent: a
+/// hundredth of a link of 10 Mbit/s.
+const LEAST_BYTES_PER_S: u64 = 12_500;
+
 /// Why a call brought no answer; it may have been done.
 #[derive(Debug, thiserror::Error)]
 #[error("no answer: {0}")]
 pub(crate) struct LinkError(String);
 
+impl From<hyper::Error> for LinkError {
+    fn from(error: hyper::Error) -> Self {
+        Self(error.to_string())
+    }
+}
+
 /// One caller's connection to one place.
 #[derive(Debug)]
 pub(crate) struct CallLink {
@@ -43,35 +63,55 @@
         Self { address, open: None }
     }
 
-    /// Makes one call; gives the answer's status and body.
+    /// Makes one call whose whole answer comes before `deadline`; gives the answer's status and body.
     pub(crate) async fn call(
         &mut self,
         call: &WireCall,
         deadline: Instant,
+    ) -> Result<(u16, Bytes), LinkError> {
+        self.exchange(call, deadline, |_| deadline).await
+    }
+
+    /// Makes one call whose answer begins before `deadline` and may be large.
+    pub(crate) async fn call_large(
+        &mut self,
+        call: &WireCall,
+        deadline: Instant,
+    ) -> Result<(u16, Bytes), LinkError> {
+        self.exchange(call, deadline, |received| {
+            let earned = Duration::from_millis(received as u64 * 1_000 / LEAST_BYTES_PER_S);
+            (Instant::now() + BODY_SILENCE).min(deadline + BODY_SILENCE + earned)
+        })
+        .await
+    }
+
+    /// Makes one call; `piece_deadline` tells by the bytes received until when the next piece must come.
+    async fn exchange(
+        &mut self,
+        call: &WireCall,
+        deadline: Instant,
+        piece_deadline: impl Fn(usize) -> Instant,
     ) -> Result<(u16, Bytes), LinkError> {
         let kept = self.open.take();
-        let exchange = exchange(self.address, kept, call);
-        match tokio::time::timeout_at(deadline, exchange).await {
-            Ok(Ok((status, body, link))) => {
-                self.open = Some(link);
-                Ok((status, body))
-            }
-            Ok(Err(error)) => Err(error),
-            Err(_elapsed) => Err(LinkError("no answer in time".to_owned())),
-        }
+        let sent = tokio::time::timeout_at(deadline, send(self.address, kept, call)).await;
+        let (response, link) = sent.map_err(|_elapsed| LinkError("no answer in time".to_owned()))??;
+        let status = response.status().as_u16();
+        let body = read_body(response.into_body(), piece_deadline).await?;
+        self.open = Some(link);
+        Ok((status, body))
     }
 }
 
-async fn exchange(
+/// Sends a call over the kept connection or a new one; gives the answer's head.
+async fn send(
     address: SocketAddr,
     kept: Option<OpenCall>,
     call: &WireCall,
-) -> Result<(u16, Bytes, OpenCall), LinkError> {
+) -> Result<(Response<Incoming>, OpenCall), LinkError> {
     let mut link = match kept {
         Some(link) if !link.sender.is_closed() => link,
         _ => open(address).await?,
     };
-    let failed = |error: hyper::Error| LinkError(error.to_string());
     let mut request =
         Request::builder().method(call.method.clone()).uri(&call.path).header("host", address.to_string());
     for (name, value) in &call.headers {
@@ -82,11 +122,26 @@
     }
     let body = Full::new(Bytes::from(call.body.clone().unwrap_or_default()));
     let request = request.body(body).map_err(|error| LinkError(error.to_string()))?;
-    link.sender.ready().await.map_err(failed)?;
-    let response = link.sender.send_request(request).await.map_err(failed)?;
-    let status = response.status().as_u16();
-    let body = response.into_body().collect().await.map_err(failed)?.to_bytes();
-    Ok((status, body, link))
+    link.sender.ready().await?;
+    let response = link.sender.send_request(request).await?;
+    Ok((response, link))
+}
+
+/// Reads an answer's body; `piece_deadline` as for an exchange.
+async fn read_body(
+    mut body: Incoming,
+    piece_deadline: impl Fn(usize) -> Instant,
+) -> Result<Bytes, LinkError> {
+    let mut content = Vec::new();
+    loop {
+        let Ok(frame) = tokio::time::timeout_at(piece_deadline(content.len()), body.frame()).await else {
+            return Err(LinkError(format!("the answer broke off after {} bytes", content.len())));
+        };
+        let Some(frame) = frame else { return Ok(content.into()) };
+        if let Ok(piece) = frame?.into_data() {
+            content.extend_from_slice(&piece);
+        }
+    }
 }
 
 async fn open(address: SocketAddr) -> Result<OpenCall, LinkError> {
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,16 +7,19 @@
 //! the store itself when that is over. The lead's time is zero; if it falls silent or is cut off from
 //! the store, the next one's time runs out first, and its answers are news for those behind it.
 
-use crate::NewsHistory;
 use crate::call_link::CallLink;
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::gossip;
 use crate::peer_message::{PeerKey, PeerMessage};
-use crate::store_news::StoreNews;
+use crate::store_news::{NewsBody, NewsPlan, StoreNews};
 use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreView};
-use crate::{StoreEvent, StoreRefusal, StoreTransaction, VmKey};
+use crate::{
+    NewsAssembly, NewsHistory, NewsProgress, StoreEvent, StoreRefusal, StoreTransaction, VmKey,
+    without_replaced,
+};
 use spanfold_entity::Moment;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -27,9 +30,9 @@
 /// and the turn of the next VM, a change is in force within 2 s (the shortest bound of the users'
 /// sheets) although the lead is cut off without a word.
 const WATCH_MILLIS: u64 = 900;
-/// An answer to a watch that comes later than this after its time is not waited for.
+/// An answer to a watch that has not begun so long after its time is not waited for.
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
-/// A listing that takes longer has failed.
+/// A listing whose answer has not begun by then has failed.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
 /// Pause after a watch that brought changes, in milliseconds: one call then brings a burst of them.
 const GATHER_MILLIS: u64 = 150;
@@ -49,6 +52,8 @@
 const CATCH_UP_MILLIS: u64 = 150;
 /// It asks other VMs again with what they tell later than this, in milliseconds.
 const ASK_AGAIN_MILLIS: u64 = 100;
+/// A VM that lacks changes for so long says so, in milliseconds: by then they should have been fetched.
+const LACKING_MILLIS: u64 = 1_000;
 /// Who leads may change at any moment: looked at anew after this long, in milliseconds.
 const LOOK_MILLIS: u64 = 100;
 
@@ -81,7 +86,10 @@
         news_at: Moment(0),
         rest_until: Moment(0),
         behind_since: None,
+        lacking_since: None,
+        told_revision: 0,
         history: NewsHistory::default(),
+        assembly: NewsAssembly::default(),
         is_asking: false,
         watches: 0,
         failures: 0,
@@ -108,8 +116,14 @@
     rest_until: Moment,
     /// Since when other VMs tell of a revision whose changes this one lacks.
     behind_since: Option<Moment>,
+    /// Since when changes are lacking that others tell of; [`Moment::NEVER`] once that was logged.
+    lacking_since: Option<Moment>,
+    /// Newest revision that another VM or the store told of.
+    told_revision: u64,
     /// Changes that were applied a short while ago.
     history: NewsHistory,
+    /// Pieces of changes that other VMs are telling.
+    assembly: NewsAssembly,
     /// Whether this VM, though not the first one, goes on asking because those before it brought no news.
     is_asking: bool,
     /// Watches that were answered.
@@ -121,6 +135,7 @@
     /// Takes news or, when its turn has come, asks the store once; false if all must be listed anew.
     async fn step(&mut self, told: &mut mpsc::Receiver<ToldNews>) -> bool {
         let now = self.gateway.now();
+        self.note_lacking(now);
         let turn = self.turn(now);
         let wake = self.gateway.instant(turn.min(now.after_millis(LOOK_MILLIS)));
         tokio::select! {
@@ -128,7 +143,7 @@
             Some((vm, word)) = told.recv() => {
                 match word {
                     StoreWord::News(news) => self.take_news(vm, &news).await,
-                    StoreWord::Ask(revision) => self.answer_ask(vm, revision).await,
+                    StoreWord::Ask(revision) => self.answer_ask(vm, revision),
                 }
                 true
             }
@@ -156,22 +171,9 @@
         if let Some(micros) = news.trouble_micros {
             self.gateway.note_store_trouble(Moment(now.0.saturating_sub(micros)));
         }
-        if news.to > self.revision {
-            match &news.events {
-                Some(events) if news.from <= self.revision => {
-                    self.view.apply_all(events, "peer");
-                    self.history.push(self.revision, news.to, events, now);
-                    self.revision = news.to;
-                    self.behind_since = None;
-                }
-                _ => {
-                    if self.behind_since.is_none_or(|since| now >= since.after_millis(ASK_AGAIN_MILLIS)) {
-                        self.ask_peer(vm).await;
-                    }
-                    self.behind_since.get_or_insert(now);
-                    return;
-                }
-            }
+        self.note_told(news.to);
+        if news.to > self.revision && !self.take_changes(vm, news, now).await {
+            return;
         }
         self.news_at = self.news_at.max(Moment(now.0.saturating_sub(news.age_micros)));
         if self.is_asking && self.gateway.peers().leads_before(vm) {
@@ -180,6 +182,40 @@
         }
     }
 
+    /// Applies changes that another VM tells; false while some are lacking.
+    async fn take_changes(&mut self, vm: VmKey, news: &StoreNews, now: Moment) -> bool {
+        if news.from > self.revision {
+            if self.behind_since.is_none_or(|since| now >= since.after_millis(ASK_AGAIN_MILLIS)) {
+                self.ask_peer(vm).await;
+            }
+            self.behind_since.get_or_insert(now);
+            return false;
+        }
+        let progress = match &news.body {
+            NewsBody::Unchanged => NewsProgress::Whole(Vec::new()),
+            NewsBody::Piece(piece) => self.assembly.take(vm, news.from, news.to, piece),
+            NewsBody::TooLarge => NewsProgress::Unreadable,
+        };
+        match progress {
+            NewsProgress::Whole(events) => {
+                self.view.apply_all(&events, "peer");
+                self.history.push(self.revision, news.to, &events, now);
+                self.set_revision(news.to);
+                self.behind_since = None;
+                true
+            }
+            // The store is asked only if the next piece does not come.
+            NewsProgress::Partial => {
+                self.behind_since = Some(now);
+                false
+            }
+            NewsProgress::Unreadable => {
+                self.behind_since.get_or_insert(now);
+                false
+            }
+        }
+    }
+
     /// Asks another VM for the changes that this one lacks: that costs nothing, and the store may be out
     /// of reach.
     async fn ask_peer(&self, vm: VmKey) {
@@ -188,17 +224,15 @@
         gossip::tell(&self.gateway, &self.socket, &message, target.as_slice()).await;
     }
 
-    /// Tells another VM the changes that it lacks, if they are known here and fit into a datagram.
-    async fn answer_ask(&self, vm: VmKey, revision: u64) {
+    /// Tells another VM the changes that it lacks, if they are known here.
+    fn answer_ask(&self, vm: VmKey, revision: u64) {
         let Some((to, events)) = self.history.since(revision) else { return };
+        let Some(target) = self.gateway.peers().address_of(vm) else { return };
         let age_micros = self.gateway.now().micros_since(self.news_at);
-        let trouble_micros = self.gateway.store_trouble_age();
-        let news = StoreNews { age_micros, ..StoreNews::new(revision, to, &events, trouble_micros) };
-        if news.events.is_some() {
-            let message = PeerMessage::Store(self.gateway.next_stamp(), news);
-            let target = self.gateway.peers().address_of(vm);
-            gossip::tell(&self.gateway, &self.socket, &message, target.as_slice()).await;
-        }
+        let (gateway, socket) = (Arc::clone(&self.gateway), Arc::clone(&self.socket));
+        tokio::spawn(async move {
+            tell_changes(&gateway, &socket, (revision, to), &events, age_micros, &[target]).await;
+        });
     }
 
     /// Notes that this VM asks the store for its data centre from now on.
@@ -211,11 +245,11 @@
     }
 
     /// Tells the other VMs of this data centre what the store has just said.
+    ///
+    /// The next news wait for the last piece of these: who has one piece need not ask for the others.
     async fn tell_news(&self, from: u64, events: &[StoreEvent]) {
-        let news = StoreNews::new(from, self.revision, events, self.gateway.store_trouble_age());
-        let message = PeerMessage::Store(self.gateway.next_stamp(), news);
         let targets = self.gateway.peers().near_addresses();
-        gossip::tell(&self.gateway, &self.socket, &message, &targets).await;
+        tell_changes(&self.gateway, &self.socket, (from, self.revision), events, 0, &targets).await;
     }
 
     /// Lists everything; false if a call failed.
@@ -259,15 +293,17 @@
                 return false;
             }
         };
-        self.view.apply_all(&page.events, "watch");
+        let events = without_replaced(page.events);
+        self.view.apply_all(&events, "watch");
         self.answered(page.revision.max(from));
-        self.history.push(from, self.revision, &page.events, self.news_at);
+        self.history.push(from, self.revision, &events, self.news_at);
+        if !events.is_empty() {
+            self.rest_until = self.gateway.now().after_millis(GATHER_MILLIS);
+        }
+        // Who only caught up was behind others that tell: what they told is not told again.
         if waits {
             self.note_asking();
-        }
-        self.tell_news(from, &page.events).await;
-        if !page.events.is_empty() {
-            self.rest_until = self.gateway.now().after_millis(GATHER_MILLIS);
+            self.tell_news(from, &events).await;
         }
         self.offer_peer_key().await;
         self.watches += 1;
@@ -276,11 +312,38 @@
 
     /// Notes that all changes up to `revision` are applied, as the store has just said.
     fn answered(&mut self, revision: u64) {
-        self.revision = revision;
+        self.set_revision(revision);
+        self.note_told(revision);
         self.news_at = self.gateway.now();
         self.behind_since = None;
     }
 
+    fn set_revision(&mut self, revision: u64) {
+        self.revision = revision;
+        self.assembly.forget_until(revision);
+        self.gateway.metrics.store_revision.set(revision as i64);
+    }
+
+    /// Notes that the store has come to `revision`.
+    fn note_told(&mut self, revision: u64) {
+        self.told_revision = self.told_revision.max(revision);
+        self.gateway.metrics.told_revision.set(self.told_revision as i64);
+    }
+
+    /// Logs once that changes have been lacking for long.
+    fn note_lacking(&mut self, now: Moment) {
+        if self.told_revision <= self.revision {
+            self.lacking_since = None;
+            return;
+        }
+        let since = *self.lacking_since.get_or_insert(now);
+        if now >= since.after_millis(LACKING_MILLIS) {
+            let (revision, told) = (self.revision, self.told_revision);
+            log::warn!(revision, told, failures = self.failures; "changes.lacking");
+            self.lacking_since = Some(Moment::NEVER);
+        }
+    }
+
     /// Writes a peer key if the store holds none: the first VMs of a deployment do, and the first
     /// of their writes stands.
     ///
@@ -313,7 +376,7 @@
         read: crate::StoreDecoder<T>,
     ) -> Option<Result<T, StoreRefusal>> {
         self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
-        let cause = match self.link.call(call, deadline).await {
+        let cause = match self.link.call_large(call, deadline).await {
             Ok((status, body)) => match read(status, &body) {
                 Err(StoreRefusal::NotDone(status)) => format!("status {status}"),
                 Err(error) => return Some(Err(error)),
@@ -343,3 +406,22 @@
         self.failures = 0;
     }
 }
+
+/// Tells VMs at `targets` of the changes between two revisions, in pieces if they are large.
+async fn tell_changes(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    (from, to): (u64, u64),
+    events: &[StoreEvent],
+    age_micros: u64,
+    targets: &[SocketAddr],
+) {
+    let plan = NewsPlan::new(events, targets.len(), gateway.settings.link_mbps);
+    for (place, body) in plan.bodies.into_iter().enumerate() {
+        if place > 0 {
+            tokio::time::sleep(plan.pause).await;
+        }
+        let news = StoreNews { from, to, body, age_micros, trouble_micros: gateway.store_trouble_age() };
+        gossip::tell(gateway, socket, &PeerMessage::Store(gateway.next_stamp(), news), targets).await;
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod kept_task;
 mod lease_keeper;
 mod load_digest;
+mod long_answer;
 mod order_task;
 mod outgoing_body;
 mod own_answer;
@@ -53,7 +54,8 @@
 };
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
-    HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NewsHistory, NewsRhythm, PeerBook,
-    PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights,
-    WeightDesk, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NamedVersion, NamedWeights,
+    NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk,
+    PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights, WeightDesk,
+    cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part, without_replaced,
 };
--- a/crates/policy/src/configuration.rs
+++ b/crates/policy/src/configuration.rs
@@ -12,8 +12,13 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// An unanswered pull is repeated after this long, in milliseconds.
+/// An unanswered pull is repeated after this long, in milliseconds; chunks are waited for twice as long
+/// with each repeat, because an answer may be on its way over a narrow link.
 const PULL_MILLIS: u64 = 500;
+/// The longest such wait, in milliseconds: several times what the largest chunk takes at 1 Mbit/s.
+const PULL_MOST_MILLIS: u64 = 8_000;
+/// After so many pulls that brought nothing, chunks are asked for elsewhere.
+const VAIN_PULLS: u32 = 2;
 
 /// A generation on its way.
 #[derive(Debug, Clone)]
@@ -22,9 +27,44 @@
     digests: Vec<String>,
     source: Option<String>,
     ask_again: Moment,
+    /// How long chunks are waited for, in milliseconds.
+    pause_millis: u64,
+    /// Pulls since the last chunk came.
+    vain_pulls: u32,
     parsing: bool,
 }
 
+impl WantedHead {
+    /// Takes another source of the same generation, if the present one brings nothing.
+    fn offer_source(&mut self, generation: u64, source: Option<&str>) {
+        let is_other = self.source.as_deref() != source;
+        if generation == self.generation && self.vain_pulls >= VAIN_PULLS && is_other {
+            self.source = source.map(str::to_owned);
+            self.pause_millis = PULL_MILLIS;
+            self.vain_pulls = 0;
+        }
+    }
+
+    /// Notes that chunks were asked for.
+    fn note_pull(&mut self, now: Moment) {
+        self.ask_again = now.after_millis(self.pause_millis);
+        self.pause_millis = (self.pause_millis * 2).min(PULL_MOST_MILLIS);
+        self.vain_pulls += 1;
+    }
+
+    /// Notes that a chunk came, with more of them behind it.
+    fn note_chunk(&mut self, now: Moment) {
+        self.ask_again = now.after_millis(self.pause_millis);
+        self.vain_pulls = 0;
+    }
+
+    /// Notes that a reading has ended without all chunks: nothing more is on its way.
+    fn note_end(&mut self, now: Moment) {
+        self.pause_millis = PULL_MILLIS;
+        self.ask_again = now.after_millis(self.pause_millis);
+    }
+}
+
 /// State of the configuration plug-in: chunks in force and chunks on their way.
 #[derive(Debug)]
 pub struct ConfigurationStore {
@@ -77,6 +117,8 @@
                 self.pulled_until = context.now.after_millis(PULL_MILLIS);
                 context.send(from, Message::HeadPull);
             }
+            // Its source may be gone: whoever has the generation in force has its chunks.
+            Message::Beat(beat) => self.offer_source(beat.generation, Some(from)),
             Message::HeadPull if context.world.generation > 0 => {
                 let generation = context.world.generation;
                 context.send(from, Message::Head { generation, digests: self.digests.clone() });
@@ -85,9 +127,10 @@
                 self.want(context, *generation, digests, Some(from));
             }
             Message::ChunkPull { digests } => {
-                let texts: Vec<_> =
-                    digests.iter().filter_map(|digest| self.chunks.get(digest)).cloned().collect();
-                context.send(from, Message::Chunks { texts });
+                // One by one, so that each one that has arrived need not be asked for again.
+                for text in digests.iter().filter_map(|digest| self.chunks.get(digest)) {
+                    context.send(from, Message::Chunks { texts: vec![Arc::clone(text)] });
+                }
             }
             Message::Chunks { texts } => self.take_chunks(context, texts),
             _ => {}
@@ -117,6 +160,7 @@
 
     fn want(&mut self, context: &mut Context<'_>, generation: u64, digests: &[String], source: Option<&str>) {
         if generation <= self.newest(context.world) {
+            self.offer_source(generation, source);
             return;
         }
         self.wanted = Some(WantedHead {
@@ -124,12 +168,20 @@
             digests: digests.to_vec(),
             source: source.map(str::to_owned),
             ask_again: context.now,
+            pause_millis: PULL_MILLIS,
+            vain_pulls: 0,
             parsing: false,
         });
         self.ask_again(context);
         self.configure_when_whole(context);
     }
 
+    fn offer_source(&mut self, generation: u64, source: Option<&str>) {
+        if let Some(wanted) = &mut self.wanted {
+            wanted.offer_source(generation, source);
+        }
+    }
+
     fn ask_again(&mut self, context: &mut Context<'_>) {
         let Some(wanted) = &mut self.wanted else { return };
         if wanted.parsing || context.now < wanted.ask_again {
@@ -142,7 +194,7 @@
         if missing.is_empty() {
             return;
         }
-        wanted.ask_again = context.now.after_millis(PULL_MILLIS);
+        wanted.note_pull(context.now);
         match wanted.source.clone() {
             Some(source) => context.send(&source, Message::ChunkPull { digests: missing }),
             None => context.emit(Effect::ReadChunks { digests: missing }),
@@ -153,6 +205,9 @@
         for text in texts {
             self.chunks.insert(chunk_digest(text), Arc::clone(text));
         }
+        if let Some(wanted) = &mut self.wanted {
+            if texts.is_empty() { wanted.note_end(context.now) } else { wanted.note_chunk(context.now) }
+        }
         self.configure_when_whole(context);
     }
 
