Let long bodies take the time that their link needs

Cause: a send's patience (twice the objective) counted from its beginning, for a body of 800 B as for one of 4 MB, and its connection was cut after 0.9 s without a window. Change: while an endpoint takes more of a body that is longer than a connection's buffer, the send goes on, within the route's timeout; such a body has a connection of its own, without the system's user timeout. Shorter ones go out as before.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,7 +3,7 @@
 //! Invariant: whether the request may have run is known after each send; it may not where no byte left
 //! or the endpoint refused it itself.
 
-use crate::endpoint_pool::ExchangeError;
+use crate::endpoint_pool::{EndpointConnection, ExchangeError};
 use crate::flight::SendFlight;
 use crate::gateway::CountGuard;
 use crate::gateway_metrics::KindLabel;
@@ -22,9 +22,11 @@
 use hyper::{Request, Response, StatusCode};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use tokio::time::error::Elapsed;
 
 /// Pause before a waiting prompt looks for room again, in milliseconds: a part of the time for which an engine runs one.
 const LOOK_MILLIS: u64 = 20;
@@ -41,6 +43,9 @@
 /// Time kept for the way back to the caller, in milliseconds.
 const RETURN_MILLIS: u64 = 5;
 
+/// What came of an exchange with an endpoint.
+type Exchanged = Result<(Response<Incoming>, EndpointConnection), ExchangeError>;
+
 /// Where a request goes.
 enum PlaceResult {
     /// To this endpoint.
@@ -242,9 +247,7 @@
         request: Request<OutgoingBody>,
     ) -> SendResult {
         let gateway = Arc::clone(&self.gateway);
-        let patience = self.patience();
-        let exchange = gateway.pool.exchange(flight.key, address, request);
-        let result = match tokio::time::timeout_at(gateway.instant(patience), exchange).await {
+        let result = match self.exchange(&flight, address, request).await {
             Err(_elapsed) => {
                 flight.learn(SendOutcome::Silent);
                 self.sent();
@@ -283,6 +286,27 @@
         result
     }
 
+    /// Waits for an answer's head; a long body may go on for as long as the endpoint takes more of it.
+    async fn exchange(
+        &self,
+        flight: &SendFlight,
+        address: SocketAddr,
+        request: Request<OutgoingBody>,
+    ) -> Result<Exchanged, Elapsed> {
+        let gateway = &self.gateway;
+        let (mark, is_long) = (request.body().mark(), request.body().is_long());
+        let mut exchange = pin!(gateway.pool.exchange(flight.key, address, request));
+        loop {
+            let rest = mark.rest();
+            let patience = self.patience();
+            match tokio::time::timeout_at(gateway.instant(patience), exchange.as_mut()).await {
+                // What is on its way would begin from zero elsewhere.
+                Err(_elapsed) if is_long && mark.rest() < rest && patience < self.ticket.limit => {}
+                result => return result,
+            }
+        }
+    }
+
     fn sent(&mut self) {
         self.sends += 1;
         self.may_have_run = true;
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -50,6 +50,8 @@
     sender: SendRequest<OutgoingBody>,
     driver: AbortHandle,
     fresh: bool,
+    /// Whether it waits for an endpoint that reads late; for one long body only.
+    is_patient: bool,
     /// How far the body of its present request went.
     body: BodyMark,
 }
@@ -75,7 +77,8 @@
 impl EndpointPool {
     /// Sends `request` over a kept or a new connection; gives the answer's head.
     ///
-    /// A kept connection that turns out to be closed before a byte was written is replaced.
+    /// A kept connection that turns out to be closed before a byte was written is replaced. A long body
+    /// has a connection of its own.
     pub(crate) async fn exchange(
         &self,
         key: EndpointKey,
@@ -83,9 +86,11 @@
         mut request: Request<OutgoingBody>,
     ) -> Result<(Response<Incoming>, EndpointConnection), ExchangeError> {
         loop {
-            let mut connection = match self.take(key) {
+            let is_long = request.body().is_long();
+            let kept = if is_long { None } else { self.take(key) };
+            let mut connection = match kept {
                 Some(connection) => connection,
-                None => connect(address).await?,
+                None => connect(address, is_long).await?,
             };
             if let Err(error) = connection.sender.ready().await {
                 if connection.fresh {
@@ -113,7 +118,8 @@
         granted: Option<Duration>,
     ) {
         let rest = granted.map_or(IDLE_DEFAULT, |time| time.saturating_sub(IDLE_MARGIN).min(IDLE_DEFAULT));
-        if connection.sender.is_closed() || rest.is_zero() || !connection.body.is_handed_on() {
+        let is_spent = connection.is_patient || !connection.body.is_handed_on();
+        if connection.sender.is_closed() || rest.is_zero() || is_spent {
             return;
         }
         connection.fresh = false;
@@ -152,9 +158,14 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<EndpointConnection, ExchangeError> {
+async fn connect(address: SocketAddr, is_patient: bool) -> Result<EndpointConnection, ExchangeError> {
     let not_sent = |error: io::Error| ExchangeError::NotSent(error.to_string());
     let stream = open_stream(address).await.map_err(not_sent)?;
+    if is_patient {
+        // An endpoint whose window is full is cut at this time although it acknowledges each probe. How
+        // long a body may take is for the request's own patience to say.
+        SockRef::from(&stream).set_tcp_user_timeout(None).map_err(not_sent)?;
+    }
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(WRITE_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -162,7 +173,7 @@
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     // How the connection ends is told by the exchange that uses it.
     let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-    Ok(EndpointConnection { sender, driver, fresh: true, body: BodyMark::default() })
+    Ok(EndpointConnection { sender, driver, fresh: true, is_patient, body: BodyMark::default() })
 }
 
 /// Opens a TCP connection that notices a silent peer by itself.
--- a/crates/gateway/src/outgoing_body.rs
+++ b/crates/gateway/src/outgoing_body.rs
@@ -10,7 +10,7 @@
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll};
 
 /// Bytes handed on at once; several fit into a connection's write buffer.
@@ -19,12 +19,17 @@
 /// last piece has been taken.
 pub(crate) const WRITE_BUFFER_BYTES: usize = 64 << 10;
 
-/// Whether a body has been handed on to its end.
+/// How much of a body has not been handed on.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct BodyMark(Arc<AtomicBool>);
+pub(crate) struct BodyMark(Arc<AtomicUsize>);
 
 impl BodyMark {
     pub(crate) fn is_handed_on(&self) -> bool {
+        self.rest() == 0
+    }
+
+    /// Bytes that have not been handed on.
+    pub(crate) fn rest(&self) -> usize {
         self.0.load(Ordering::Acquire)
     }
 }
@@ -38,10 +43,15 @@
 
 impl OutgoingBody {
     pub(crate) fn new(bytes: Bytes) -> Self {
-        let mark = BodyMark(Arc::new(AtomicBool::new(bytes.is_empty())));
+        let mark = BodyMark(Arc::new(AtomicUsize::new(bytes.len())));
         Self { rest: bytes, mark }
     }
 
+    /// Whether it may have to wait for the endpoint to read.
+    pub(crate) fn is_long(&self) -> bool {
+        self.rest.len() > WRITE_BUFFER_BYTES
+    }
+
     /// Tells later, when the connection owns the body, how far it went.
     pub(crate) fn mark(&self) -> BodyMark {
         self.mark.clone()
@@ -61,9 +71,7 @@
         }
         let length = self.rest.len().min(PIECE_BYTES);
         let piece = self.rest.split_to(length);
-        if self.rest.is_empty() {
-            self.mark.0.store(true, Ordering::Release);
-        }
+        self.mark.0.store(self.rest.len(), Ordering::Release);
         Poll::Ready(Some(Ok(Frame::data(piece))))
     }
 
