--- a/crates/policy/tests/configuration.rs
+++ b/crates/policy/tests/configuration.rs
@@ -66,7 +66,7 @@
         while self.now < end {
             self.now += 50;
             effects.extend(self.step(Event::Tick));
-            if self.now % 1_000 == 0 {
+            if self.now.is_multiple_of(1_000) {
                 for vm in beating {
                     effects.extend(self.beat(vm, 5));
                 }
