Namings' times are kept in the store, on the engines' clock, by the holder of orders

Cause: the age of a naming lived in VMs' memories only; VMs that start when all that heard it are gone or stopping took the newest version for new, and passed older ones over. Change: the VM that holds the right to order engines writes each model's namings to spanfold/named/ (conditional on the record that it read), with the engines' clock, which goes on while VMs do not; a new holder reads it before it writes, and the others hear of it with its loads. Engines' reports tell that clock too, for holders that follow no store of kept cache. One reading call for each new holder, one write for each naming. The known red test passes.

--- a/crates/decide/src/fleet/deployment.rs
+++ b/crates/decide/src/fleet/deployment.rs
@@ -221,6 +221,8 @@
     pub busy: bool,
     /// Orders that it has taken in this incarnation.
     pub orders_taken: u64,
+    /// The engines' clock at the answer, in milliseconds, if it was told.
+    pub clock_millis: Option<u64>,
 }
 
 /// One change of what a store of kept cache holds.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -28,6 +28,6 @@
 };
 pub use kept::{KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, old_parts, salted_key};
 pub use weights::{
-    DeskStep, EngineState, HolderRecord, HolderStanding, NamedVersion, NamedWeights, WantedWeights,
-    WeightDesk,
+    DeskStep, EngineState, HolderRecord, HolderStanding, NamedVersion, NamedWeights, NamingRecord,
+    NamingTime, WantedWeights, WeightDesk,
 };
--- a/crates/decide/tests/named_weights.rs
+++ b/crates/decide/tests/named_weights.rs
@@ -1,6 +1,6 @@
 //! Which versions were named, and since when.
 
-use spanfold_decide::{NamedVersion, NamedWeights};
+use spanfold_decide::{NamedVersion, NamedWeights, NamingRecord};
 use spanfold_entity::Moment;
 
 const VERSION_MILLIS: u64 = 10_000;
@@ -62,3 +62,25 @@
 fn nothing_is_wanted_until_a_version_is_named() {
     assert_eq!(named(&[]).wanted(VERSION_MILLIS), None);
 }
+
+#[test]
+fn a_record_gives_back_the_age_that_a_naming_has_by_the_engines_clock() {
+    let weights = named(&[(2, 1_000), (3, 5_000)]);
+    let record = NamingRecord::new(7, &weights, 90_000, at(6_000));
+    let ages: Vec<_> = record.ages(92_000).collect();
+    assert_eq!(ages, [(2, 7_000_000), (3, 3_000_000)]);
+    // A clock that seems to go back makes nothing older.
+    assert_eq!(record.ages(0).collect::<Vec<_>>(), [(2, 0), (3, 0)]);
+}
+
+#[test]
+fn a_record_covers_what_it_tells_as_early_or_earlier() {
+    let record = |rows: &[(u64, u64)]| NamingRecord::new(7, &named(rows), 90_000, at(9_000));
+    let held = record(&[(2, 1_000), (3, 5_000)]);
+    assert!(held.covers(&held));
+    assert!(held.covers(&record(&[(3, 6_000)])));
+    // VMs hear of one naming some milliseconds apart.
+    assert!(held.covers(&record(&[(3, 4_900)])));
+    assert!(!held.covers(&record(&[(3, 3_000)])));
+    assert!(!held.covers(&record(&[(3, 5_000), (4, 8_000)])));
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -231,6 +231,11 @@
         weights.get(&short_digest(model))?.wanted(self.settings.version_ms)
     }
 
+    /// What was named for each model, by the digest of its name.
+    pub(crate) fn namings(&self) -> BTreeMap<u64, NamedWeights> {
+        self.weights.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// For peers: digest of each model, each version named, and microseconds since then.
     pub(crate) fn named_ages(&self) -> Vec<(u64, u64, u64)> {
         let now = self.now();
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -4,7 +4,8 @@
 use crate::lease_keeper::OrderRight;
 use crate::store_view::OrdersView;
 use crate::{
-    WireDialect, follow, free_task, front_door, gossip, kept_digest, kept_task, lease_keeper, order_task,
+    WireDialect, follow, free_task, front_door, gossip, kept_digest, kept_task, lease_keeper, naming_task,
+    order_task,
 };
 use spanfold_declare::GatewaySettings;
 use std::net::SocketAddr;
@@ -75,6 +76,7 @@
             tokio::spawn(kept_digest::tell_kept(share(), Arc::clone(&socket))),
             tokio::spawn(lease_keeper::keep_lease(share(), orders_view, right)),
             tokio::spawn(order_task::order_weights(share(), right_view.clone())),
+            tokio::spawn(naming_task::keep_namings(share(), right_view.clone())),
             tokio::spawn(free_task::free_old_parts(share(), right_view)),
             tokio::spawn(gossip::send_digests(share(), Arc::clone(&socket))),
             tokio::spawn(gossip::send_far_digests(share(), Arc::clone(&socket))),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod kept_task;
 mod lease_keeper;
 mod load_digest;
+mod naming_task;
 mod order_task;
 mod outgoing_body;
 mod own_answer;
@@ -54,7 +55,7 @@
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
     HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NamedVersion, NamedWeights,
-    NewsHistory, NewsRhythm, PeerBook, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome,
-    VmEntry, VmKey, WantedWeights, WeightDesk, old_parts, pick_target, place, salted_key, short_digest,
-    take_part,
+    NamingRecord, NewsHistory, NewsRhythm, PeerBook, PlacementAsk, PlacementChoice, RetryBudget, RouteTable,
+    SendOutcome, VmEntry, VmKey, WantedWeights, WeightDesk, old_parts, pick_target, place, salted_key,
+    short_digest, take_part,
 };
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -167,14 +167,17 @@
     }
 }
 
-async fn read_report(gateway: &Gateway, key: EndpointKey) -> Option<EngineReport> {
+pub(crate) async fn read_report(gateway: &Gateway, key: EndpointKey) -> Option<EngineReport> {
     let call = (gateway.dialect.engine.report)();
     let (status, body) = call_engine(gateway, key, &call, Moment::NEVER).await?;
     if status != 200 {
         return None;
     }
     match (gateway.dialect.engine.read_report)(&body) {
-        Ok(report) => Some(report),
+        Ok(report) => {
+            gateway.set_engine_clock(report.clock_millis);
+            Some(report)
+        }
         Err(cause) => {
             log::warn!(cause = cause.as_str(); "report.unreadable");
             None
