--- a/crates/gateway/src/free_task.rs
+++ b/crates/gateway/src/free_task.rs
@@ -23,7 +23,7 @@
 /// Old weights must be gone for this long before their parts are freed, in milliseconds: reports of
 /// engines lag.
 const GONE_MILLIS: u64 = 1_200;
-/// A call that takes longer has failed.
+/// A call whose answer has not begun by then has failed.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// A store of which a call failed is tried again after this long, in milliseconds: a listing holds up the
 /// store's own work.
@@ -98,7 +98,7 @@
     let mut link = CallLink::new(spec.address);
     let kept = gateway.dialect.kept;
     let deadline = Instant::now() + CALL_TIMEOUT;
-    let news = match link.call(&(kept.list)(), deadline).await {
+    let news = match link.call_large(&(kept.list)(), deadline).await {
         Ok((200, body)) => match (kept.read_list)(&body) {
             Ok(news) => news,
             Err(cause) => {
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -6,7 +6,7 @@
 use crate::gateway_metrics::KindLabel;
 use crate::lease_keeper::OrderRight;
 use crate::{DeskStep, EngineState, WeightDesk};
-use crate::{EndpointKey, EngineReport};
+use crate::{EndpointKey, EngineReport, short_digest};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -60,7 +60,7 @@
     let mut states = Vec::new();
     for (key, row) in table.rows().filter(|(_, row)| !row.is_leaving(now)) {
         for (model, version) in &row.entry.weights {
-            let Some(named) = weights.get(model) else { continue };
+            let Some(named) = weights.get(&short_digest(model)) else { continue };
             states.push(EngineState {
                 key,
                 model: model.clone(),
@@ -167,14 +167,17 @@
     }
 }
 
-async fn read_report(gateway: &Gateway, key: EndpointKey) -> Option<EngineReport> {
+pub(crate) async fn read_report(gateway: &Gateway, key: EndpointKey) -> Option<EngineReport> {
     let call = (gateway.dialect.engine.report)();
     let (status, body) = call_engine(gateway, key, &call, Moment::NEVER).await?;
     if status != 200 {
         return None;
     }
     match (gateway.dialect.engine.read_report)(&body) {
-        Ok(report) => Some(report),
+        Ok(report) => {
+            gateway.set_engine_clock(report.clock_millis);
+            Some(report)
+        }
         Err(cause) => {
             log::warn!(cause = cause.as_str(); "report.unreadable");
             None
@@ -198,13 +201,11 @@
     let deadline = if until == Moment::NEVER { deadline } else { deadline.min(gateway.instant(until)) };
     let mut call = call.clone();
     call.headers.push((gateway.dialect.headers.expect_endpoint.clone(), id.clone()));
-    let mut link = CallLink::new(address);
-    // These answers are small: one that goes on coming beyond its time would hold up all other engines.
-    let cause = match tokio::time::timeout_at(deadline, link.call(&call, deadline)).await {
-        Ok(Ok((status, body))) => return Some((status, body)),
-        Ok(Err(error)) => error.to_string(),
-        Err(elapsed) => elapsed.to_string(),
-    };
-    log::warn!(endpoint = id.as_str(), path = call.path.as_str(), cause = cause.as_str(); "engine.unanswered");
-    None
+    match CallLink::new(address).call(&call, deadline).await {
+        Ok((status, body)) => Some((status, body)),
+        Err(error) => {
+            log::warn!(endpoint = id.as_str(), path = call.path.as_str(), cause:% = error; "engine.unanswered");
+            None
+        }
+    }
 }
