Each store's book goes on where it was told last

Cause: where a book's next parts begin was counted by one number for all stores. Change: each book knows how far it has been told. The test calls it without a number, three times as before; what it asks for is the same. Known red mended: 1,020 of 1,990 parts in three turns before, all of them now.

--- a/crates/decide/src/kept/store_row.rs
+++ b/crates/decide/src/kept/store_row.rs
@@ -57,6 +57,8 @@
     used_tokens: u64,
     /// Changes that the other VMs of the data centre have not been told.
     untold: HashMap<u64, u32>,
+    /// How far the book has been told, in the order of its parts.
+    told_to: usize,
     asked: HashMap<u64, AskedPart>,
     asked_tokens: u64,
     /// Until when what it told last counts.
@@ -84,6 +86,7 @@
             parts: HashMap::new(),
             used_tokens: 0,
             untold: HashMap::new(),
+            told_to: 0,
             asked: HashMap::new(),
             asked_tokens: 0,
             heard_until: Moment(0),
@@ -139,11 +142,13 @@
         KeptRow { store, incarnation: self.incarnation, used_tokens: self.used_tokens, parts }
     }
 
-    /// At most so many of the parts held; others with another `turn` if there are more.
-    pub fn some_parts(&self, most: usize, turn: usize) -> Vec<(u64, u32)> {
-        let from = (turn * most) % self.parts.len().max(1);
-        let turned = self.parts.iter().cycle().skip(if self.parts.len() > most { from } else { 0 });
-        turned.take(most.min(self.parts.len())).map(|(key, tokens)| (*key, *tokens)).collect()
+    /// At most so many of the parts held, going on where the last ones ended.
+    pub fn next_parts(&mut self, most: usize) -> Vec<(u64, u32)> {
+        let from = self.told_to % self.parts.len().max(1);
+        let count = most.min(self.parts.len());
+        self.told_to = from + count;
+        let turned = self.parts.iter().cycle().skip(from);
+        turned.take(count).map(|(key, tokens)| (*key, *tokens)).collect()
     }
 
     /// Takes what another VM heard from the store.
--- a/crates/decide/tests/kept.rs
+++ b/crates/decide/tests/kept.rs
@@ -149,13 +149,13 @@
     assert!((row.pace(now.after_millis(2_000)) - 1.0).abs() < 1e-9);
 }
 
-/// Where two stores take turns, each one's book is told with every second number; books of nearly twice
-/// the parts that are told at once moved on by a few parts only, and some parts were not told for minutes.
+/// Where two stores took turns, each one's place was counted on with the other's turns: a book of nearly
+/// twice the parts that are told at once moved on by a few of them, and some were not told for minutes.
 #[test]
 fn a_book_is_told_whole_although_other_stores_have_turns_between() {
     let mut row = store(1_000_000);
     row.replace(&news(1, (1..=1_990).map(|part| change("s", part, 9)).collect()), Moment(9));
     let told: std::collections::BTreeSet<u64> =
-        (0..6).step_by(2).flat_map(|turn| row.some_parts(1_000, turn)).map(|(part, _)| part).collect();
+        (0..3).flat_map(|_| row.next_parts(1_000)).map(|(part, _)| part).collect();
     assert_eq!(told.len(), 1_990);
 }
--- a/crates/gateway/src/kept_digest.rs
+++ b/crates/gateway/src/kept_digest.rs
@@ -47,7 +47,7 @@
         {
             let chosen = turn % rows.len();
             let store = rows[chosen].store;
-            let book = table.store(store).map(|row| row.some_parts(BOOK_MOST, turn));
+            let book = table.store_mut(store).map(|row| row.next_parts(BOOK_MOST));
             rows[chosen].parts = book.unwrap_or_default();
         }
         Self { clock_millis, rows }
