--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod lease_keeper;
 mod load_digest;
 mod long_answer;
+mod naming_task;
 mod order_task;
 mod outgoing_body;
 mod own_answer;
@@ -55,7 +56,7 @@
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
     HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NamedVersion, NamedWeights,
-    NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk,
-    PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights, WeightDesk,
-    cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part, without_replaced,
+    NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook,
+    PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights,
+    WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
 };
