News are taken while the store is asked, and pieces are waited for as long as their teller says

Cause: the follower took nothing from other VMs while its own call ran, which may now take long; it waited 150 ms for the next piece, however far apart a teller with a narrow link sends them; pieces did not count as a sign of life; every VM that asked was answered, each from a task that packed everything again. Change: calls run beside news, which end a call once they brought what was lacking; news say when the next piece comes; pieces renew the teller's turn; one answer to each asker and four in all, without configurations that a later one in force supersedes. Telling has a module of its own. A listing sets anew how far the VM was told.

--- a/crates/decide/src/fleet/store_event.rs
+++ b/crates/decide/src/fleet/store_event.rs
@@ -28,6 +28,14 @@
 }
 
 impl StoreEvent {
+    /// The key that changed.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
     /// The revision of the change.
     pub const fn revision(&self) -> u64 {
         match self {
--- a/crates/gateway/src/call_link.rs
+++ b/crates/gateway/src/call_link.rs
@@ -21,7 +21,7 @@
 use tokio::time::Instant;
 
 /// A large answer that brings nothing for this long has broken off: several retransmissions fit, and large
-/// pieces over links of 10 Mbit/s that others use too.
+/// frames over links of 10 Mbit/s that others use too.
 const BODY_SILENCE: Duration = Duration::from_secs(1);
 
 /// A large answer that comes more slowly than this on the whole, in bytes a second, is as good as silent: a
@@ -39,6 +39,9 @@
     }
 }
 
+/// A call's answer: its status and body.
+pub(crate) type CallAnswer = Result<(u16, Bytes), LinkError>;
+
 /// One caller's connection to one place.
 #[derive(Debug)]
 pub(crate) struct CallLink {
@@ -64,20 +67,12 @@
     }
 
     /// Makes one call whose whole answer comes before `deadline`; gives the answer's status and body.
-    pub(crate) async fn call(
-        &mut self,
-        call: &WireCall,
-        deadline: Instant,
-    ) -> Result<(u16, Bytes), LinkError> {
+    pub(crate) async fn call(&mut self, call: &WireCall, deadline: Instant) -> CallAnswer {
         self.exchange(call, deadline, |_| deadline).await
     }
 
     /// Makes one call whose answer begins before `deadline` and may be large.
-    pub(crate) async fn call_large(
-        &mut self,
-        call: &WireCall,
-        deadline: Instant,
-    ) -> Result<(u16, Bytes), LinkError> {
+    pub(crate) async fn call_large(&mut self, call: &WireCall, deadline: Instant) -> CallAnswer {
         self.exchange(call, deadline, |received| {
             let earned = Duration::from_millis(received as u64 * 1_000 / LEAST_BYTES_PER_S);
             (Instant::now() + BODY_SILENCE).min(deadline + BODY_SILENCE + earned)
@@ -85,18 +80,18 @@
         .await
     }
 
-    /// Makes one call; `piece_deadline` tells by the bytes received until when the next piece must come.
+    /// Makes one call; `frame_deadline` tells by the bytes received until when the next frame must come.
     async fn exchange(
         &mut self,
         call: &WireCall,
         deadline: Instant,
-        piece_deadline: impl Fn(usize) -> Instant,
-    ) -> Result<(u16, Bytes), LinkError> {
+        frame_deadline: impl Fn(usize) -> Instant,
+    ) -> CallAnswer {
         let kept = self.open.take();
         let sent = tokio::time::timeout_at(deadline, send(self.address, kept, call)).await;
         let (response, link) = sent.map_err(|_elapsed| LinkError("no answer in time".to_owned()))??;
         let status = response.status().as_u16();
-        let body = read_body(response.into_body(), piece_deadline).await?;
+        let body = read_body(response.into_body(), frame_deadline).await?;
         self.open = Some(link);
         Ok((status, body))
     }
@@ -127,14 +122,14 @@
     Ok((response, link))
 }
 
-/// Reads an answer's body; `piece_deadline` as for an exchange.
+/// Reads an answer's body; `frame_deadline` as for an exchange.
 async fn read_body(
     mut body: Incoming,
-    piece_deadline: impl Fn(usize) -> Instant,
+    frame_deadline: impl Fn(usize) -> Instant,
 ) -> Result<Bytes, LinkError> {
     let mut content = Vec::new();
     loop {
-        let Ok(frame) = tokio::time::timeout_at(piece_deadline(content.len()), body.frame()).await else {
+        let Ok(frame) = tokio::time::timeout_at(frame_deadline(content.len()), body.frame()).await else {
             return Err(LinkError(format!("the answer broke off after {} bytes", content.len())));
         };
         let Some(frame) = frame else { return Ok(content.into()) };
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -7,16 +7,16 @@
 //! the store itself when that is over. The lead's time is zero; if it falls silent or is cut off from
 //! the store, the next one's time runs out first, and its answers are news for those behind it.
 
-use crate::call_link::CallLink;
+use crate::call_link::{CallAnswer, CallLink};
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
-use crate::gossip;
-use crate::peer_message::{PeerKey, PeerMessage};
-use crate::store_news::{NewsBody, NewsPlan, StoreNews};
+use crate::news_teller::{NewsTeller, ToldChanges};
+use crate::peer_message::PeerKey;
+use crate::store_news::{NewsBody, StoreNews};
 use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreView};
-use crate::{NewsAssembly, NewsHistory, NewsProgress, StoreEvent, StoreRefusal, StoreTransaction, VmKey};
+use crate::{NewsAssembly, NewsHistory, NewsProgress, StoreRefusal, StoreTransaction, VmKey, WireCall};
 use spanfold_entity::Moment;
-use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -47,6 +47,8 @@
 /// A VM that lacks changes asks the store for them if no other VM told them for this long, in
 /// milliseconds: several round trips between VMs.
 const CATCH_UP_MILLIS: u64 = 150;
+/// The next piece of news is waited for this much longer at most, in microseconds, whatever its teller says.
+const PIECE_PAUSE_LIMIT_MICROS: u64 = 800_000;
 /// It asks other VMs again with what they tell later than this, in milliseconds.
 const ASK_AGAIN_MILLIS: u64 = 100;
 /// A VM that lacks changes for so long says so, in milliseconds: by then they should have been fetched.
@@ -76,8 +78,8 @@
     let view = StoreView::new(Arc::clone(&gateway), orders);
     let mut follower = StoreFollower {
         link: CallLink::new(gateway.settings.store),
+        teller: NewsTeller::new(Arc::clone(&gateway), socket),
         gateway,
-        socket,
         view,
         revision: 0,
         news_at: Moment(0),
@@ -102,7 +104,7 @@
 
 struct StoreFollower {
     gateway: Arc<Gateway>,
-    socket: Arc<UdpSocket>,
+    teller: NewsTeller,
     link: CallLink,
     view: StoreView,
     /// All changes up to this revision are applied.
@@ -137,19 +139,24 @@
         let wake = self.gateway.instant(turn.min(now.after_millis(LOOK_MILLIS)));
         tokio::select! {
             biased;
-            Some((vm, word)) = told.recv() => {
-                match word {
-                    StoreWord::News(news) => self.take_news(vm, &news).await,
-                    StoreWord::Ask(revision) => self.answer_ask(vm, revision),
-                }
+            Some(word) = told.recv() => {
+                self.take_word(word).await;
                 true
             }
             () = tokio::time::sleep_until(wake) => {
-                if now < turn { true } else { self.watch_once().await }
+                if now < turn { true } else { self.watch_once(told).await }
             }
         }
     }
 
+    /// Takes what another VM says.
+    async fn take_word(&mut self, (vm, word): ToldNews) {
+        match word {
+            StoreWord::News(news) => self.take_news(vm, &news).await,
+            StoreWord::Ask(revision) => self.answer_ask(vm, revision),
+        }
+    }
+
     /// When this VM asks the store itself.
     fn turn(&self, now: Moment) -> Moment {
         let place = self.gateway.peers().lead_place(now) as u64;
@@ -179,11 +186,11 @@
         }
     }
 
-    /// Applies changes that another VM tells; false while some are lacking.
+    /// Applies changes that another VM tells; false if some are lacking and it is not about to tell them.
     async fn take_changes(&mut self, vm: VmKey, news: &StoreNews, now: Moment) -> bool {
         if news.from > self.revision {
             if self.behind_since.is_none_or(|since| now >= since.after_millis(ASK_AGAIN_MILLIS)) {
-                self.ask_peer(vm).await;
+                self.teller.ask(vm, self.revision).await;
             }
             self.behind_since.get_or_insert(now);
             return false;
@@ -201,10 +208,11 @@
                 self.behind_since = None;
                 true
             }
-            // The store is asked only if the next piece does not come.
+            // The store is asked only if the next piece does not come when it should.
             NewsProgress::Partial => {
-                self.behind_since = Some(now);
-                false
+                let pause_micros = news.pause_micros.min(PIECE_PAUSE_LIMIT_MICROS);
+                self.behind_since = Some(now.after_micros(pause_micros));
+                true
             }
             NewsProgress::Unreadable => {
                 self.behind_since.get_or_insert(now);
@@ -213,23 +221,15 @@
         }
     }
 
-    /// Asks another VM for the changes that this one lacks: that costs nothing, and the store may be out
-    /// of reach.
-    async fn ask_peer(&self, vm: VmKey) {
-        let message = PeerMessage::StoreAsk(self.gateway.next_stamp(), self.revision);
-        let target = self.gateway.peers().address_of(vm);
-        gossip::tell(&self.gateway, &self.socket, &message, target.as_slice()).await;
-    }
-
     /// Tells another VM the changes that it lacks, if they are known here.
-    fn answer_ask(&self, vm: VmKey, revision: u64) {
-        let Some((to, events)) = self.history.since(revision) else { return };
-        let Some(target) = self.gateway.peers().address_of(vm) else { return };
+    fn answer_ask(&mut self, vm: VmKey, from: u64) {
+        if !self.teller.may_answer(vm) {
+            return;
+        }
+        let Some((to, mut events)) = self.history.since(from) else { return };
+        events.retain(|event| !self.view.is_superseded(event));
         let age_micros = self.gateway.now().micros_since(self.news_at);
-        let (gateway, socket) = (Arc::clone(&self.gateway), Arc::clone(&self.socket));
-        tokio::spawn(async move {
-            tell_changes(&gateway, &socket, (revision, to), &events, age_micros, &[target]).await;
-        });
+        self.teller.answer(vm, ToldChanges { from, to, events, age_micros });
     }
 
     /// Notes that this VM asks the store for its data centre from now on.
@@ -241,14 +241,6 @@
         }
     }
 
-    /// Tells the other VMs of this data centre what the store has just said.
-    ///
-    /// The next news wait for the last piece of these: who has one piece need not ask for the others.
-    async fn tell_news(&self, from: u64, events: &[StoreEvent]) {
-        let targets = self.gateway.peers().near_addresses();
-        tell_changes(&self.gateway, &self.socket, (from, self.revision), events, 0, &targets).await;
-    }
-
     /// Lists everything; false if a call failed.
     async fn list_all(&mut self) -> bool {
         let mut lowest = u64::MAX;
@@ -269,12 +261,14 @@
         }
         let events = self.view.changes_to(listed, lowest);
         self.view.apply_all(&events, "list");
+        // The store may have begun anew, with lower revisions than those that were told.
+        self.told_revision = lowest;
         self.answered(lowest);
         true
     }
 
     /// Waits for changes once; false if everything must be listed anew.
-    async fn watch_once(&mut self) -> bool {
+    async fn watch_once(&mut self, told: &mut mpsc::Receiver<ToldNews>) -> bool {
         // Who only catches up does not wait: the news go on coming from another VM.
         let waits = self.gateway.peers().lead_place(self.gateway.now()) == 0 || self.behind_since.is_none();
         let wait_millis = if waits { WATCH_MILLIS } else { 0 };
@@ -282,7 +276,8 @@
         let call = (self.gateway.dialect.store.watch)("", from, wait_millis);
         let deadline = Instant::now() + Duration::from_millis(wait_millis) + WATCH_MARGIN;
         let read = self.gateway.dialect.store.read_watch;
-        let page = match self.call("watch", &call, deadline, read).await {
+        let Some(answer) = self.call_beside_news(&call, deadline, told).await else { return true };
+        let page = match self.judge("watch", answer, read) {
             None => return true,
             Some(Ok(page)) => page,
             Some(Err(error)) => {
@@ -290,7 +285,9 @@
                 return false;
             }
         };
-        let events = page.events;
+        // Other VMs may have told of as much or more meanwhile.
+        let from = self.revision;
+        let mut events: Vec<_> = page.events.into_iter().filter(|event| event.revision() > from).collect();
         self.view.apply_all(&events, "watch");
         self.answered(page.revision.max(from));
         self.history.push(from, self.revision, &events, self.news_at);
@@ -300,13 +297,43 @@
         // Who only caught up was behind others that tell: what they told is not told again.
         if waits {
             self.note_asking();
-            self.tell_news(from, &events).await;
+            events.retain(|event| !self.view.is_superseded(event));
+            let changes = ToldChanges { from, to: self.revision, events, age_micros: 0 };
+            self.teller.tell_near(&changes).await;
         }
         self.offer_peer_key().await;
         self.watches += 1;
         true
     }
 
+    /// Calls the store and takes what other VMs say meanwhile; none if that brought what was lacking.
+    async fn call_beside_news(
+        &mut self,
+        call: &WireCall,
+        deadline: Instant,
+        told: &mut mpsc::Receiver<ToldNews>,
+    ) -> Option<CallAnswer> {
+        self.gateway.metrics.store_calls.get_or_create(&KindLabel::new("watch")).inc();
+        let mut link = std::mem::replace(&mut self.link, CallLink::new(self.gateway.settings.store));
+        let answer = {
+            let mut was_behind = self.behind_since.is_some();
+            let mut exchange = pin!(link.call_large(call, deadline));
+            loop {
+                tokio::select! {
+                    answer = &mut exchange => break answer,
+                    Some(word) = told.recv() => self.take_word(word).await,
+                }
+                let is_behind = self.behind_since.is_some();
+                if was_behind && !is_behind {
+                    return None;
+                }
+                was_behind |= is_behind;
+            }
+        };
+        self.link = link;
+        Some(answer)
+    }
+
     /// Notes that all changes up to `revision` are applied, as the store has just said.
     fn answered(&mut self, revision: u64) {
         self.set_revision(revision);
@@ -364,16 +391,27 @@
         }
     }
 
-    /// Makes one call. None: it failed, and a rest follows; an error: it must not be repeated as is.
+    /// Makes one call; gives what its answer means.
     async fn call<T>(
         &mut self,
         kind: &str,
-        call: &crate::WireCall,
+        call: &WireCall,
         deadline: Instant,
         read: crate::StoreDecoder<T>,
     ) -> Option<Result<T, StoreRefusal>> {
         self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
-        let cause = match self.link.call_large(call, deadline).await {
+        let answer = self.link.call_large(call, deadline).await;
+        self.judge(kind, answer, read)
+    }
+
+    /// What an answer means. None: the call failed, and a rest follows; an error: it must not be repeated as is.
+    fn judge<T>(
+        &mut self,
+        kind: &str,
+        answer: CallAnswer,
+        read: crate::StoreDecoder<T>,
+    ) -> Option<Result<T, StoreRefusal>> {
+        let cause = match answer {
             Ok((status, body)) => match read(status, &body) {
                 Err(StoreRefusal::NotDone(status)) => format!("status {status}"),
                 Err(error) => return Some(Err(error)),
@@ -403,22 +441,3 @@
         self.failures = 0;
     }
 }
-
-/// Tells VMs at `targets` of the changes between two revisions, in pieces if they are large.
-async fn tell_changes(
-    gateway: &Gateway,
-    socket: &UdpSocket,
-    (from, to): (u64, u64),
-    events: &[StoreEvent],
-    age_micros: u64,
-    targets: &[SocketAddr],
-) {
-    let plan = NewsPlan::new(events, targets.len(), gateway.settings.link_mbps);
-    for (place, body) in plan.bodies.into_iter().enumerate() {
-        if place > 0 {
-            tokio::time::sleep(plan.pause).await;
-        }
-        let news = StoreNews { from, to, body, age_micros, trouble_micros: gateway.store_trouble_age() };
-        gossip::tell(gateway, socket, &PeerMessage::Store(gateway.next_stamp(), news), targets).await;
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod load_digest;
 mod long_answer;
 mod naming_task;
+mod news_teller;
 mod order_task;
 mod outgoing_body;
 mod own_answer;
--- a/crates/gateway/src/store_news.rs
+++ b/crates/gateway/src/store_news.rs
@@ -25,6 +25,8 @@
     pub to: u64,
     /// The changes.
     pub body: NewsBody,
+    /// When the next piece follows if there is one, in microseconds.
+    pub pause_micros: u64,
     /// How long ago the store told them, in microseconds.
     pub age_micros: u64,
     /// How long ago a call to the store failed last, in microseconds, if that matters still.
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -27,17 +27,27 @@
     orders: watch::Sender<OrdersView>,
     /// Each known key's last change.
     revisions: HashMap<String, u64>,
+    /// Revision of the configuration in force.
+    configuration_revision: u64,
 }
 
 impl StoreView {
     pub(crate) fn new(gateway: Arc<Gateway>, orders: watch::Sender<OrdersView>) -> Self {
-        Self { gateway, orders, revisions: HashMap::new() }
+        Self { gateway, orders, revisions: HashMap::new(), configuration_revision: 0 }
     }
 
     pub(crate) fn holds(&self, key: &str) -> bool {
         self.revisions.contains_key(key)
     }
 
+    /// Whether other VMs need not be told of a change: a configuration that came later is in force.
+    ///
+    /// A later one that was refused supersedes nothing.
+    pub(crate) fn is_superseded(&self, event: &StoreEvent) -> bool {
+        event.key() == self.gateway.dialect.keys.configuration
+            && event.revision() < self.configuration_revision
+    }
+
     /// The changes that lead from what is known to a whole listing at `revision`.
     pub(crate) fn changes_to(&self, listed: Vec<StoreItem>, revision: u64) -> Vec<StoreEvent> {
         let present: HashSet<&str> = listed.iter().map(|item| item.key.as_str()).collect();
@@ -90,12 +100,13 @@
         }
     }
 
-    fn configuration_written(&self, item: &StoreItem) {
+    fn configuration_written(&mut self, item: &StoreItem) {
         match (self.gateway.dialect.decode.configuration)(&item.value) {
             Ok(config) => {
                 let version = config.version;
                 let (routes, accounts) = (config.routes.len(), config.accounts.len());
                 if self.gateway.set_routes(RouteTable::new(config)) {
+                    self.configuration_revision = item.revision;
                     self.gateway.metrics.configuration_version.set(version as i64);
                     log::info!(version, routes, accounts, revision = item.revision; "configuration.in_force");
                 }
