Orders to engines are under way beside one another

Cause: the holder waited for each order's answer, and for all reports of loads under way, before it went on, so that one engine that does not answer held up all others by 0.7 s and more each time. Change: each order and each report is a call of its own; the desk takes what came of them at its next look, and all are cut when the right ends. A refusal that comes late hurries no newer order.

--- a/crates/decide/src/weights/weight_desk.rs
+++ b/crates/decide/src/weights/weight_desk.rs
@@ -184,9 +184,13 @@
         ordered.map(|(key, _)| *key)
     }
 
-    /// Has an order repeated at once, because the engine did not take it.
-    pub fn repeat(&mut self, key: EndpointKey, at: Moment) {
-        if let Some((_, stage)) = self.loads.get_mut(&key) {
+    /// Has the order of `version` repeated from `at` on, because the engine did not take it.
+    ///
+    /// A newer version may have been named since: its load goes its own way.
+    pub fn repeat(&mut self, key: EndpointKey, version: u64, at: Moment) {
+        if let Some((ordered, stage)) = self.loads.get_mut(&key)
+            && *ordered == version
+        {
             *stage = LoadStage::Ordered(at, at);
         }
     }
--- a/crates/decide/tests/weight_desk.rs
+++ b/crates/decide/tests/weight_desk.rs
@@ -76,3 +76,14 @@
     let record = HolderRecord { name: name.to_owned(), incarnation, lease };
     assert_eq!(record.standing(&own), expected);
 }
+
+#[test]
+fn a_late_refusal_of_an_older_order_hurries_no_newer_one() {
+    let named = |target: u64| EngineState { target, ..engine(1, 1, 5) };
+    let mut desk = WeightDesk::new(10_000);
+    desk.steps(&[named(2)], Moment(0));
+    assert_eq!(orders(&desk.steps(&[named(2)], Moment(0).after_millis(1_000))), [1]);
+    desk.steps(&[named(3)], Moment(0).after_millis(1_100));
+    desk.repeat(EndpointKey(1), 2, Moment(0).after_millis(1_200));
+    assert!(orders(&desk.steps(&[named(3)], Moment(0).after_millis(1_300))).is_empty());
+}
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -1,4 +1,7 @@
 //! Carries out the weight desk's steps while this VM holds the right to order engines.
+//!
+//! Invariant: no engine's silence holds up another's order: calls to engines are under way beside one another, and
+//! each is cut when the right ends.
 
 use crate::call_link::CallLink;
 use crate::dialect::{OrderOutcome, WeightOrder};
@@ -8,7 +11,7 @@
 use crate::{DeskStep, EngineState, WeightDesk};
 use crate::{EndpointKey, EngineReport, short_digest};
 use spanfold_entity::Moment;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -28,29 +31,106 @@
 
 /// Orders engines to load the weights that were named, until the process ends.
 pub(crate) async fn order_weights(gateway: Arc<Gateway>, right: watch::Receiver<OrderRight>) {
-    let mut desk = WeightDesk::new(gateway.settings.version_ms);
+    let mut work = OrderWork::new(&gateway);
     let mut fencing = 0;
     loop {
         let held = *right.borrow();
         let now = gateway.now();
-        if held.fencing == 0 || now < held.from || now >= held.until || gateway.is_stopping() {
-            desk = WeightDesk::new(gateway.settings.version_ms);
-            tokio::time::sleep(IDLE_PAUSE).await;
-            continue;
+        let holds = held.fencing != 0 && now >= held.from && now < held.until && !gateway.is_stopping();
+        if !holds || fencing != held.fencing {
+            fencing = if holds { held.fencing } else { 0 };
+            work = OrderWork::new(&gateway);
         }
-        if fencing != held.fencing {
-            fencing = held.fencing;
-            desk = WeightDesk::new(gateway.settings.version_ms);
+        let pause = if holds { work.look(&gateway, &right) } else { IDLE_PAUSE };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// An order that was given, and what came of it; none if the engine did not answer.
+#[derive(Debug)]
+struct GivenOrder {
+    key: EndpointKey,
+    model: String,
+    version: u64,
+    outcome: Option<OrderOutcome>,
+}
+
+/// The loads of one holder, with the calls that are under way for them. Dropping it cuts them.
+struct OrderWork {
+    desk: WeightDesk,
+    orders: JoinSet<GivenOrder>,
+    reports: JoinSet<EndpointKey>,
+    /// Engines whose reports are waited for.
+    asked: HashSet<EndpointKey>,
+}
+
+impl OrderWork {
+    fn new(gateway: &Gateway) -> Self {
+        let desk = WeightDesk::new(gateway.settings.version_ms);
+        Self { desk, orders: JoinSet::new(), reports: JoinSet::new(), asked: HashSet::new() }
+    }
+
+    /// Takes what came of earlier calls and makes the next ones; gives the pause until the next look.
+    fn look(&mut self, gateway: &Arc<Gateway>, right: &watch::Receiver<OrderRight>) -> Duration {
+        while let Some(Ok(key)) = self.reports.try_join_next() {
+            self.asked.remove(&key);
         }
-        read_reports(&gateway, &desk).await;
-        let engines = engine_states(&gateway);
-        for step in desk.steps(&engines, gateway.now()) {
-            carry_out(&gateway, &mut desk, &right, step).await;
+        while let Some(Ok(given)) = self.orders.try_join_next() {
+            self.judge(gateway, given);
+        }
+        self.ask_reports(gateway);
+        for step in self.desk.steps(&engine_states(gateway), gateway.now()) {
+            match step {
+                DeskStep::Close(key) => close_engines(gateway, &[key]),
+                DeskStep::Order(key, model, version) => {
+                    let (gateway, right) = (Arc::clone(gateway), right.clone());
+                    self.orders.spawn(async move {
+                        let outcome = give_order(&gateway, &right, key, &model, version).await;
+                        GivenOrder { key, model, version, outcome }
+                    });
+                }
+            }
+        }
+        let closed: Vec<_> = self.desk.closed().collect();
+        close_engines(gateway, &closed);
+        if closed.is_empty() { IDLE_PAUSE } else { BUSY_PAUSE }
+    }
+
+    /// Asks engines whose loads may be over.
+    fn ask_reports(&mut self, gateway: &Arc<Gateway>) {
+        for key in self.desk.nearly_loaded(gateway.now()) {
+            if self.asked.insert(key) {
+                let gateway = Arc::clone(gateway);
+                self.reports.spawn(async move {
+                    let report = read_report(&gateway, key).await;
+                    if let Some(report) = report.filter(|report| !report.busy) {
+                        gateway.table().set_weights(key, &report.weights, gateway.now());
+                    }
+                    key
+                });
+            }
+        }
+    }
+
+    fn judge(&mut self, gateway: &Gateway, given: GivenOrder) {
+        let GivenOrder { key, model, version, outcome } = given;
+        let word = match outcome {
+            Some(OrderOutcome::Accepted) => "accepted",
+            Some(OrderOutcome::Holds) => "holds",
+            Some(OrderOutcome::Conflict) => "conflict",
+            Some(OrderOutcome::Refused(_)) => "refused",
+            None => "unanswered",
+        };
+        gateway.metrics.orders.get_or_create(&KindLabel::new(word)).inc();
+        let id = gateway.table().row(key).map(|row| row.entry.id.clone()).unwrap_or_default();
+        log::info!(endpoint = id.as_str(), model = model.as_str(), version, outcome = word; "order.given");
+        match outcome {
+            Some(OrderOutcome::Accepted) => {}
+            Some(OrderOutcome::Holds) => {
+                gateway.table().set_weights(key, &BTreeMap::from([(model, version)]), gateway.now());
+            }
+            _ => self.desk.repeat(key, version, gateway.now().after_millis(RETRY_MILLIS)),
         }
-        let closed: Vec<_> = desk.closed().collect();
-        let pause = if closed.is_empty() { IDLE_PAUSE } else { BUSY_PAUSE };
-        close_engines(&gateway, &closed);
-        tokio::time::sleep(pause).await;
     }
 }
 
@@ -85,37 +165,6 @@
     }
 }
 
-async fn carry_out(
-    gateway: &Gateway,
-    desk: &mut WeightDesk,
-    right: &watch::Receiver<OrderRight>,
-    step: DeskStep,
-) {
-    match step {
-        DeskStep::Close(key) => close_engines(gateway, &[key]),
-        DeskStep::Order(key, model, version) => {
-            let outcome = give_order(gateway, right, key, &model, version).await;
-            let word = match outcome {
-                Some(OrderOutcome::Accepted) => "accepted",
-                Some(OrderOutcome::Holds) => "holds",
-                Some(OrderOutcome::Conflict) => "conflict",
-                Some(OrderOutcome::Refused(_)) => "refused",
-                None => "unanswered",
-            };
-            gateway.metrics.orders.get_or_create(&KindLabel::new(word)).inc();
-            let id = gateway.table().row(key).map(|row| row.entry.id.clone()).unwrap_or_default();
-            log::info!(endpoint = id.as_str(), model = model.as_str(), version, outcome = word; "order.given");
-            match outcome {
-                Some(OrderOutcome::Accepted) => {}
-                Some(OrderOutcome::Holds) => {
-                    gateway.table().set_weights(key, &BTreeMap::from([(model, version)]), gateway.now());
-                }
-                _ => desk.repeat(key, gateway.now().after_millis(RETRY_MILLIS)),
-            }
-        }
-    }
-}
-
 /// Asks the engine how many orders it has taken, then gives the order; none if it did not answer.
 async fn give_order(
     gateway: &Gateway,
@@ -151,22 +200,6 @@
     Some((gateway.dialect.engine.read_order)(status))
 }
 
-/// Asks all engines whose loads may be over, at the same time: one that is silent holds up no other.
-async fn read_reports(gateway: &Arc<Gateway>, desk: &WeightDesk) {
-    let mut asked = JoinSet::new();
-    for key in desk.nearly_loaded(gateway.now()) {
-        let gateway = Arc::clone(gateway);
-        asked.spawn(async move { (key, read_report(&gateway, key).await) });
-    }
-    while let Some(answered) = asked.join_next().await {
-        if let Ok((key, Some(report))) = answered
-            && !report.busy
-        {
-            gateway.table().set_weights(key, &report.weights, gateway.now());
-        }
-    }
-}
-
 pub(crate) async fn read_report(gateway: &Gateway, key: EndpointKey) -> Option<EngineReport> {
     let call = (gateway.dialect.engine.report)();
     let (status, body) = call_engine(gateway, key, &call, Moment::NEVER).await?;
