Engines that are not reached leave their places to others

Cause: an engine whose report got no answer stayed among those closed (0.3 of all) and loading (three), and as it is idle its turn came first: a holder cut off from that many engines ordered no other while they were listed. Change: such an engine gives up its place, rests 0.6 s, and comes after those that were not tried; it is told from one that left an order unanswered, which may be loading.

--- a/crates/decide/src/weights/weight_desk.rs
+++ b/crates/decide/src/weights/weight_desk.rs
@@ -124,6 +124,8 @@
 #[derive(Debug)]
 pub struct WeightDesk {
     loads: BTreeMap<EndpointKey, (u64, LoadStage)>,
+    /// Engines that were not reached: no order before then, and others go first.
+    unreached: BTreeMap<EndpointKey, Moment>,
     /// Time of a load as learned, in microseconds.
     load_micros: u64,
     /// Time after which old weights are overdue, in milliseconds.
@@ -133,7 +135,12 @@
 impl WeightDesk {
     /// A desk without loads, where old weights are overdue `version_millis` after newer ones were named.
     pub const fn new(version_millis: u64) -> Self {
-        Self { loads: BTreeMap::new(), load_micros: FIRST_LOAD_MICROS, version_millis }
+        Self {
+            loads: BTreeMap::new(),
+            unreached: BTreeMap::new(),
+            load_micros: FIRST_LOAD_MICROS,
+            version_millis,
+        }
     }
 
     /// Decides the next steps from what is known of all engines.
@@ -195,6 +202,20 @@
         }
     }
 
+    /// Takes an engine that was not reached from its place until `until`, so that others have it: idle as it
+    /// is, its turn would come first again and again.
+    pub fn set_aside(&mut self, key: EndpointKey, version: u64, until: Moment) {
+        if self.loads.get(&key).is_some_and(|(ordered, _)| *ordered == version) {
+            self.loads.remove(&key);
+            self.unreached.insert(key, until);
+        }
+    }
+
+    /// Notes that an engine answers.
+    pub fn note_reached(&mut self, key: EndpointKey) {
+        self.unreached.remove(&key);
+    }
+
     /// Engines that get no new work now.
     pub fn closed(&self) -> impl Iterator<Item = EndpointKey> {
         self.loads.keys().copied()
@@ -206,8 +227,10 @@
         let mut waiting: Vec<_> = engines
             .iter()
             .filter(|engine| engine.version < engine.target && !self.loads.contains_key(&engine.key))
+            .filter(|engine| self.unreached.get(&engine.key).is_none_or(|until| now >= *until))
             .collect();
-        waiting.sort_by_key(|engine| (engine.version, engine.running, engine.key));
+        let unreached = |engine: &EngineState| self.unreached.contains_key(&engine.key);
+        waiting.sort_by_key(|engine| (unreached(engine), engine.version, engine.running, engine.key));
         let free = most.saturating_sub(self.loads.len());
         for engine in waiting.into_iter().take(free) {
             self.loads.insert(engine.key, (engine.target, LoadStage::Closing(now)));
@@ -243,6 +266,7 @@
                 self.load_micros = (self.load_micros * 3 + sample) / 4;
             }
         }
+        self.unreached.retain(|key, _| engines.iter().any(|engine| engine.key == *key));
         self.loads.retain(|key, (version, _)| {
             engines
                 .iter()
--- a/crates/decide/tests/weight_desk.rs
+++ b/crates/decide/tests/weight_desk.rs
@@ -87,3 +87,20 @@
     desk.repeat(EndpointKey(1), 2, Moment(0).after_millis(1_200));
     assert!(orders(&desk.steps(&[named(3)], Moment(0).after_millis(1_300))).is_empty());
 }
+
+#[test]
+fn an_engine_that_is_not_reached_leaves_its_place_to_others_and_comes_last() {
+    let engines: Vec<_> = (0..4).map(|key| engine(key, 1, 0)).collect();
+    let closed = |key| DeskStep::Close(EndpointKey(key));
+    let mut desk = WeightDesk::new(10_000);
+    assert_eq!(desk.steps(&engines, Moment(0)), [closed(0)]);
+    let at = |millis| Moment(0).after_millis(millis);
+    assert_eq!(orders(&desk.steps(&engines, at(200))), [0]);
+    desk.set_aside(EndpointKey(0), 3, at(900));
+    assert_eq!(desk.steps(&engines, at(300)), [closed(1)]);
+    desk.set_aside(EndpointKey(1), 3, at(1_000));
+    // Its rest is over, but those that were not tried go first.
+    assert_eq!(desk.steps(&engines, at(2_000)), [closed(2)]);
+    let left = [engine(0, 1, 0), engine(1, 1, 0), engine(2, 3, 0), engine(3, 3, 0)];
+    assert_eq!(desk.steps(&left, at(3_000)), [closed(0)]);
+}
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -46,13 +46,37 @@
     }
 }
 
-/// An order that was given, and what came of it; none if the engine did not answer.
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OrderAnswer {
+    /// The engine told.
+    Told(OrderOutcome),
+    /// It was given and not answered: it may be under way.
+    Unanswered,
+    /// The engine did not tell how many orders it has taken: none was given.
+    Unreached,
+}
+
+impl OrderAnswer {
+    const fn word(self) -> &'static str {
+        match self {
+            Self::Told(OrderOutcome::Accepted) => "accepted",
+            Self::Told(OrderOutcome::Holds) => "holds",
+            Self::Told(OrderOutcome::Conflict) => "conflict",
+            Self::Told(OrderOutcome::Refused(_)) => "refused",
+            Self::Unanswered => "unanswered",
+            Self::Unreached => "unreached",
+        }
+    }
+}
+
+/// An order that was given, and what came of it.
 #[derive(Debug)]
 struct GivenOrder {
     key: EndpointKey,
     model: String,
     version: u64,
-    outcome: Option<OrderOutcome>,
+    answer: OrderAnswer,
 }
 
 /// The loads of one holder, with the calls that are under way for them. Dropping it cuts them.
@@ -85,8 +109,8 @@
                 DeskStep::Order(key, model, version) => {
                     let (gateway, right) = (Arc::clone(gateway), right.clone());
                     self.orders.spawn(async move {
-                        let outcome = give_order(&gateway, &right, key, &model, version).await;
-                        GivenOrder { key, model, version, outcome }
+                        let answer = give_order(&gateway, &right, key, &model, version).await;
+                        GivenOrder { key, model, version, answer }
                     });
                 }
             }
@@ -113,23 +137,23 @@
     }
 
     fn judge(&mut self, gateway: &Gateway, given: GivenOrder) {
-        let GivenOrder { key, model, version, outcome } = given;
-        let word = match outcome {
-            Some(OrderOutcome::Accepted) => "accepted",
-            Some(OrderOutcome::Holds) => "holds",
-            Some(OrderOutcome::Conflict) => "conflict",
-            Some(OrderOutcome::Refused(_)) => "refused",
-            None => "unanswered",
-        };
+        let GivenOrder { key, model, version, answer } = given;
+        let word = answer.word();
         gateway.metrics.orders.get_or_create(&KindLabel::new(word)).inc();
         let id = gateway.table().row(key).map(|row| row.entry.id.clone()).unwrap_or_default();
         log::info!(endpoint = id.as_str(), model = model.as_str(), version, outcome = word; "order.given");
-        match outcome {
-            Some(OrderOutcome::Accepted) => {}
-            Some(OrderOutcome::Holds) => {
+        let again = gateway.now().after_millis(RETRY_MILLIS);
+        if answer == OrderAnswer::Unreached {
+            self.desk.set_aside(key, version, again);
+            return;
+        }
+        self.desk.note_reached(key);
+        match answer {
+            OrderAnswer::Told(OrderOutcome::Accepted) => {}
+            OrderAnswer::Told(OrderOutcome::Holds) => {
                 gateway.table().set_weights(key, &BTreeMap::from([(model, version)]), gateway.now());
             }
-            _ => self.desk.repeat(key, version, gateway.now().after_millis(RETRY_MILLIS)),
+            _ => self.desk.repeat(key, version, again),
         }
     }
 }
@@ -165,28 +189,28 @@
     }
 }
 
-/// Asks the engine how many orders it has taken, then gives the order; none if it did not answer.
+/// Asks the engine how many orders it has taken, then gives the order.
 async fn give_order(
     gateway: &Gateway,
     right: &watch::Receiver<OrderRight>,
     key: EndpointKey,
     model: &str,
     version: u64,
-) -> Option<OrderOutcome> {
-    let report = read_report(gateway, key).await?;
+) -> OrderAnswer {
+    let Some(report) = read_report(gateway, key).await else { return OrderAnswer::Unreached };
     // While an order is under way, requests may still run on what the engine had.
     if report.busy {
-        return Some(OrderOutcome::Conflict);
+        return OrderAnswer::Told(OrderOutcome::Conflict);
     }
     if report.weights.get(model).is_some_and(|loaded| *loaded >= version) {
         gateway.table().set_weights(key, &report.weights, gateway.now());
-        return Some(OrderOutcome::Holds);
+        return OrderAnswer::Told(OrderOutcome::Holds);
     }
     let held = *right.borrow();
     let now = gateway.now();
     // Looked at anew right before the order leaves: the process may have stood still meanwhile.
     if held.fencing == 0 || now < held.from || now >= held.until {
-        return None;
+        return OrderAnswer::Unanswered;
     }
     let order = WeightOrder {
         model: model.to_owned(),
@@ -196,8 +220,10 @@
         orders_taken: report.orders_taken,
     };
     let call = (gateway.dialect.engine.order)(&order);
-    let (status, _) = call_engine(gateway, key, &call, held.until).await?;
-    Some((gateway.dialect.engine.read_order)(status))
+    let answer = call_engine(gateway, key, &call, held.until).await;
+    answer.map_or(OrderAnswer::Unanswered, |(status, _)| {
+        OrderAnswer::Told((gateway.dialect.engine.read_order)(status))
+    })
 }
 
 pub(crate) async fn read_report(gateway: &Gateway, key: EndpointKey) -> Option<EngineReport> {
