A VM that hears from the lead while its own watch runs ceases to watch

Cause: since news are taken beside a call, a VM that heard from the lead during its own watch ceased to ask, and began again when the watch ended: two VMs went on watching for as long as their calls ran in step. Change: a VM notes that it asks when its call begins, and tells only if nobody before it has been heard by its end.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -276,6 +276,9 @@
         let call = (self.gateway.dialect.store.watch)("", from, wait_millis);
         let deadline = Instant::now() + Duration::from_millis(wait_millis) + WATCH_MARGIN;
         let read = self.gateway.dialect.store.read_watch;
+        if waits {
+            self.note_asking();
+        }
         let Some(answer) = self.call_beside_news(&call, deadline, told).await else { return true };
         let page = match self.judge("watch", answer, read) {
             None => return true,
@@ -294,9 +297,8 @@
         if !events.is_empty() {
             self.rest_until = self.gateway.now().after_millis(GATHER_MILLIS);
         }
-        // Who only caught up was behind others that tell: what they told is not told again.
-        if waits {
-            self.note_asking();
+        // Who only caught up, or heard meanwhile from a VM that goes before it, tells nothing again.
+        if waits && self.is_asking {
             events.retain(|event| !self.view.is_superseded(event));
             let changes = ToldChanges { from, to: self.revision, events, age_micros: 0 };
             self.teller.tell_near(&changes).await;
