An endpoint whose entry is written again returns, unless it had said that it leaves

Cause: an entry that went while the store was well ended its endpoint for good, unless a request was in flight there; but a living engine's entry goes too when a cut outlasts three heartbeats, and is written again afterwards. VMs beside the cut gave such engines neither work nor orders any more. Change: only endpoints that had said that they leave stay ended. The known red test passes; an_entry_that_is_gone_for_good_does_not_return is replaced: its rule stands for endpoints that said they leave, and the other case, which it forbade, is what living engines need (an_entry_that_is_written_again_after_it_went_returns).

--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -1,7 +1,7 @@
 //! All endpoints that this VM knows, with their loads.
 //!
-//! Invariant: an endpoint that has said it leaves, or whose entry is gone, is never chosen again in
-//! its incarnation; ids are never used twice. Rows are found by a short digest of the id, which is
+//! Invariant: an endpoint that has said it leaves is never chosen again in its incarnation, and one whose entry is
+//! gone only if it writes it again; ids are never used twice. Rows are found by a short digest of the id, which is
 //! the same on all VMs, so that digests of loads need no names.
 
 use crate::CloseTeller;
@@ -81,12 +81,21 @@
     rows: BTreeMap<EndpointKey, EndpointRow>,
     services: BTreeMap<String, ServiceRow>,
     by_service: HashMap<String, Vec<EndpointKey>>,
-    /// Incarnations that ended: when, and with which weights.
-    ended: HashMap<EndpointKey, (Moment, BTreeMap<String, u64>)>,
+    ended: HashMap<EndpointKey, EndedRow>,
     stores: BTreeMap<EndpointKey, StoreRow>,
     reach: HashMap<String, ReachNote>,
 }
 
+/// An incarnation that is gone.
+#[derive(Debug)]
+struct EndedRow {
+    at: Moment,
+    /// The weights that it had.
+    weights: BTreeMap<String, u64>,
+    /// It had said that it leaves.
+    draining: bool,
+}
+
 /// How sends to a data centre's endpoints went last.
 #[derive(Clone, Copy, Debug, Default)]
 struct ReachNote {
@@ -173,9 +182,11 @@
     /// An entry cannot take back that its endpoint leaves: an older one may arrive late.
     pub fn apply_entry(&mut self, mut entry: EndpointEntry) -> bool {
         let key = EndpointKey::of(&entry.id);
-        if self.ended.contains_key(&key) {
+        // A living endpoint's entry goes too, if a cut outlasts its heartbeats, and is written again afterwards.
+        if self.ended.get(&key).is_some_and(|row| row.draining) {
             return false;
         }
+        self.ended.remove(&key);
         if let Some(row) = self.rows.get_mut(&key) {
             row.missing_until = None;
             entry.draining |= row.entry.draining;
@@ -220,8 +231,8 @@
     /// The oldest weights of each model that an engine has, or had when its entry went a short while
     /// ago: it may still serve.
     pub fn oldest_weights(&self, now: Moment) -> BTreeMap<String, u64> {
-        let late = self.ended.values().filter(|(at, _)| now < at.after_millis(AFTERLIFE_MILLIS));
-        let all = self.rows.values().map(|row| &row.entry.weights).chain(late.map(|(_, weights)| weights));
+        let late = self.ended.values().filter(|row| now < row.at.after_millis(AFTERLIFE_MILLIS));
+        let all = self.rows.values().map(|row| &row.entry.weights).chain(late.map(|row| &row.weights));
         let mut oldest = BTreeMap::new();
         for (model, version) in all.flatten() {
             let least = oldest.entry(model.clone()).or_insert(*version);
@@ -258,7 +269,8 @@
                 keys.retain(|other| other != key);
             }
             if self.ended.len() < ENDED_MOST {
-                self.ended.insert(*key, (now, row.entry.weights));
+                let EndpointEntry { weights, draining, .. } = row.entry;
+                self.ended.insert(*key, EndedRow { at: now, weights, draining });
             }
         }
         for row in self.rows.values_mut() {
