An endpoint whose entry is written again gets work once the entry has stood

Cause: the mend before let an endpoint whose entry went and came back have work at once; the last write of one that is gone without a word may be done late, and would bring work to it. Change: it is passed over for 4 s, in which the entry of a silent endpoint lapses (three heartbeats of 1.2 s).

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -162,6 +162,11 @@
         now < self.ejected_until || (self.breaks > 0 && self.own.running > 0)
     }
 
+    /// Passes it over until `until`.
+    pub(crate) fn eject_until(&mut self, until: Moment) {
+        self.ejected_until = self.ejected_until.max(until);
+    }
+
     /// Whether it has said that it leaves, or its entry is gone for good.
     pub fn is_leaving(&self, now: Moment) -> bool {
         self.entry.draining || self.missing_until.is_some_and(|until| now >= until)
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -72,6 +72,9 @@
 /// An endpoint whose entry is gone may go on serving for this long, in milliseconds: the longest
 /// deadline of requests that were sent before, and more.
 const AFTERLIFE_MILLIS: u64 = 15_000;
+/// An endpoint whose entry was written again gets work only after this long, in milliseconds, if its entry stands
+/// by then: the entry of one that is silent lapses after three heartbeats of 1.2 s.
+const RETURNED_MILLIS: u64 = 4_000;
 /// Ids of ended incarnations that are remembered, so that a late entry does not revive one.
 const ENDED_MOST: usize = 4_096;
 
@@ -180,13 +183,13 @@
     /// Takes an endpoint's entry; returns whether it told anything new but weights.
     ///
     /// An entry cannot take back that its endpoint leaves: an older one may arrive late.
-    pub fn apply_entry(&mut self, mut entry: EndpointEntry) -> bool {
+    pub fn apply_entry(&mut self, mut entry: EndpointEntry, now: Moment) -> bool {
         let key = EndpointKey::of(&entry.id);
         // A living endpoint's entry goes too, if a cut outlasts its heartbeats, and is written again afterwards.
         if self.ended.get(&key).is_some_and(|row| row.draining) {
             return false;
         }
-        self.ended.remove(&key);
+        let has_returned = self.ended.remove(&key).is_some();
         if let Some(row) = self.rows.get_mut(&key) {
             row.missing_until = None;
             entry.draining |= row.entry.draining;
@@ -204,7 +207,12 @@
             return changed;
         }
         self.by_service.entry(entry.service.clone()).or_default().push(key);
-        self.rows.insert(key, EndpointRow::new(entry));
+        let mut row = EndpointRow::new(entry);
+        if has_returned {
+            // The last write of one that is gone may come late: its entry lapses before this time is over.
+            row.eject_until(now.after_millis(RETURNED_MILLIS));
+        }
+        self.rows.insert(key, row);
         true
     }
 
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -44,15 +44,18 @@
     let mut table = FleetTable::default();
     table.set_services(&DeploymentConfig { services, ..DeploymentConfig::default() });
     for engine in 0..ENGINES {
-        table.apply_entry(EndpointEntry {
-            id: format!("i-{engine}"),
-            service: "llm".to_owned(),
-            address: "127.0.0.1:9".parse().unwrap(),
-            data_centre: "dc-a".to_owned(),
-            slots: 64,
-            draining: false,
-            weights: BTreeMap::new(),
-        });
+        table.apply_entry(
+            EndpointEntry {
+                id: format!("i-{engine}"),
+                service: "llm".to_owned(),
+                address: "127.0.0.1:9".parse().unwrap(),
+                data_centre: "dc-a".to_owned(),
+                slots: 64,
+                draining: false,
+                weights: BTreeMap::new(),
+            },
+            Moment(0),
+        );
     }
     table
 }
--- a/crates/decide/tests/fleet_table.rs
+++ b/crates/decide/tests/fleet_table.rs
@@ -27,47 +27,50 @@
 #[test]
 fn an_entry_that_lapsed_in_an_outage_is_held_and_returns() {
     let mut table = FleetTable::default();
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     table.miss_entry("i-1", at(2_300));
     assert_eq!(leaving(&table, "i-1", at(100)), Some(false));
     // The store is still in trouble: the hold goes on.
     table.extend_holds(at(2_000), at(4_300));
     table.sweep(at(3_000));
     assert_eq!(leaving(&table, "i-1", at(3_000)), Some(false));
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     assert_eq!(leaving(&table, "i-1", at(9_000)), Some(false));
 }
 
 #[test]
 fn an_entry_of_an_endpoint_that_said_it_leaves_does_not_return() {
     let mut table = FleetTable::default();
-    table.apply_entry(EndpointEntry { draining: true, ..entry("i-1", 1) });
+    table.apply_entry(EndpointEntry { draining: true, ..entry("i-1", 1) }, Moment(0));
     table.miss_entry("i-1", Moment(0));
     assert_eq!(leaving(&table, "i-1", at(1)), Some(true));
     // A hold that is over is not extended.
     table.extend_holds(at(1), at(5_000));
     assert_eq!(leaving(&table, "i-1", at(2)), Some(true));
     assert_eq!(table.sweep(at(3)), [EndpointKey::of("i-1")]);
-    assert!(!table.apply_entry(entry("i-1", 1)));
+    assert!(!table.apply_entry(entry("i-1", 1), Moment(0)));
     assert_eq!(leaving(&table, "i-1", at(4)), None);
 }
 
 #[test]
 fn an_entry_that_is_written_again_after_it_went_returns() {
     let mut table = FleetTable::default();
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     table.miss_entry("i-1", Moment(0));
     assert_eq!(leaving(&table, "i-1", at(1)), Some(true));
     assert_eq!(table.sweep(at(3)), [EndpointKey::of("i-1")]);
-    assert!(table.apply_entry(entry("i-1", 1)));
+    assert!(table.apply_entry(entry("i-1", 1), at(4)));
     assert_eq!(leaving(&table, "i-1", at(4)), Some(false));
+    // A late write of one that is gone lapses again before then.
+    let ejected = |millis| table.row(EndpointKey::of("i-1")).map(|row| row.is_ejected(at(millis)));
+    assert_eq!((ejected(4_003), ejected(4_004)), (Some(true), Some(false)));
 }
 
 #[test]
 fn an_older_entry_does_not_take_back_that_an_endpoint_leaves() {
     let mut table = FleetTable::default();
-    table.apply_entry(EndpointEntry { draining: true, ..entry("i-1", 1) });
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(EndpointEntry { draining: true, ..entry("i-1", 1) }, Moment(0));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     assert_eq!(leaving(&table, "i-1", at(1)), Some(true));
 }
 
@@ -76,8 +79,8 @@
     // MIXED at cvmpw-fleet, a day of our own: entries lapsed while answers of the store were lost, the
     // holder had no request at those engines and forgot them, and freed what they still moved.
     let mut table = FleetTable::default();
-    table.apply_entry(entry("i-1", 1));
-    table.apply_entry(entry("i-2", 3));
+    table.apply_entry(entry("i-1", 1), Moment(0));
+    table.apply_entry(entry("i-2", 3), Moment(0));
     table.miss_entry("i-1", Moment(0));
     table.sweep(at(10));
     assert_eq!(table.oldest_weights(at(1_000)), BTreeMap::from([("m".to_owned(), 1)]));
@@ -88,9 +91,9 @@
 fn weights_seen_at_an_engine_stand_against_entries_that_lag() {
     let mut table = FleetTable::default();
     let key = EndpointKey::of("i-1");
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     table.set_weights(key, &BTreeMap::from([("m".to_owned(), 2)]), at(1));
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     assert_eq!(table.oldest_weights(at(2))["m"], 2);
     // The engine denies it: back to what it was listed with.
     table.doubt_weights(key);
@@ -100,8 +103,8 @@
 #[test]
 fn a_whole_listing_tells_what_is_missing() {
     let mut table = FleetTable::default();
-    table.apply_entry(entry("i-1", 1));
-    table.apply_entry(entry("i-2", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
+    table.apply_entry(entry("i-2", 1), Moment(0));
     let listed = HashSet::from([EndpointKey::of("i-2")]);
     assert_eq!(table.miss_all_but(&listed, Moment(0)), ["i-1"]);
     assert!(table.miss_all_but(&listed, Moment(0)).is_empty());
@@ -110,7 +113,7 @@
 #[test]
 fn a_data_centre_fails_from_a_break_until_an_answer() {
     let mut table = FleetTable::default();
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     let key = EndpointKey::of("i-1");
     assert!(!table.is_failing("dc-a", at(0)));
     table.learn(key, SendOutcome::Broken, at(100));
@@ -128,7 +131,7 @@
 #[test]
 fn what_is_told_of_a_data_centre_counts_each_of_its_vms_once() {
     let mut table = FleetTable::default();
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     let (key, near, far) = (EndpointKey::of("i-1"), VmKey::of("near"), VmKey::of("far"));
     table.take(key, running(1), &[], 0);
     table.apply_peer_loads(LoadSource::Vm(near), &[(key, running(2))], at(0));
@@ -145,7 +148,7 @@
 #[test]
 fn a_later_digest_replaces_its_sources_earlier_one() {
     let mut table = FleetTable::default();
-    table.apply_entry(entry("i-1", 1));
+    table.apply_entry(entry("i-1", 1), Moment(0));
     let (key, source) = (EndpointKey::of("i-1"), LoadSource::data_centre("dc-b"));
     table.apply_peer_loads(source, &[(key, running(8))], at(0));
     table.apply_peer_loads(source, &[], at(1));
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -42,7 +42,7 @@
     let mut table = FleetTable::default();
     table.set_services(&DeploymentConfig { services, ..DeploymentConfig::default() });
     for entry in entries {
-        table.apply_entry(entry.clone());
+        table.apply_entry(entry.clone(), Moment(0));
     }
     table
 }
@@ -117,7 +117,7 @@
 #[test]
 fn endpoints_that_leave_failed_or_are_excluded_are_passed_over() {
     let mut table = two();
-    table.apply_entry(EndpointEntry { draining: true, ..entry("i-1", "dc-a", 1) });
+    table.apply_entry(EndpointEntry { draining: true, ..entry("i-1", "dc-a", 1) }, Moment(0));
     assert_eq!(chosen(&table, &ask()).key, key("i-2"));
     let excluded = [key("i-2")];
     assert!(place(&table, &PlacementAsk { exclude: &excluded, ..ask() }, NOW).is_none());
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -123,7 +123,7 @@
             Ok(entry) => {
                 let (service, draining) = (entry.service.clone(), entry.draining);
                 let address = entry.address.to_string();
-                if self.gateway.table().apply_entry(entry) {
+                if self.gateway.table().apply_entry(entry, self.gateway.now()) {
                     let (service, address) = (service.as_str(), address.as_str());
                     log::info!(endpoint = id, service, address, draining, revision = item.revision; "endpoint.entry");
                 }
