--- /dev/null
+++ b/crates/decide/examples/placement_cost.rs
@@ -0,0 +1,169 @@
+//! What one choice of an endpoint, one digest of a peer and one lead's sum cost, by the size of the deployment.
+//!
+//! Prints a table; the figures of `docs/CAPACITY.md` come from it.
+
+use spanfold_decide::{
+    DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, KeptChange, KeptNews, LoadCount,
+    LoadSource, PlacementAsk, PromptPart, ServiceRow, StoreSpec, VmKey, place, salt_text,
+};
+use spanfold_entity::Moment;
+use std::collections::BTreeMap;
+use std::hint::black_box;
+use std::time::Instant;
+
+/// Repetitions of each step.
+const ROUNDS: u32 = 400;
+const MEMORY_TOKENS: u64 = 40_000;
+const NOW: Moment = Moment(1_000_000);
+
+/// How large a deployment is.
+#[derive(Clone, Copy, Debug)]
+struct FleetSize {
+    vms: usize,
+    data_centres: usize,
+    engines: usize,
+    stores: usize,
+    /// Parts that each store holds.
+    parts: u64,
+}
+
+const SIZES: [FleetSize; 4] = [
+    FleetSize { vms: 9, data_centres: 3, engines: 18, stores: 5, parts: 100 },
+    FleetSize { vms: 91, data_centres: 4, engines: 60, stores: 18, parts: 100 },
+    FleetSize { vms: 295, data_centres: 5, engines: 256, stores: 58, parts: 200 },
+    FleetSize { vms: 420, data_centres: 17, engines: 5_500, stores: 300, parts: 200 },
+];
+
+fn main() {
+    println!("vms engines stores | place, nothing kept us | place, kept us | VM digest us | lead's sum us");
+    for size in SIZES {
+        let mut table = fleet(size);
+        let unknown = timed(|round| {
+            black_box(choose(&table, u64::from(round) + 1_000_000));
+        });
+        let known = timed(|round| {
+            black_box(choose(&table, u64::from(round) % size.parts));
+        });
+        let vms = (size.vms / size.data_centres) as u64;
+        let digest = timed(|round| {
+            let load = LoadCount { running: 1, unread_tokens: 100, memory_tokens: 900 };
+            let key = engine_key(round as usize % size.engines);
+            table.apply_peer_loads(LoadSource::Vm(VmKey(u64::from(round) % vms)), &[(key, load)], NOW);
+            table.apply_peer_moves(LoadSource::Vm(VmKey(u64::from(round) % vms)), &[], NOW);
+        });
+        let sum = timed(|_| drop(black_box(table.loads_of(|_| true, NOW))));
+        println!(
+            "{:3} {:7} {:6} | {unknown:22.1} | {known:14.1} | {digest:12.1} | {sum:13.1}",
+            size.vms, size.engines, size.stores
+        );
+    }
+}
+
+/// Mean time of a step in microseconds.
+fn timed(mut step: impl FnMut(u32)) -> f64 {
+    let begun = Instant::now();
+    for round in 0..ROUNDS {
+        step(round);
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+}
+
+fn engine_key(engine: usize) -> EndpointKey {
+    EndpointKey::of(&format!("engine-{engine}"))
+}
+
+fn choose(table: &FleetTable, thing: u64) -> Option<EndpointKey> {
+    let parts = [
+        PromptPart { key: 7, tokens: 2_500 },
+        PromptPart { key: 1_000 + thing, tokens: 5_000 },
+        PromptPart { key: u64::MAX, tokens: 1_600 },
+    ];
+    let ask = PlacementAsk {
+        service: "llm",
+        data_centre: "dc-0",
+        silent: &[],
+        parts: &parts,
+        prompt_tokens: 9_100,
+        output_tokens: 10,
+        objective_millis: 500,
+        bytes: 9_200,
+        model: Some("m"),
+        wanted: None,
+        memory_part: 1.0,
+        wall: "shared",
+        exclude: &[],
+        draw: rand::random,
+    };
+    place(table, &ask, NOW).map(|choice| choice.key)
+}
+
+/// A fleet under load: each engine runs prompts of three VMs of its data centre and of each other data centre.
+fn fleet(size: FleetSize) -> FleetTable {
+    let mut table = FleetTable::default();
+    table.set_services(&DeploymentConfig { services: services(size), ..DeploymentConfig::default() });
+    for engine in 0..size.engines {
+        table.apply_entry(entry(engine, size), Moment(0));
+    }
+    let load = LoadCount { running: 1, unread_tokens: 900, memory_tokens: 9_000 };
+    for source in 0..3 {
+        let keys: Vec<_> = (0..size.engines).map(|engine| (engine_key(engine), load)).collect();
+        table.apply_peer_loads(LoadSource::Vm(VmKey(source)), &keys, NOW);
+    }
+    for data_centre in 1..size.data_centres {
+        let keys: Vec<_> = (0..size.engines).map(|engine| (engine_key(engine), load)).collect();
+        table.apply_peer_loads(LoadSource::data_centre(&format!("dc-{data_centre}")), &keys, NOW);
+    }
+    fill_stores(&mut table, size);
+    table
+}
+
+fn entry(engine: usize, size: FleetSize) -> EndpointEntry {
+    EndpointEntry {
+        id: format!("engine-{engine}"),
+        service: "llm".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        data_centre: format!("dc-{}", engine % size.data_centres),
+        slots: 24,
+        draining: false,
+        weights: BTreeMap::from([("m".to_owned(), 1)]),
+    }
+}
+
+fn services(size: FleetSize) -> BTreeMap<String, ServiceRow> {
+    let engine = EngineSpec {
+        slots: 24,
+        memory_tokens: MEMORY_TOKENS,
+        token_bytes: 18_432,
+        models: vec!["m".to_owned()],
+    };
+    let mut services =
+        BTreeMap::from([("llm".to_owned(), ServiceRow { engine: Some(engine), ..ServiceRow::default() })]);
+    for store in 0..size.stores {
+        let spec = StoreSpec {
+            address: "127.0.0.1:8".parse().expect("an address"),
+            data_centre: "dc-1".to_owned(),
+            tokens: 1_700_000,
+            link_mbps: 29_000.0,
+            first_millis: 6.0,
+            token_bytes: 18_432,
+            news_calls: 12,
+        };
+        services.insert(format!("store-{store}"), ServiceRow { store: Some(spec), ..ServiceRow::default() });
+    }
+    services
+}
+
+fn fill_stores(table: &mut FleetTable, size: FleetSize) {
+    let salt = salt_text("shared", "m", 1);
+    for (place, store) in (0..size.stores).enumerate() {
+        let changes = (0..size.parts).map(|part| {
+            // All hold the first part; the others lie in one store each.
+            let key = if part == 0 { 7 } else { 1_000 + part * size.stores as u64 + place as u64 };
+            KeptChange { salt: salt.clone(), part: key, part_text: String::new(), tokens: 5_000 }
+        });
+        let news = KeptNews { incarnation: 1, changes: changes.collect(), ..KeptNews::default() };
+        if let Some(row) = table.store_mut(EndpointKey::of(&format!("store-{store}"))) {
+            row.replace(&news, Moment::NEVER);
+        }
+    }
+}
--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -8,7 +8,9 @@
 //! decides by itself on loads that peers told it some milliseconds ago: asking a home VM would cost
 //! more time than its exactness saves.
 
-use crate::kept::{KeptPlan, MoveTerms, PartHolders, REREAD_MICROS, plan_kept, plan_saves};
+use crate::kept::{
+    KeptPlan, MoveTerms, PartHolders, PartMoves, REREAD_MICROS, plan_fetches, plan_kept, plan_saves,
+};
 use crate::{EndpointKey, EndpointRow, FleetTable, LoadCount, PromptPart, WantedWeights, short_digest};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
@@ -127,7 +129,7 @@
     let any_sound = usable.iter().any(|(_, row)| sound(row));
     let engine = table.service(ask.service).and_then(|service| service.engine.as_ref());
     let memory_tokens = engine.map(|engine| engine.memory_tokens);
-    let mut holders: Vec<(Option<u64>, u64, PartHolders)> = Vec::new();
+    let mut outlook = PromptOutlook::default();
     let mut best: Option<(f64, PlacementChoice)> = None;
     let mut candidates = 0;
     for (key, row) in usable {
@@ -137,17 +139,9 @@
         candidates += 1;
         let choice = match memory_tokens {
             Some(tokens) => {
-                let version = ask.model.and_then(|model| row.entry.weights.get(model).copied());
-                let known = holders.iter().position(|(other, _, _)| *other == version);
-                let place = known.unwrap_or_else(|| {
-                    let text = salt_text(ask.wall, ask.model.unwrap_or(""), version.unwrap_or(0));
-                    let salt = short_digest(&text);
-                    holders.push((version, salt, PartHolders::find(table, ask.parts, salt, now)));
-                    holders.len() - 1
-                });
-                let (version, salt, held) = &holders[place];
-                let view = EngineView { row, version: *version, salt: *salt, held, memory_tokens: tokens };
-                engine_choice(key, &view, table, ask, now)
+                let (salt, moves) = outlook.of(row, table, ask, now);
+                let view = EngineView { row, salt, moves, memory_tokens: tokens };
+                engine_choice(key, &view, ask, now)
             }
             None => plain_choice(key, row, now),
         };
@@ -167,13 +161,77 @@
     let (_, mut choice) = best?;
     choice.candidates = candidates;
     if let Some(row) = table.row(choice.key)
-        && choice.version.is_some()
+        && memory_tokens.is_some()
     {
-        choice.kept.saves = plan_saves(table, &row.entry.data_centre, ask.parts, choice.salt, now);
+        let (_, moves) = outlook.of(row, table, ask, now);
+        let kept_count = row.kept.leading(ask.parts, choice.salt);
+        choice.kept.fetches = plan_fetches(moves, ask.parts, kept_count, move_terms(row, ask));
+        if choice.version.is_some() {
+            choice.kept.saves = plan_saves(table, &row.entry.data_centre, ask.parts, choice.salt, now);
+        }
     }
     Some(choice)
 }
 
+/// What is the same for many engines, found for the first of them: by weights, what the stores hold, and by weights
+/// and data centre, what its move takes.
+#[derive(Debug, Default)]
+struct PromptOutlook<'a> {
+    holders: Vec<(Option<u64>, u64, PartHolders)>,
+    moves: Vec<(Option<u64>, &'a str, PartMoves)>,
+}
+
+impl<'a> PromptOutlook<'a> {
+    /// The digest of the text under which an engine shares the prompt's parts, and the moves to it.
+    fn of(
+        &mut self,
+        row: &'a EndpointRow,
+        table: &FleetTable,
+        ask: &PlacementAsk<'_>,
+        now: Moment,
+    ) -> (u64, &PartMoves) {
+        let version = engine_version(row, ask);
+        let held = self.held(version, table, ask, now);
+        let data_centre = row.entry.data_centre.as_str();
+        let known =
+            self.moves.iter().position(|(other, place, _)| *other == version && *place == data_centre);
+        let place = known.unwrap_or_else(|| {
+            let moves = PartMoves::find(table, &self.holders[held].2, ask.parts, data_centre, now);
+            self.moves.push((version, data_centre, moves));
+            self.moves.len() - 1
+        });
+        (self.holders[held].1, &self.moves[place].2)
+    }
+
+    fn held(
+        &mut self,
+        version: Option<u64>,
+        table: &FleetTable,
+        ask: &PlacementAsk<'_>,
+        now: Moment,
+    ) -> usize {
+        let known = self.holders.iter().position(|(other, _, _)| *other == version);
+        known.unwrap_or_else(|| {
+            let text = salt_text(ask.wall, ask.model.unwrap_or(""), version.unwrap_or(0));
+            let salt = short_digest(&text);
+            self.holders.push((version, salt, PartHolders::find(table, ask.parts, salt, now)));
+            self.holders.len() - 1
+        })
+    }
+}
+
+/// The weights that an engine is believed to have of the model that is asked for.
+fn engine_version(row: &EndpointRow, ask: &PlacementAsk<'_>) -> Option<u64> {
+    ask.model.and_then(|model| row.entry.weights.get(model).copied())
+}
+
+fn move_terms(row: &EndpointRow, ask: &PlacementAsk<'_>) -> MoveTerms {
+    MoveTerms {
+        read_micros: READ_MICROS * row.pace(),
+        objective_micros: (ask.objective_millis * MICROS_PER_MILLI) as f64,
+    }
+}
+
 /// Whether the request might start only when the weights that an engine has are overdue.
 fn may_be_overdue(row: &EndpointRow, choice: &PlacementChoice, ask: &PlacementAsk<'_>, now: Moment) -> bool {
     let (Some(model), Some(wanted)) = (ask.model, ask.wanted) else { return false };
@@ -202,29 +260,23 @@
 /// An engine as one request sees it.
 struct EngineView<'a> {
     row: &'a EndpointRow,
-    version: Option<u64>,
     salt: u64,
-    held: &'a PartHolders,
+    moves: &'a PartMoves,
     memory_tokens: u64,
 }
 
 fn engine_choice(
     key: EndpointKey,
     view: &EngineView<'_>,
-    table: &FleetTable,
     ask: &PlacementAsk<'_>,
     now: Moment,
 ) -> PlacementChoice {
     let row = view.row;
     let load = row.load(now);
-    let read_micros = READ_MICROS * row.pace();
+    let terms = move_terms(row, ask);
+    let read_micros = terms.read_micros;
     let kept_count = row.kept.leading(ask.parts, view.salt);
-    let terms = MoveTerms {
-        data_centre: &row.entry.data_centre,
-        read_micros,
-        objective_micros: (ask.objective_millis * MICROS_PER_MILLI) as f64,
-    };
-    let kept = plan_kept(table, view.held, ask.parts, kept_count, terms, now);
+    let kept = plan_kept(view.moves, ask.parts, kept_count, terms);
     let ready_tokens = (kept.kept_tokens + kept.moved_tokens).min(u64::from(ask.prompt_tokens));
     let unread_tokens = u64::from(ask.prompt_tokens) - ready_tokens;
     let output = if ask.output_tokens == 0 { UNNAMED_OUTPUT } else { ask.output_tokens };
@@ -238,7 +290,7 @@
     // Parts move while prompts that came before are read.
     let expected_micros = (FIRST_MICROS + queue.max(kept.move_micros) + reading + memory_wait) as u64;
     let load = LoadCount { running: 1, unread_tokens, memory_tokens: need };
-    let (version, salt) = (view.version, view.salt);
+    let (version, salt) = (engine_version(row, ask), view.salt);
     PlacementChoice {
         key,
         load,
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -1,8 +1,9 @@
 //! What this VM knows of one endpoint: its load, its pace, its health, what it keeps.
 
-use crate::{EndpointEntry, KeptParts, LoadSource, VmKey};
+use crate::fleet::peer_loads::PeerLoads;
+use crate::{EndpointEntry, KeptParts, VmKey};
 use spanfold_entity::Moment;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// Work that one VM has in flight at an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -58,9 +59,6 @@
 const PACE_WEIGHT: f64 = 0.2;
 /// Paces beyond this are outliers, in multiples of the expected one.
 const PACE_MOST: f64 = 20.0;
-/// A peer's load counts for this long after its last digest, in milliseconds.
-const PEER_LOAD_MILLIS: u64 = 1_500;
-
 /// Who said that an engine's weights are about to change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseTeller {
@@ -81,8 +79,8 @@
     pub missing_until: Option<Moment>,
     /// What this VM has in flight there.
     pub own: LoadCount,
-    /// What others have in flight there, with the moment at which they told it.
-    pub peers: HashMap<LoadSource, (LoadCount, Moment)>,
+    /// What others have in flight there, as they told.
+    pub(crate) peers: PeerLoads,
     /// What it is believed to keep.
     pub kept: KeptParts,
     /// Until when it gets no new work, because its weights are about to change.
@@ -107,7 +105,7 @@
         Self {
             missing_until: None,
             own: LoadCount::default(),
-            peers: HashMap::new(),
+            peers: PeerLoads::default(),
             kept: KeptParts::default(),
             closing_until: Moment(0),
             closed_by: CloseTeller::Own,
@@ -125,25 +123,14 @@
     /// Load of all VMs, as far as known at `now`.
     pub fn load(&self, now: Moment) -> LoadCount {
         let mut sum = self.own;
-        for (load, told_at) in self.peers.values() {
-            if now < told_at.after_millis(PEER_LOAD_MILLIS) {
-                sum.add(*load);
-            }
-        }
+        sum.add(self.peers.sum(now));
         sum
     }
 
     /// Load of this VM and of the VMs that `counts` names.
     pub fn load_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> LoadCount {
         let mut sum = self.own;
-        for (source, (load, told_at)) in &self.peers {
-            if let LoadSource::Vm(vm) = source
-                && now < told_at.after_millis(PEER_LOAD_MILLIS)
-                && counts(*vm)
-            {
-                sum.add(*load);
-            }
-        }
+        sum.add(self.peers.sum_of(counts, now));
         sum
     }
 
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -87,6 +87,15 @@
     ended: HashMap<EndpointKey, EndedRow>,
     stores: BTreeMap<EndpointKey, StoreRow>,
     reach: HashMap<String, ReachNote>,
+    told: HashMap<LoadSource, ToldRows>,
+}
+
+/// Which rows a source's last digest named: those that its next one does not name are at rest.
+#[derive(Debug, Default)]
+struct ToldRows {
+    at: Moment,
+    endpoints: Vec<EndpointKey>,
+    stores: Vec<EndpointKey>,
 }
 
 /// An incarnation that is gone.
@@ -167,11 +176,20 @@
         moves: &[(EndpointKey, u64, Option<f32>)],
         now: Moment,
     ) {
-        for (key, row) in &mut self.stores {
-            let told = moves.iter().find(|(told, _, _)| told == key);
+        let named = moves.iter().map(|(key, _, _)| *key).collect();
+        let before = std::mem::replace(&mut self.told.entry(source).or_default().stores, named);
+        for key in before {
             // A link that is not named is at rest.
-            let (micros, pace) = told.map_or((0, None), |(_, micros, pace)| (*micros, pace.map(f64::from)));
-            row.set_peer(source, micros, pace, now);
+            if let Some(row) = self.stores.get_mut(&key)
+                && !moves.iter().any(|(named, _, _)| *named == key)
+            {
+                row.clear_peer(source);
+            }
+        }
+        for (key, micros, pace) in moves {
+            if let Some(row) = self.stores.get_mut(key) {
+                row.set_peer(source, *micros, pace.map(f64::from), now);
+            }
         }
     }
 
@@ -283,10 +301,12 @@
         }
         for row in self.rows.values_mut() {
             row.relax();
+            row.peers.sweep(now);
         }
         for row in self.stores.values_mut() {
             row.sweep(now);
         }
+        self.told.retain(|_, told| now < told.at.after_millis(AFTERLIFE_MILLIS));
         gone
     }
 
@@ -334,12 +354,18 @@
 
     /// Takes what other VMs say they have in flight.
     pub fn apply_peer_loads(&mut self, source: LoadSource, loads: &[(EndpointKey, LoadCount)], now: Moment) {
-        for row in self.rows.values_mut() {
-            row.peers.remove(&source);
+        let named = loads.iter().map(|(key, _)| *key).collect();
+        let told = self.told.entry(source).or_default();
+        told.at = now;
+        let before = std::mem::replace(&mut told.endpoints, named);
+        for key in before {
+            if let Some(row) = self.rows.get_mut(&key) {
+                row.peers.clear(source);
+            }
         }
         for (key, load) in loads {
             if let Some(row) = self.rows.get_mut(key) {
-                row.peers.insert(source, (*load, now));
+                row.peers.set(source, *load, now);
             }
         }
     }
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 mod news_history;
 mod news_pieces;
 mod peer_book;
+pub(crate) mod peer_loads;
 mod route_table;
 mod store_event;
 
--- a/crates/decide/src/kept/kept_plan.rs
+++ b/crates/decide/src/kept/kept_plan.rs
@@ -67,25 +67,48 @@
     }
 }
 
+/// The quickest move of each part of a prompt to the engines of one data centre: the store, and the time in
+/// microseconds.
+///
+/// It is the same for all of them, so it is found once for each data centre and not for each engine.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PartMoves(Vec<Option<(EndpointKey, f64)>>);
+
+impl PartMoves {
+    pub(crate) fn find(
+        table: &FleetTable,
+        holders: &PartHolders,
+        parts: &[PromptPart],
+        data_centre: &str,
+        now: Moment,
+    ) -> Self {
+        let moves = holders.0.iter().zip(parts).map(|(stores, part)| {
+            let tokens = u64::from(part.tokens);
+            let times = stores.iter().filter_map(|store| {
+                Some((*store, table.store(*store)?.move_micros(tokens, data_centre, now)))
+            });
+            times.min_by(|one, other| one.1.total_cmp(&other.1))
+        });
+        Self(moves.collect())
+    }
+}
+
 /// What moving a part to one engine is weighed against.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct MoveTerms<'a> {
-    /// The engine's data centre.
-    pub data_centre: &'a str,
+pub(crate) struct MoveTerms {
     /// Time in which it reads a token, in microseconds.
     pub read_micros: f64,
     /// The request's latency objective, in microseconds.
     pub objective_micros: f64,
 }
 
-/// Plans where an engine that keeps the first `kept_count` parts takes the others from.
+/// Plans what an engine that keeps the first `kept_count` parts takes of the others from stores; where each comes
+/// from is left to [`plan_fetches`], which only the engine that is chosen needs.
 pub(crate) fn plan_kept(
-    table: &FleetTable,
-    holders: &PartHolders,
+    moves: &PartMoves,
     parts: &[PromptPart],
     kept_count: usize,
-    terms: MoveTerms<'_>,
-    now: Moment,
+    terms: MoveTerms,
 ) -> KeptPlan {
     let mut plan = KeptPlan {
         kept_tokens: parts[..kept_count].iter().map(|part| u64::from(part.tokens)).sum(),
@@ -93,29 +116,42 @@
     };
     let mut whole = true;
     let shared = parts.len().saturating_sub(1);
-    for (row, part) in parts.iter().enumerate() {
+    for (row, (nearest, part)) in moves.0.iter().zip(parts).enumerate().skip(kept_count) {
         let tokens = u64::from(part.tokens);
-        let times = holders.0[row].iter().filter_map(|store| {
-            Some((*store, table.store(*store)?.move_micros(tokens, terms.data_centre, now)))
-        });
-        let nearest = times.min_by(|one, other| one.1.total_cmp(&other.1));
-        let worth = nearest.filter(|(_, micros)| is_worth_moving(*micros, tokens, terms));
-        if row >= kept_count {
-            plan.held_tokens += if nearest.is_some() { tokens } else { 0 };
-            whole &= worth.is_some();
-            if let Some((_, micros)) = worth.filter(|_| whole) {
-                plan.moved_tokens += tokens;
-                plan.move_micros += micros;
-            } else if row < shared {
-                plan.reread_tokens += tokens;
-            }
+        plan.held_tokens += if nearest.is_some() { tokens } else { 0 };
+        whole &= is_moved(*nearest, part, terms);
+        if let Some((_, micros)) = nearest.filter(|_| whole) {
+            plan.moved_tokens += tokens;
+            plan.move_micros += micros;
+        } else if row < shared {
+            plan.reread_tokens += tokens;
         }
-        plan.fetches.push(worth.filter(|_| whole).map(|(store, _)| store));
     }
     plan
 }
 
-fn is_worth_moving(move_micros: f64, tokens: u64, terms: MoveTerms<'_>) -> bool {
+/// Where each part may be taken from: those believed kept too, since the belief may be wrong, and of the others
+/// all before the first one that is not worth moving.
+pub(crate) fn plan_fetches(
+    moves: &PartMoves,
+    parts: &[PromptPart],
+    kept_count: usize,
+    terms: MoveTerms,
+) -> Vec<Option<EndpointKey>> {
+    let mut whole = true;
+    let stores = moves.0.iter().zip(parts).enumerate().map(|(row, (nearest, part))| {
+        let is_worth = is_moved(*nearest, part, terms);
+        whole &= is_worth || row < kept_count;
+        nearest.filter(|_| whole && is_worth).map(|(store, _)| store)
+    });
+    stores.collect()
+}
+
+fn is_moved(nearest: Option<(EndpointKey, f64)>, part: &PromptPart, terms: MoveTerms) -> bool {
+    nearest.is_some_and(|(_, micros)| is_worth_moving(micros, u64::from(part.tokens), terms))
+}
+
+fn is_worth_moving(move_micros: f64, tokens: u64, terms: MoveTerms) -> bool {
     let reading = tokens as f64 * terms.read_micros;
     let with_price = reading + tokens as f64 * REREAD_MICROS;
     move_micros < reading || move_micros < with_price.min(terms.objective_micros * LONG_MOVE_PART)
--- a/crates/decide/src/kept/mod.rs
+++ b/crates/decide/src/kept/mod.rs
@@ -9,7 +9,9 @@
 
 pub use kept_parts::KeptParts;
 pub use kept_plan::KeptPlan;
-pub(crate) use kept_plan::{MoveTerms, PartHolders, REREAD_MICROS, plan_kept, plan_saves};
+pub(crate) use kept_plan::{
+    MoveTerms, PartHolders, PartMoves, REREAD_MICROS, plan_fetches, plan_kept, plan_saves,
+};
 pub use kept_row::KeptRow;
 pub use news_rhythm::NewsRhythm;
 pub use old_parts::old_parts;
--- a/crates/decide/src/kept/store_row.rs
+++ b/crates/decide/src/kept/store_row.rs
@@ -287,6 +287,11 @@
         let pace_until = now.after_millis(PACE_COUNTS_MILLIS);
         self.peers.insert(source, PeerMoves { until: now.after_micros(micros), pace, pace_until });
     }
+
+    /// Notes that another VM or data centre has no moves here.
+    pub(crate) fn clear_peer(&mut self, source: LoadSource) {
+        self.peers.remove(&source);
+    }
 }
 
 fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
