Books of stores are told in messages that fit, and stores without changes only with the books

Cause: the lead told all that it had heard in one message: after it had listed 58 stores, or after new weights, some 10,000 parts of 12 bytes, more than a datagram holds (65,507 bytes); it was lost as a whole and without a word. Each of up to 25 messages a second named all 58 stores, 1.3 kB, to each VM. Change: a message tells a bounded number of parts, by the teller's link and the number of hearers; the rest follows with the next ones.

--- a/crates/decide/src/kept/mod.rs
+++ b/crates/decide/src/kept/mod.rs
@@ -1,5 +1,6 @@
 //! What is kept where, and which parts of a prompt move or are saved.
 
+mod book_teller;
 mod kept_parts;
 mod kept_plan;
 mod kept_row;
@@ -7,6 +8,7 @@
 mod old_parts;
 mod store_row;
 
+pub use book_teller::{BookTeller, ToldBooks};
 pub use kept_parts::KeptParts;
 pub use kept_plan::KeptPlan;
 pub(crate) use kept_plan::{
--- a/crates/decide/src/kept/store_row.rs
+++ b/crates/decide/src/kept/store_row.rs
@@ -136,12 +136,25 @@
         self.used_tokens = self.used_tokens.saturating_sub(u64::from(before.unwrap_or(0)));
     }
 
-    /// What was heard and has not been told to other VMs.
-    pub fn take_untold(&mut self, store: EndpointKey) -> KeptRow {
-        let parts = std::mem::take(&mut self.untold).into_iter().collect();
+    /// What was heard and has not been told to other VMs, with at most so many parts.
+    pub fn take_untold(&mut self, store: EndpointKey, most: usize) -> KeptRow {
+        let parts = if self.untold.len() <= most {
+            std::mem::take(&mut self.untold).into_iter().collect()
+        } else {
+            let some: Vec<_> = self.untold.iter().take(most).map(|(key, tokens)| (*key, *tokens)).collect();
+            for (key, _) in &some {
+                self.untold.remove(key);
+            }
+            some
+        };
         KeptRow { store, incarnation: self.incarnation, used_tokens: self.used_tokens, parts }
     }
 
+    /// Whether something was heard that other VMs have not been told.
+    pub fn has_untold(&self) -> bool {
+        !self.untold.is_empty()
+    }
+
     /// At most so many of the parts held, going on where the last ones ended.
     pub fn next_parts(&mut self, most: usize) -> Vec<(u64, u32)> {
         let from = self.told_to % self.parts.len().max(1);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -27,7 +27,9 @@
     RouteRow, RouteTable, SendOutcome, ServiceRow, ServiceWeight, StoreEvent, StoreItem, StoreSpec, VmEntry,
     VmKey, WeightTarget, cut_news, pick_target, short_digest,
 };
-pub use kept::{KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, old_parts, salted_key};
+pub use kept::{
+    BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
+};
 pub use weights::{
     DeskStep, EngineState, HolderRecord, HolderStanding, NamedVersion, NamedWeights, NamingRecord,
     NamingTime, WantedWeights, WeightDesk,
--- a/crates/decide/tests/kept.rs
+++ b/crates/decide/tests/kept.rs
@@ -1,9 +1,11 @@
 //! What is kept where: plans, books of stores, and what is freed.
 
 use spanfold_decide::{
-    KeptChange, KeptNews, LoadSource, NewsRhythm, StoreRow, StoreSpec, VmKey, old_parts, short_digest,
+    BookTeller, DeploymentConfig, EndpointKey, FleetTable, KeptChange, KeptNews, LoadSource, NewsRhythm,
+    ServiceRow, StoreRow, StoreSpec, VmKey, old_parts, short_digest,
 };
 use spanfold_entity::Moment;
+use std::collections::BTreeMap;
 
 fn change(salt: &str, part: u64, tokens: u32) -> KeptChange {
     KeptChange { salt: salt.to_owned(), part, part_text: part.to_string(), tokens }
@@ -159,3 +161,72 @@
         (0..3).flat_map(|_| row.next_parts(1_000)).map(|(part, _)| part).collect();
     assert_eq!(told.len(), 1_990);
 }
+
+const STORES: u64 = 58;
+const STORE_PARTS: u64 = 344;
+
+/// A VM that has just listed 58 stores of 344 parts each: 20,000 parts, of 12 bytes each in a message.
+fn listed_stores() -> FleetTable {
+    let spec = store(1_700_000).spec;
+    let names = (0..STORES).map(|number| format!("store-{number}"));
+    let services: BTreeMap<_, _> =
+        names.map(|name| (name, ServiceRow { store: Some(spec.clone()), ..ServiceRow::default() })).collect();
+    let mut table = FleetTable::default();
+    table.set_services(&DeploymentConfig { services, ..DeploymentConfig::default() });
+    for (number, (_, row)) in table.stores_mut().enumerate() {
+        let first = number as u64 * STORE_PARTS;
+        let parts = (first..first + STORE_PARTS).map(|part| change("s", part, 5_000)).collect();
+        row.replace(&news(1, parts), Moment::NEVER);
+    }
+    table
+}
+
+#[test]
+fn books_of_many_stores_are_told_in_messages_that_fit_and_none_is_left_out() {
+    let (mut from, mut to) = (listed_stores(), listed_stores());
+    for (_, row) in to.stores_mut() {
+        row.replace(&news(1, Vec::new()), Moment::NEVER);
+    }
+    let mut teller = BookTeller::default();
+    let mut messages = 0;
+    loop {
+        let told = teller.next(&mut from, 500, messages % 10 == 0, Moment(0));
+        messages += 1;
+        // One message must fit into one datagram of 65,507 bytes; callers have most of the link besides.
+        let parts: usize = told.rows.iter().map(|row| row.parts.len()).sum();
+        assert!(parts <= 500, "{parts}");
+        for row in &told.rows {
+            to.store_mut(row.store).unwrap().apply_told(row, Moment::NEVER);
+        }
+        if !told.is_partial {
+            break;
+        }
+    }
+    assert_eq!(messages, (STORES * STORE_PARTS).div_ceil(500));
+    let hears_all = |(store, row): (EndpointKey, &StoreRow)| {
+        (0..STORES * STORE_PARTS).all(|part| {
+            row.holds(key("s", part), 5_000, Moment(0))
+                == from.store(store).unwrap().holds(key("s", part), 5_000, Moment(0))
+        })
+    };
+    assert!(to.stores().all(hears_all));
+}
+
+#[test]
+fn stores_without_changes_are_named_only_when_books_are_due() {
+    let mut table = listed_stores();
+    let mut teller = BookTeller::default();
+    while teller.next(&mut table, 1_000, false, Moment(0)).is_partial {}
+    let (store, row) = table.stores_mut().nth(7).unwrap();
+    row.apply(&news(1, vec![change("s", 9_999_999, 5_000)]), Moment::NEVER);
+    let told = teller.next(&mut table, 1_000, false, Moment(0));
+    assert_eq!(told.rows.iter().map(|row| (row.store, row.parts.len())).collect::<Vec<_>>(), [(store, 1)]);
+    // Each is named with the books, which says that it is heard; each book has its turn.
+    let mut parts = 0;
+    for _ in 0..STORES {
+        let told = teller.next(&mut table, 1_000, true, Moment(0));
+        assert_eq!(told.rows.len() as u64, STORES);
+        parts += told.rows.iter().map(|row| row.parts.len()).sum::<usize>() as u64;
+    }
+    assert_eq!(parts, STORES * STORE_PARTS + 1);
+}
--- a/crates/gateway/src/kept_digest.rs
+++ b/crates/gateway/src/kept_digest.rs
@@ -5,10 +5,10 @@
 //! which costs reading it. That a part was freed may be missed, too: only parts of weights that no
 //! engine has are freed, and nobody asks for those.
 
-use crate::KeptRow;
 use crate::gateway::Gateway;
 use crate::gossip;
 use crate::peer_message::PeerMessage;
+use crate::{BookTeller, KeptRow};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::net::SocketAddr;
@@ -21,8 +21,14 @@
 const GATHER_PAUSE: Duration = Duration::from_millis(40);
 /// Longest time between digests: it is also that between two whole books.
 const REST: Duration = Duration::from_millis(400);
-/// Parts of a book in one digest; 12 bytes each. Those beyond them follow with the next turns.
-const BOOK_MOST: usize = 1_000;
+/// Most parts in one digest, of 12 bytes each: with the names of 300 stores it stays below half of the largest datagram.
+const PARTS_MOST: usize = 1_000;
+/// Least parts in one digest, so that it goes on at the narrowest link.
+const PARTS_LEAST: usize = 20;
+/// Bytes of a part in a digest, with its part of the row and of the datagram's head.
+const PART_BYTES: usize = 16;
+/// Part of the teller's own link that digests may take.
+const LINK_SHARE: f64 = 0.2;
 /// What is told counts for this long, in milliseconds: several digests.
 const COUNTS_MILLIS: u64 = 1_500;
 
@@ -35,22 +41,17 @@
 }
 
 impl KeptDigest {
-    /// What this VM heard of the stores since the last call, and the book of the one whose turn it is.
-    fn take(gateway: &Gateway, book_turn: Option<usize>) -> Self {
+    /// What is told next, with at most `parts_most` parts; and whether more is left to be told.
+    fn take(
+        gateway: &Gateway,
+        teller: &mut BookTeller,
+        parts_most: usize,
+        is_book_due: bool,
+    ) -> (Self, bool) {
         let now = gateway.now();
         let clock_millis = gateway.engine_clock_at(now);
-        let mut table = gateway.table();
-        let heard = table.stores_mut().filter(|(_, row)| row.is_heard(now));
-        let mut rows: Vec<_> = heard.map(|(store, row)| row.take_untold(store)).collect();
-        if let Some(turn) = book_turn
-            && !rows.is_empty()
-        {
-            let chosen = turn % rows.len();
-            let store = rows[chosen].store;
-            let book = table.store_mut(store).map(|row| row.next_parts(BOOK_MOST));
-            rows[chosen].parts = book.unwrap_or_default();
-        }
-        Self { clock_millis, rows }
+        let told = teller.next(&mut gateway.table(), parts_most, is_book_due, now);
+        (Self { clock_millis, rows: told.rows }, told.is_partial)
     }
 
     /// Takes what the lead told.
@@ -85,25 +86,36 @@
     if tells { peers.near_addresses() } else { Vec::new() }
 }
 
+/// Parts that one digest may tell to so many VMs over a link of `link_mbps` without taking more than its share.
+fn parts_most(targets: usize, link_mbps: f64) -> usize {
+    let bytes = link_mbps * 1e6 / 8.0 * LINK_SHARE * GATHER_PAUSE.as_secs_f64();
+    let parts = bytes as usize / (targets.max(1) * PART_BYTES);
+    parts.clamp(PARTS_LEAST, PARTS_MOST)
+}
+
 /// Tells the other VMs of the data centre what this one hears from the stores, until the process ends.
 pub(crate) async fn tell_kept(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
-    let mut turn = 0;
+    let mut teller = BookTeller::default();
     let mut book_at = Instant::now();
+    let mut is_partial = false;
     loop {
         tokio::select! {
             () = gateway.kept_changed.notified() => tokio::time::sleep(GATHER_PAUSE).await,
+            () = tokio::time::sleep(GATHER_PAUSE), if is_partial => {}
             () = tokio::time::sleep_until(book_at) => {}
         }
-        let book_due = Instant::now() >= book_at;
-        if book_due {
+        let is_book_due = Instant::now() >= book_at;
+        if is_book_due {
             book_at = Instant::now() + REST;
-            turn += 1;
         }
         let targets = told_to(&gateway);
         if targets.is_empty() {
+            is_partial = false;
             continue;
         }
-        let digest = KeptDigest::take(&gateway, book_due.then_some(turn));
+        let parts = parts_most(targets.len(), gateway.settings.link_mbps);
+        let digest;
+        (digest, is_partial) = KeptDigest::take(&gateway, &mut teller, parts, is_book_due);
         let message = PeerMessage::Kept(gateway.next_stamp(), digest);
         gossip::tell(&gateway, &socket, &message, &targets).await;
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,7 +55,7 @@
     StoreSpec, WeightTarget, salt_text,
 };
 pub(crate) use spanfold_decide::{
-    AdmissionVerdict, AdmissionView, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
+    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
     HolderRecord, HolderStanding, KeptRow, LEADS, LoadCount, LoadSource, NamedVersion, NamedWeights,
     NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook,
     PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey, WantedWeights,
