--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -1,7 +1,9 @@
 //! What this VM knows of one endpoint: its load, its pace, its health, what it keeps.
 
 use crate::fleet::peer_loads::PeerLoads;
-use crate::{EndpointEntry, KeptParts, VmKey};
+use crate::fleet::told_health::ToldHealth;
+use crate::{EndpointEntry, KeptParts, SendReport, VmKey};
+use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
 
@@ -33,7 +35,7 @@
 }
 
 /// How a send to an endpoint went, as far as its health is concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum SendOutcome {
     /// It answered, or a stream brought an event.
     Answered,
@@ -41,7 +43,9 @@
     Failed,
     /// It refused the request before running it.
     Refused,
-    /// No connection came about, or one that was in use broke.
+    /// No connection came about.
+    Unreached,
+    /// A connection that was in use broke.
     Broken,
     /// It stayed silent for longer than it should.
     Silent,
@@ -57,6 +61,15 @@
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Weight of the newest sample of the pace.
 const PACE_WEIGHT: f64 = 0.2;
+/// Paces below this are outliers, in multiples of the expected one.
+const PACE_LEAST: f64 = 0.5;
+/// A pace that another VM reports counts as this multiple of the believed one at most: VMs that are slow themselves
+/// report all engines as slow, and 15 in 100 of them then raise paces by a sixth only.
+const TOLD_PACE_FACTOR: f64 = 2.0;
+/// From this failure ratio on, answers are worth reporting too: without them it would stay.
+const NOTABLE_RATIO: f64 = 0.05;
+/// From this pace on, an answer is worth reporting.
+const NOTABLE_PACE: f64 = 1.6;
 /// Paces beyond this are outliers, in multiples of the expected one.
 const PACE_MOST: f64 = 20.0;
 /// Who said that an engine's weights are about to change.
@@ -96,6 +109,7 @@
     /// When a VM of another data centre told of newer weights, so that those beside a lead are told.
     pub weights_far: Option<Moment>,
     ejected_until: Moment,
+    told: ToldHealth,
     breaks: u32,
     failure_ratio: f64,
     pace: f64,
@@ -116,6 +130,7 @@
             weights_told: None,
             weights_far: None,
             ejected_until: Moment(0),
+            told: ToldHealth::default(),
             breaks: 0,
             failure_ratio: 0.0,
             pace: 1.0,
@@ -149,7 +164,8 @@
 
     /// Whether it is passed over because of breaks; after a rest, one request at a time tries it.
     pub fn is_ejected(&self, now: Moment) -> bool {
-        now < self.ejected_until || (self.breaks > 0 && self.own.running > 0)
+        let is_tried = (self.breaks > 0 || self.told.is_doubted()) && self.own.running > 0;
+        now < self.ejected_until || self.told.is_avoided(now) || is_tried
     }
 
     /// Passes it over until `until`.
@@ -171,7 +187,7 @@
     pub fn learn(&mut self, outcome: SendOutcome, now: Moment) {
         let failed = match outcome {
             SendOutcome::Answered => 0.0,
-            SendOutcome::Failed | SendOutcome::Broken | SendOutcome::Silent => 1.0,
+            SendOutcome::Failed | SendOutcome::Unreached | SendOutcome::Broken | SendOutcome::Silent => 1.0,
             SendOutcome::Refused => self.failure_ratio,
         };
         self.failure_ratio += FAILURE_WEIGHT * (failed - self.failure_ratio);
@@ -179,11 +195,12 @@
             SendOutcome::Answered | SendOutcome::Failed => {
                 self.breaks = 0;
                 self.ejected_until = Moment(0);
+                self.told.answered();
             }
             SendOutcome::Refused => {
                 self.ejected_until = self.ejected_until.max(now.after_millis(REFUSED_MILLIS));
             }
-            SendOutcome::Broken | SendOutcome::Silent => {
+            SendOutcome::Unreached | SendOutcome::Broken | SendOutcome::Silent => {
                 let rest = (EJECT_MILLIS << self.breaks.min(4)).min(EJECT_MOST_MILLIS);
                 // Requests that were under way together break together: that is one break.
                 if now >= self.ejected_until {
@@ -194,13 +211,47 @@
         }
     }
 
-    /// Learns its pace from a first event that came after `taken` where `expected` was expected.
-    pub fn learn_pace(&mut self, taken_micros: u64, expected_micros: u64) {
+    /// Learns from what another VM reports of a send.
+    pub(crate) fn learn_told(&mut self, teller: VmKey, report: &SendReport, turn: f64, now: Moment) {
+        let failed = match report.outcome {
+            SendOutcome::Answered => {
+                self.told.answered();
+                0.0
+            }
+            SendOutcome::Failed | SendOutcome::Broken | SendOutcome::Silent => 1.0,
+            SendOutcome::Unreached => {
+                self.told.unreached(teller, turn, now);
+                return;
+            }
+            SendOutcome::Refused => return,
+        };
+        self.failure_ratio += FAILURE_WEIGHT * (failed - self.failure_ratio);
+        if let Some(pace) = report.pace {
+            // The teller may be slow itself: its word moves the pace by a part of it only.
+            let most = self.pace * TOLD_PACE_FACTOR;
+            let sample =
+                f64::from(pace).clamp(self.pace / TOLD_PACE_FACTOR, most).clamp(PACE_LEAST, PACE_MOST);
+            self.pace += PACE_WEIGHT * (sample - self.pace);
+        }
+    }
+
+    /// Whether others must hear how sends to it go: it failed, was slow, or is tried again.
+    pub(crate) fn is_notable(&self, report: &SendReport) -> bool {
+        report.outcome != SendOutcome::Answered
+            || self.told.is_doubted()
+            || self.failure_ratio > NOTABLE_RATIO
+            || report.pace.is_some_and(|pace| f64::from(pace) > NOTABLE_PACE)
+    }
+
+    /// Learns its pace from a first event that came after `taken` where `expected` was expected; gives the
+    /// multiple of the usual time that it took.
+    pub fn learn_pace(&mut self, taken_micros: u64, expected_micros: u64) -> Option<f32> {
         if expected_micros == 0 {
-            return;
+            return None;
         }
-        let sample = (self.pace * taken_micros as f64 / expected_micros as f64).clamp(0.5, PACE_MOST);
+        let sample = (self.pace * taken_micros as f64 / expected_micros as f64).clamp(PACE_LEAST, PACE_MOST);
         self.pace += PACE_WEIGHT * (sample - self.pace);
+        Some(sample as f32)
     }
 
     /// Lets the pace of an endpoint that gets no work relax, so that it is tried again.
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -6,8 +6,8 @@
 
 use crate::CloseTeller;
 use crate::{
-    DeploymentConfig, EndpointEntry, EndpointRow, LoadCount, PromptPart, SendOutcome, ServiceRow, StoreRow,
-    StoreSpec,
+    DeploymentConfig, EndpointEntry, EndpointRow, LoadCount, PromptPart, SendOutcome, SendReport, ServiceRow,
+    StoreRow, StoreSpec,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -80,6 +80,8 @@
 /// An endpoint whose entry was written again gets work only after this long, in milliseconds, if its entry stands
 /// by then: the entry of one that is silent lapses after three heartbeats of 1.2 s.
 const RETURNED_MILLIS: u64 = 4_000;
+/// A VM with an answer from any endpoint within this time, in milliseconds, is believed of one that it cannot reach.
+const REACHING_MILLIS: u64 = 2_000;
 /// Ids of ended incarnations that are remembered, so that a late entry does not revive one.
 const ENDED_MOST: usize = 4_096;
 
@@ -451,7 +453,7 @@
         row.learn(outcome, now);
         let note = self.reach.entry(row.entry.data_centre.clone()).or_default();
         match outcome {
-            SendOutcome::Broken | SendOutcome::Silent => note.broke_at = Some(now),
+            SendOutcome::Unreached | SendOutcome::Broken | SendOutcome::Silent => note.broke_at = Some(now),
             SendOutcome::Answered | SendOutcome::Failed | SendOutcome::Refused => {
                 note.answered_at = Some(now);
             }
@@ -470,10 +472,24 @@
         self.reach.keys().any(|data_centre| self.is_failing(data_centre, now))
     }
 
-    /// Learns an engine's pace from the time to a first event.
-    pub fn learn_pace(&mut self, key: EndpointKey, taken_micros: u64, expected_micros: u64) {
-        if let Some(row) = self.rows.get_mut(&key) {
-            row.learn_pace(taken_micros, expected_micros);
+    /// Learns an engine's pace from the time to a first event; gives the multiple of the usual time that it took.
+    pub fn learn_pace(&mut self, key: EndpointKey, taken_micros: u64, expected_micros: u64) -> Option<f32> {
+        self.rows.get_mut(&key)?.learn_pace(taken_micros, expected_micros)
+    }
+
+    /// Whether other VMs must hear of a send: it went badly, or its endpoint did so before. A send that broke says
+    /// nothing of an endpoint while this VM has answers from none.
+    pub fn is_notable(&self, report: &SendReport, now: Moment) -> bool {
+        let Some(row) = self.rows.get(&report.key) else { return false };
+        let lately = |at: Moment| now < at.after_millis(REACHING_MILLIS);
+        let reaches_others = self.reach.values().any(|note| note.answered_at.is_some_and(lately));
+        row.is_notable(report) && (report.outcome == SendOutcome::Answered || reaches_others)
+    }
+
+    /// Learns from what another VM reports of a send; `turn` is this VM's place, drawn anew, among all VMs.
+    pub fn learn_told(&mut self, teller: VmKey, report: &SendReport, turn: f64, now: Moment) {
+        if let Some(row) = self.rows.get_mut(&report.key) {
+            row.learn_told(teller, report, turn, now);
         }
     }
 }
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -8,7 +8,9 @@
 mod peer_book;
 pub(crate) mod peer_loads;
 mod route_table;
+mod send_report;
 mod store_event;
+pub(crate) mod told_health;
 
 pub use deployment::{
     AccountRow, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews, PromptPart,
@@ -20,4 +22,5 @@
 pub use news_pieces::{NewsAssembly, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, cut_news};
 pub use peer_book::{HeardVm, LEADS, PeerBook, VmEntry};
 pub use route_table::{RouteTable, pick_target};
+pub use send_report::SendReport;
 pub use store_event::{StoreEvent, StoreItem};
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,8 +24,8 @@
     AccountRow, CloseTeller, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow, EngineReport,
     EngineSpec, FleetTable, HeardVm, KeptChange, KeptNews, LEADS, LinkMoves, LoadCount, LoadSource,
     NewsAssembly, NewsHistory, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook, PromptPart,
-    RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, ServiceRow, ServiceWeight, StoreEvent,
-    StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target, short_digest,
+    RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight,
+    StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target, short_digest,
 };
 pub use kept::{
     BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,9 +8,9 @@
 use crate::gateway::CountGuard;
 use crate::gateway_metrics::KindLabel;
 use crate::outgoing_body::OutgoingBody;
+use crate::placed_note::PlacedNote;
 use crate::request_run::RequestRun;
 use crate::salted_key;
-use crate::travel_notes::PlacedNote;
 use crate::{
     AdmissionVerdict, EndpointKey, FleetTable, PlacementAsk, PlacementChoice, SendOutcome, salt_text,
     take_part,
@@ -163,7 +163,7 @@
             }
             (id, address)
         };
-        gateway.note_placed(&PlacedNote::new(&choice, &ticket.parts));
+        gateway.note_placed(PlacedNote::new(&choice, &ticket.parts));
         gateway.metrics.kept_tokens.inc_by(choice.kept.kept_tokens + choice.kept.moved_tokens);
         let flight = SendFlight::new(&gateway, &choice, endpoint, moves);
         self.tried.push(choice.key);
@@ -254,7 +254,7 @@
                 SendResult::Lost("silent")
             }
             Ok(Err(ExchangeError::NotSent(cause))) => {
-                flight.learn(SendOutcome::Broken);
+                flight.learn(SendOutcome::Unreached);
                 log::warn!(request = self.ticket.id_text(), endpoint = flight.endpoint.as_str(),
                     cause = cause.as_str(); "endpoint.unreached");
                 SendResult::NotSent
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -5,7 +5,7 @@
 
 use crate::endpoint_pool::EndpointConnection;
 use crate::gateway::Gateway;
-use crate::{EndpointKey, LoadCount, PlacementChoice, SendOutcome};
+use crate::{EndpointKey, LoadCount, PlacementChoice, SendOutcome, SendReport};
 use hyper::header::HeaderMap;
 use spanfold_entity::Moment;
 use std::sync::Arc;
@@ -64,7 +64,8 @@
         }
         self.begun = true;
         let taken = self.gateway.now().micros_since(self.sent_at);
-        self.learn_pace(taken);
+        let pace = self.learn_pace(taken);
+        self.gateway.note_send(SendReport { key: self.key, outcome: SendOutcome::Answered, pace });
         let mut table = self.gateway.table();
         let read = LoadCount { unread_tokens: self.load.unread_tokens, ..LoadCount::default() };
         table.release(self.key, read);
@@ -74,17 +75,18 @@
     }
 
     /// Learns the pace of the engine, or of the store that parts came from: what comes later than
-    /// expected after a move is the move's doing, since engines' paces are known from other prompts.
-    fn learn_pace(&self, taken: u64) {
+    /// expected after a move is the move's doing, since engines' paces are known from other prompts. Gives the
+    /// multiple of the engine's usual time, if it was that.
+    fn learn_pace(&self, taken: u64) -> Option<f32> {
         let mut table = self.gateway.table();
         let Some((store, _)) = self.moves.iter().max_by_key(|(_, tokens)| *tokens) else {
-            table.learn_pace(self.key, taken, self.expected_micros);
-            return;
+            return table.learn_pace(self.key, taken, self.expected_micros);
         };
         if let Some(row) = table.store_mut(*store) {
             let rest = self.expected_micros as f64 - self.move_micros;
             row.learn_pace(taken as f64 - rest, self.move_micros, self.gateway.now());
         }
+        None
     }
 
     /// The answer was whole: the connection may serve another request.
@@ -102,6 +104,7 @@
     /// Learns from how the send went.
     pub(crate) fn learn(&self, outcome: SendOutcome) {
         self.gateway.table().learn(self.key, outcome, self.gateway.now());
+        self.gateway.note_send(SendReport { key: self.key, outcome, pace: None });
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,10 +4,11 @@
 use crate::endpoint_pool::EndpointPool;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
-use crate::travel_notes::{PlacedNote, TravelNotes};
+use crate::placed_note::PlacedNote;
+use crate::waiting_notes::WaitingNotes;
 use crate::{
     BudgetTerms, FleetTable, NamedVersion, NamedWeights, PlacementAsk, PlacementChoice, RetryBudget,
-    RouteTable, VmEntry, VmKey, WantedWeights, WeightTarget, WireDialect, place, short_digest,
+    RouteTable, SendReport, VmEntry, VmKey, WantedWeights, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -30,6 +31,9 @@
 /// any age that matters.
 const START_MICROS: u64 = 86_400_000_000;
 
+/// How a send went, and which VM says so.
+pub(crate) type TellerReport = (VmKey, SendReport);
+
 /// State that the tasks of one gateway share.
 #[derive(Debug)]
 pub(crate) struct Gateway {
@@ -52,11 +56,17 @@
     /// Wakes the task that tells peers what stores of kept cache hold.
     pub kept_changed: Notify,
     /// Placements that peers have not been told.
-    pub near_notes: TravelNotes,
+    pub near_notes: WaitingNotes<PlacedNote>,
     /// Placements that other data centres have not been told: those of this VM and of the ones beside it.
-    pub far_notes: TravelNotes,
+    pub far_notes: WaitingNotes<PlacedNote>,
     /// Placements of other data centres that the VMs of this one have not been told, while this VM leads.
-    pub passed_notes: TravelNotes,
+    pub passed_notes: WaitingNotes<PlacedNote>,
+    /// How sends went that the VMs of this data centre have not been told.
+    pub near_reports: WaitingNotes<TellerReport>,
+    /// The same for other data centres: of endpoints of this one, by its VMs.
+    pub far_reports: WaitingNotes<TellerReport>,
+    /// The same of other data centres, while this VM leads.
+    pub passed_reports: WaitingNotes<TellerReport>,
     /// Authenticates what VMs tell one another; none until the store told it.
     peer_key: RwLock<Option<PeerKey>>,
     /// Counts the messages to other VMs.
@@ -101,9 +111,12 @@
             metrics: GatewayMetrics::new(),
             loads_changed: Notify::new(),
             kept_changed: Notify::new(),
-            near_notes: TravelNotes::default(),
-            far_notes: TravelNotes::default(),
-            passed_notes: TravelNotes::default(),
+            near_notes: WaitingNotes::default(),
+            far_notes: WaitingNotes::default(),
+            passed_notes: WaitingNotes::default(),
+            near_reports: WaitingNotes::default(),
+            far_reports: WaitingNotes::default(),
+            passed_reports: WaitingNotes::default(),
             peer_key: RwLock::default(),
             sequence: AtomicU64::new(0),
             stopping: watch::channel(false).0,
@@ -196,12 +209,34 @@
     }
 
     /// Notes a placement, so that peers are told.
-    pub(crate) fn note_placed(&self, note: &PlacedNote) {
-        self.near_notes.push(note);
-        self.far_notes.push(note);
+    pub(crate) fn note_placed(&self, note: PlacedNote) {
+        if note.has_parts() {
+            self.near_notes.push(note.clone());
+            self.far_notes.push(note);
+        }
         self.loads_changed.notify_one();
     }
 
+    /// Notes how a send went, so that peers are told if it matters to them.
+    pub(crate) fn note_send(&self, report: SendReport) {
+        if self.table().is_notable(&report, self.now()) {
+            let report = (VmKey::of(&self.settings.name), report);
+            self.near_reports.push(report);
+            self.report_far(report);
+        }
+    }
+
+    /// Notes how a send of a VM of this data centre went for other data centres: those in front of an endpoint know it.
+    pub(crate) fn report_far(&self, report: TellerReport) {
+        let is_near = self
+            .table()
+            .row(report.1.key)
+            .is_some_and(|row| row.entry.data_centre == self.settings.data_centre);
+        if is_near {
+            self.far_reports.push(report);
+        }
+    }
+
     /// Takes the key that authenticates what VMs tell one another.
     pub(crate) fn set_peer_key(&self, key: PeerKey) {
         *self.peer_key.write().unwrap_or_else(PoisonError::into_inner) = Some(key);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,13 +34,14 @@
 mod outgoing_body;
 mod own_answer;
 mod peer_message;
+mod placed_note;
 mod relay;
 mod request_run;
 mod request_ticket;
 mod store_news;
 mod store_view;
 mod stream_relay;
-mod travel_notes;
+mod waiting_notes;
 
 pub use dialect::{
     EngineDialect, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder, StoreDialect,
@@ -58,6 +59,7 @@
     AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
     HeardVm, HolderRecord, HolderStanding, KeptRow, LEADS, LinkMoves, LoadCount, LoadSource, NamedVersion,
     NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES,
-    PeerBook, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, VmEntry, VmKey,
-    WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    PeerBook, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, SendReport, VmEntry,
+    VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest,
+    take_part,
 };
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -5,8 +5,8 @@
 //! only what VMs say of themselves is summed.
 
 use crate::CloseTeller;
-use crate::gateway::Gateway;
-use crate::travel_notes::PlacedNote;
+use crate::gateway::{Gateway, TellerReport};
+use crate::placed_note::PlacedNote;
 use crate::{EndpointKey, FleetTable, HeardVm, LEADS, LinkMoves, LoadCount, LoadSource, VmKey, short_digest};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -34,6 +34,8 @@
     pub scope: DigestScope,
     loads: Vec<(EndpointKey, u32, u64, u64)>,
     placed: Vec<PlacedNote>,
+    /// How sends went that others must hear of, and which VM says so.
+    reports: Vec<TellerReport>,
     /// Engines that get no new work, and for how long, in microseconds.
     closed: Vec<(EndpointKey, u64)>,
     /// How long moves still take each store's link, in microseconds, and the pace that they have shown lately.
@@ -49,33 +51,33 @@
 impl LoadDigest {
     /// What this VM has to tell of itself.
     pub(crate) fn own(gateway: &Gateway) -> Self {
-        let placed = gateway.near_notes.take();
+        let notes = (gateway.near_notes.take(), gateway.near_reports.take());
         let now = gateway.now();
         let table = gateway.table();
         let loads = table.loads_of(|_| false, now);
         let moves = table.moves_of(|_| false, now);
-        Self::build(gateway, &table, DigestScope::Vm, placed, loads, moves)
+        Self::build(gateway, &table, DigestScope::Vm, notes, loads, moves)
     }
 
     /// What this VM, as a lead, has to tell of its data centre.
     pub(crate) fn of_data_centre(gateway: &Gateway) -> Self {
         let near = gateway.peers().near_vms();
-        let placed = gateway.far_notes.take();
+        let notes = (gateway.far_notes.take(), gateway.far_reports.take());
         let now = gateway.now();
         let table = gateway.table();
         let loads = table.loads_of(|vm| near.contains(&vm), now);
         let moves = table.moves_of(|vm| near.contains(&vm), now);
-        Self::build(gateway, &table, DigestScope::DataCentre, placed, loads, moves)
+        Self::build(gateway, &table, DigestScope::DataCentre, notes, loads, moves)
     }
 
     /// What this VM, as a lead, has to tell the VMs of its data centre of all others.
     pub(crate) fn of_elsewhere(gateway: &Gateway) -> Self {
-        let placed = gateway.passed_notes.take();
+        let notes = (gateway.passed_notes.take(), gateway.passed_reports.take());
         let now = gateway.now();
         let heard = gateway.peers().far_heard(now);
         let table = gateway.table();
         let (loads, moves) = (table.far_loads(now), table.far_moves(now));
-        let digest = Self::build(gateway, &table, DigestScope::Elsewhere, placed, loads, moves);
+        let digest = Self::build(gateway, &table, DigestScope::Elsewhere, notes, loads, moves);
         Self { heard, ..digest }
     }
 
@@ -83,7 +85,7 @@
         gateway: &Gateway,
         table: &FleetTable,
         scope: DigestScope,
-        placed: Vec<PlacedNote>,
+        (placed, reports): (Vec<PlacedNote>, Vec<TellerReport>),
         loads: Vec<(EndpointKey, LoadCount)>,
         moves: Vec<LinkMoves>,
     ) -> Self {
@@ -95,6 +97,7 @@
                 .map(|(key, load)| (key, load.running, load.unread_tokens, load.memory_tokens))
                 .collect(),
             placed,
+            reports,
             closed: closed_engines(table, scope, now),
             moves,
             weights: seen_weights(table, scope, now),
@@ -106,12 +109,13 @@
     /// Takes what another VM told. What VMs of this data centre say is kept for the others.
     pub(crate) fn apply(&self, gateway: &Gateway, vm: VmKey) {
         let now = gateway.now();
-        let (is_near, is_lead, data_centre) = {
+        let (is_near, is_lead, data_centre, vms) = {
             let mut peers = gateway.peers();
             for (heard, age_micros) in &self.heard {
                 peers.hear_through(heard, Moment(now.0.saturating_sub(*age_micros)));
             }
-            (peers.is_near(vm), peers.lead_place(now) < LEADS, peers.data_centre_of(vm).map(short_digest))
+            let data_centre = peers.data_centre_of(vm).map(short_digest);
+            (peers.is_near(vm), peers.lead_place(now) < LEADS, data_centre, peers.listed_count())
         };
         let Some(data_centre) = data_centre else { return };
         // A lead hears other data centres from their leads, the others from their own one: never from both.
@@ -133,6 +137,10 @@
         for note in &self.placed {
             note.apply(&mut table, now);
         }
+        for (teller, report) in &self.reports {
+            let turn = rand::random::<f64>() * vms as f64;
+            table.learn_told(*teller, report, turn, now);
+        }
         for (key, model, version) in &self.weights {
             table.raise_weights(*key, *model, *version, is_near, now);
         }
@@ -147,9 +155,11 @@
         drop(table);
         gateway.apply_named_ages(&self.named);
         if is_near {
-            self.placed.iter().for_each(|note| gateway.far_notes.push(note));
+            self.placed.iter().for_each(|note| gateway.far_notes.push(note.clone()));
+            self.reports.iter().for_each(|report| gateway.report_far(*report));
         } else if is_lead && self.scope == DigestScope::DataCentre {
-            self.placed.iter().for_each(|note| gateway.passed_notes.push(note));
+            self.placed.iter().for_each(|note| gateway.passed_notes.push(note.clone()));
+            self.reports.iter().for_each(|report| gateway.passed_reports.push(*report));
         }
     }
 }
--- a/crates/gateway/src/travel_notes.rs
+++ b/crates/gateway/src/placed_note.rs
@@ -1,13 +1,13 @@
-//! Placements that wait to be told to other VMs.
+//! What a VM tells others of a request that it placed.
 
 use crate::salted_key;
 use crate::{EndpointKey, FleetTable, PlacementChoice, PromptPart};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
-use std::sync::{Mutex, PoisonError};
 
-/// Placements that wait at most: those beyond it are not told.
-const NOTES_MOST: usize = 64;
+/// Parts of a prompt that are told, the leading ones: with 64 notes of so many, a digest stays below half of the
+/// largest datagram.
+const PARTS_MOST: usize = 16;
 
 /// A request that was placed: where, and which parts its engine will keep.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,13 +20,18 @@
 }
 
 impl PlacedNote {
+    /// Whether it tells anything.
+    pub(crate) fn has_parts(&self) -> bool {
+        !self.parts.is_empty()
+    }
+
     /// The note of a choice that was made for a prompt of `parts`.
     pub(crate) fn new(choice: &PlacementChoice, parts: &[PromptPart]) -> Self {
-        let saves = choice.kept.saves.iter().enumerate();
+        let saves = choice.kept.saves.iter().take(PARTS_MOST).enumerate();
         let saves = saves.filter_map(|(place, store)| Some((u8::try_from(place).ok()?, (*store)?)));
         Self {
             key: choice.key,
-            parts: parts.iter().map(|part| (part.key, part.tokens)).collect(),
+            parts: parts.iter().take(PARTS_MOST).map(|part| (part.key, part.tokens)).collect(),
             salt: choice.salt,
             saves: saves.collect(),
         }
@@ -49,22 +54,3 @@
         self.parts.iter().map(|(key, tokens)| PromptPart { key: *key, tokens: *tokens }).collect()
     }
 }
-
-/// Placements that wait to be told.
-#[derive(Debug, Default)]
-pub(crate) struct TravelNotes(Mutex<Vec<PlacedNote>>);
-
-impl TravelNotes {
-    /// Adds a placement.
-    pub(crate) fn push(&self, note: &PlacedNote) {
-        let mut notes = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if notes.len() < NOTES_MOST && !note.parts.is_empty() {
-            notes.push(note.clone());
-        }
-    }
-
-    /// Takes all that wait.
-    pub(crate) fn take(&self) -> Vec<PlacedNote> {
-        std::mem::take(&mut *self.0.lock().unwrap_or_else(PoisonError::into_inner))
-    }
-}
