VMs report all paces that they see, each with half of the weight of an own one

Change: every pace is reported within a data centre; what others report counts half. Paces are not told to other data centres.

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -59,6 +59,8 @@
 const REFUSED_MILLIS: u64 = 150;
 /// Weight of the newest result in the failure ratio: ten results make the picture.
 const FAILURE_WEIGHT: f64 = 0.1;
+/// Weight of a sample of the pace that another VM reports: there are many more of them than of own ones.
+const TOLD_PACE_WEIGHT: f64 = 0.1;
 /// Weight of the newest sample of the pace.
 const PACE_WEIGHT: f64 = 0.2;
 /// Paces below this are outliers, in multiples of the expected one.
@@ -68,8 +70,6 @@
 const TOLD_PACE_FACTOR: f64 = 2.0;
 /// From this failure ratio on, answers are worth reporting too: without them it would stay.
 const NOTABLE_RATIO: f64 = 0.05;
-/// From this pace on, an answer is worth reporting.
-const NOTABLE_PACE: f64 = 1.6;
 /// Paces beyond this are outliers, in multiples of the expected one.
 const PACE_MOST: f64 = 20.0;
 /// Who said that an engine's weights are about to change.
@@ -231,16 +231,16 @@
             let most = self.pace * TOLD_PACE_FACTOR;
             let sample =
                 f64::from(pace).clamp(self.pace / TOLD_PACE_FACTOR, most).clamp(PACE_LEAST, PACE_MOST);
-            self.pace += PACE_WEIGHT * (sample - self.pace);
+            self.pace += TOLD_PACE_WEIGHT * (sample - self.pace);
         }
     }
 
-    /// Whether others must hear how sends to it go: it failed, was slow, or is tried again.
+    /// Whether others must hear of a send to it: it failed, showed its pace, whatever it is, or tries it again.
     pub(crate) fn is_notable(&self, report: &SendReport) -> bool {
         report.outcome != SendOutcome::Answered
             || self.told.is_doubted()
             || self.failure_ratio > NOTABLE_RATIO
-            || report.pace.is_some_and(|pace| f64::from(pace) > NOTABLE_PACE)
+            || report.pace.is_some()
     }
 
     /// Learns its pace from a first event that came after `taken` where `expected` was expected; gives the
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,8 +7,9 @@
 use crate::placed_note::PlacedNote;
 use crate::waiting_notes::WaitingNotes;
 use crate::{
-    BudgetTerms, FleetTable, NamedVersion, NamedWeights, PlacementAsk, PlacementChoice, RetryBudget,
-    RouteTable, SendReport, VmEntry, VmKey, WantedWeights, WeightTarget, WireDialect, place, short_digest,
+    BudgetTerms, EndpointRow, FleetTable, NamedVersion, NamedWeights, PlacementAsk, PlacementChoice,
+    RetryBudget, RouteTable, SendReport, VmEntry, VmKey, WantedWeights, WeightTarget, WireDialect, place,
+    short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -226,14 +227,17 @@
         }
     }
 
-    /// Notes how a send of a VM of this data centre went for other data centres: those in front of an endpoint know it.
-    pub(crate) fn report_far(&self, report: TellerReport) {
-        let is_near = self
-            .table()
-            .row(report.1.key)
-            .is_some_and(|row| row.entry.data_centre == self.settings.data_centre);
-        if is_near {
-            self.far_reports.push(report);
+    /// Notes how a send of a VM of this data centre went for other data centres: those in front of an endpoint know
+    /// it. Paces stay here: few prompts go far, and there are many samples.
+    pub(crate) fn report_far(&self, (teller, report): TellerReport) {
+        let report = SendReport { pace: None, ..report };
+        let is_told = {
+            let table = self.table();
+            let is_near = |row: &EndpointRow| row.entry.data_centre == self.settings.data_centre;
+            table.row(report.key).is_some_and(is_near) && table.is_notable(&report, self.now())
+        };
+        if is_told {
+            self.far_reports.push((teller, report));
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -56,10 +56,10 @@
     StoreSpec, WeightTarget, salt_text,
 };
 pub(crate) use spanfold_decide::{
-    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EngineState, FleetTable,
-    HeardVm, HolderRecord, HolderStanding, KeptRow, LEADS, LinkMoves, LoadCount, LoadSource, NamedVersion,
-    NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES,
-    PeerBook, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome, SendReport, VmEntry,
-    VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest,
-    take_part,
+    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EndpointRow,
+    EngineState, FleetTable, HeardVm, HolderRecord, HolderStanding, KeptRow, LEADS, LinkMoves, LoadCount,
+    LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress,
+    NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome,
+    SendReport, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place,
+    salted_key, short_digest, take_part,
 };
