--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -44,6 +44,12 @@
     pub told_revision: Gauge,
     /// Messages of other VMs, by kind.
     pub peer_messages: Family<KindLabel, Counter>,
+    /// Their bytes, by kind.
+    pub peer_bytes: Family<KindLabel, Counter>,
+    /// Bytes of messages to other VMs, by kind.
+    pub peer_bytes_sent: Family<KindLabel, Counter>,
+    /// Messages to other VMs that the system did not take, by kind: too large, or no way there.
+    pub peer_unsent: Family<KindLabel, Counter>,
     pub open_requests: Gauge,
 }
 
@@ -59,6 +65,20 @@
         let (prompt_tokens, kept_tokens) = (Counter::default(), Counter::default());
         let peer_messages = Family::<KindLabel, Counter>::default();
         registry.register("peer_messages", "Messages of other VMs, by kind", peer_messages.clone());
+        let peer_bytes = Family::<KindLabel, Counter>::default();
+        registry.register("peer_bytes", "Bytes of messages of other VMs, by kind", peer_bytes.clone());
+        let peer_bytes_sent = Family::<KindLabel, Counter>::default();
+        registry.register(
+            "peer_bytes_sent",
+            "Bytes of messages to other VMs, by kind",
+            peer_bytes_sent.clone(),
+        );
+        let peer_unsent = Family::<KindLabel, Counter>::default();
+        registry.register(
+            "peer_unsent",
+            "Messages that the system did not take, by kind",
+            peer_unsent.clone(),
+        );
         let (configuration_version, open_requests) = (Gauge::default(), Gauge::default());
         let (store_revision, told_revision) = (Gauge::default(), Gauge::default());
         registry.register("store_revision", "Revision of the store that is applied", store_revision.clone());
@@ -89,6 +109,9 @@
             store_revision,
             told_revision,
             peer_messages,
+            peer_bytes,
+            peer_bytes_sent,
+            peer_unsent,
             open_requests,
         }
     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -38,17 +38,25 @@
 /// Largest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 65_536;
 
-/// Sends one message to each address. One that cannot be sent is as good as a lost one.
-pub(crate) async fn tell(gateway: &Gateway, socket: &UdpSocket, message: &PeerMessage, to: &[SocketAddr]) {
-    if let Some(bytes) = gateway.seal(message) {
-        send_all(socket, &bytes, to).await;
-    }
-}
-
-async fn send_all(socket: &UdpSocket, bytes: &[u8], to: &[SocketAddr]) {
+/// Sends one message to each address; gives its bytes. One that cannot be sent is as good as a lost one, but counted.
+pub(crate) async fn tell(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+    to: &[SocketAddr],
+) -> usize {
+    let Some(bytes) = gateway.seal(message) else { return 0 };
+    let kind = KindLabel::new(message.kind());
+    let mut unsent = 0;
     for address in to {
-        let _ = socket.send_to(bytes, address).await;
+        unsent += u64::from(socket.send_to(&bytes, address).await.is_err());
+    }
+    let sent = bytes.len() as u64 * (to.len() as u64 - unsent);
+    gateway.metrics.peer_bytes_sent.get_or_create(&kind).inc_by(sent);
+    if unsent > 0 {
+        gateway.metrics.peer_unsent.get_or_create(&kind).inc_by(unsent);
     }
+    bytes.len()
 }
 
 /// Tells the other VMs of this one's loads until the process ends.
@@ -102,11 +110,10 @@
             continue;
         }
         let message = PeerMessage::Load(gateway.next_stamp(), LoadDigest::of_elsewhere(&gateway));
-        let bytes = gateway.seal(&message).unwrap_or_default();
-        send_all(&socket, &bytes, &targets).await;
+        let bytes = tell(&gateway, &socket, &message, &targets).await;
         let rarely = if place == 0 { 1 } else { SECOND_LEAD_FACTOR };
         let usual = FAR_PAUSE * far_count as u32 * rarely;
-        let link = pass_pause(bytes.len() * targets.len(), gateway.settings.link_mbps);
+        let link = pass_pause(bytes * targets.len(), gateway.settings.link_mbps);
         tokio::time::sleep(usual.max(link).min(PASS_PAUSE_MOST)).await;
     }
 }
@@ -128,7 +135,9 @@
         let bytes = &buffer[..length];
         let message = gateway.unseal(bytes);
         let kind = message.as_ref().map_or("rejected", PeerMessage::kind);
-        gateway.metrics.peer_messages.get_or_create(&KindLabel::new(kind)).inc();
+        let kind = KindLabel::new(kind);
+        gateway.metrics.peer_messages.get_or_create(&kind).inc();
+        gateway.metrics.peer_bytes.get_or_create(&kind).inc_by(length as u64);
         let Some(message) = message else { continue };
         let stamp = message.stamp();
         match message {
