spanfold losses: what kept requests from an answer in time, by route and cause, from logs

Change: a command that sums request.ended lines; the line tells the objective; the reader of logs is shared with explain.

--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -61,6 +61,7 @@
             endpoint = self.endpoint.as_str(),
             sends = self.sends,
             candidates,
+            objective_ms = self.ticket.route.objective_millis,
             waited_ms = self.waited_micros / MICROS_PER_MILLI,
             expected_ms = expected,
             prompt = self.ticket.prompt_tokens,
--- a/crates/spanfold/src/arguments.rs
+++ b/crates/spanfold/src/arguments.rs
@@ -126,6 +126,16 @@
         #[bpaf(positional("FILE"), some("name at least one file"))]
         files: Vec<PathBuf>,
     },
+    /// Show what kept requests from an answer in time, by route, from the logs of several VMs
+    #[bpaf(command)]
+    Losses {
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+        /// Log files
+        #[bpaf(positional("FILE"), some("name at least one file"))]
+        files: Vec<PathBuf>,
+    },
     /// Replay a recorded session; exit code 1 if the effects differ
     #[bpaf(command)]
     Replay {
--- a/crates/spanfold/src/explain.rs
+++ b/crates/spanfold/src/explain.rs
@@ -4,11 +4,11 @@
 //! lines stand what its VM came to believe shortly before about the endpoints that it used, about
 //! the store, the configuration and the weights. What is not a JSON line is passed over and counted.
 
+use crate::log_lines::{LogLine, LogLines, read_files};
 use crate::outcome::{FINDINGS, Outcome};
-use serde_json::{Map, Value};
 use std::collections::BTreeSet;
 use std::fmt::Write as _;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 /// What a VM came to believe up to this long before a request's last line belongs to its story.
 const BELIEF_MILLIS: u64 = 15_000;
@@ -27,37 +27,12 @@
 /// Fields that every line has, told in other places.
 const COMMON: [&str; 4] = ["time_ms", "level", "event", "request"];
 
-/// One line of a log.
-struct LogLine {
-    vm: String,
-    time_millis: u64,
-    event: String,
-    fields: Map<String, Value>,
-}
-
-impl LogLine {
-    fn text(&self, key: &str) -> &str {
-        self.fields.get(key).and_then(Value::as_str).unwrap_or_default()
-    }
-}
-
 /// Prints the story of `request` from log files.
 pub(crate) fn explain(request: &str, files: &[PathBuf]) -> Outcome {
-    let mut lines = Vec::new();
-    let mut passed_over = 0;
-    for file in files {
-        let text = match std::fs::read_to_string(file) {
-            Ok(text) => text,
-            Err(error) => return Outcome { text: format!("{}: {error}\n", file.display()), code: FINDINGS },
-        };
-        let vm = vm_of(file);
-        for line in text.lines() {
-            match read_line(&vm, line) {
-                Some(line) => lines.push(line),
-                None => passed_over += 1,
-            }
-        }
-    }
+    let LogLines { mut lines, passed_over } = match read_files(files) {
+        Ok(lines) => lines,
+        Err(error) => return Outcome { text: error, code: FINDINGS },
+    };
     lines.sort_by_key(|line| line.time_millis);
     let own: Vec<_> = lines.iter().filter(|line| line.text("request") == request).collect();
     let Some(last) = own.last() else {
@@ -91,21 +66,3 @@
     }
     Outcome::done(text)
 }
-
-/// The VM whose log a file is, by the file's name.
-fn vm_of(file: &Path) -> String {
-    file.file_stem().map(|stem| stem.to_string_lossy().into_owned()).unwrap_or_default()
-}
-
-/// Reads a line, which may have a time and a VM's name before its JSON.
-fn read_line(vm: &str, line: &str) -> Option<LogLine> {
-    let (before, json) = line.split_at(line.find('{')?);
-    let Value::Object(fields) = serde_json::from_str(json).ok()? else { return None };
-    let named = before.split_whitespace().last().map(str::to_owned);
-    Some(LogLine {
-        vm: named.unwrap_or_else(|| vm.to_owned()),
-        time_millis: fields.get("time_ms")?.as_u64()?,
-        event: fields.get("event")?.as_str()?.to_owned(),
-        fields,
-    })
-}
--- a/crates/spanfold/src/main.rs
+++ b/crates/spanfold/src/main.rs
@@ -8,6 +8,8 @@
 mod client;
 mod declare;
 mod explain;
+mod log_lines;
+mod losses;
 mod outcome;
 mod status_report;
 
@@ -47,6 +49,7 @@
         Command::Status { json, vms } => status_report::status(json, &vms).await,
         Command::ReportBurn { json, vms } => burn_report::burn(json, &vms).await,
         Command::Explain { request, files } => explain::explain(&request, &files),
+        Command::Losses { json, files } => losses::losses(json, &files),
         Command::Replay { file } => declare::replay_session(&file),
     }
 }
--- /dev/null
+++ b/crates/spanfold/tests/losses.rs
@@ -0,0 +1,47 @@
+//! `spanfold losses` on recorded logs.
+
+use std::path::PathBuf;
+use std::process::Command;
+
+fn losses(arguments: &[&str]) -> (i32, String) {
+    let logs = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/logs");
+    let output = Command::new(env!("CARGO_BIN_EXE_spanfold"))
+        .arg("losses")
+        .args(arguments)
+        .arg(logs.join("losses.log"))
+        .output()
+        .unwrap();
+    (output.status.code().unwrap(), String::from_utf8(output.stdout).unwrap())
+}
+
+#[test]
+fn each_request_counts_once_under_its_first_cause() {
+    let (code, text) = losses(&[]);
+    assert_eq!(code, 0);
+    let rows: Vec<_> =
+        text.lines().map(|line| line.split_whitespace().collect::<Vec<_>>().join(" ")).collect();
+    assert_eq!(
+        rows,
+        [
+            "route cause requests part tokens read waited ms",
+            "book in time 1 1.0000 0 0",
+            "check in time 1 0.1667 1600 0",
+            "check late: as expected 1 0.1667 9000 0",
+            "check late: sent again 1 0.1667 1600 0",
+            "check late: slower than expected 1 0.1667 1600 0",
+            "check late: waited for room 1 0.1667 1600 400",
+            "check no engine has room in time 1 0.1667 9000 1900",
+            "(1 lines passed over: not JSON)",
+        ]
+    );
+}
+
+#[test]
+fn json_holds_the_same_rows() {
+    let (code, text) = losses(&["--json"]);
+    assert_eq!(code, 0);
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(value["losses"].as_array().unwrap().len(), 7);
+    assert_eq!(value["losses"][5]["waited_ms"], 400);
+    assert_eq!(value["passed_over"], 1);
+}
