--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -168,6 +168,11 @@
         now < self.ejected_until || self.told.is_avoided(now) || is_tried
     }
 
+    /// Whether VMs could not reach it, and none has had an answer from it since.
+    pub const fn is_doubted(&self) -> bool {
+        self.told.is_doubted()
+    }
+
     /// Passes it over until `until`.
     pub(crate) fn eject_until(&mut self, until: Moment) {
         self.ejected_until = self.ejected_until.max(until);
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -150,7 +150,12 @@
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
         let now = gateway.now();
-        let gone = gateway.table().sweep(now);
+        let (gone, doubted) = {
+            let mut table = gateway.table();
+            let gone = table.sweep(now);
+            (gone, table.rows().filter(|(_, row)| row.is_doubted()).count())
+        };
+        gateway.metrics.doubted_endpoints.set(doubted as i64);
         for key in gone {
             gateway.pool.forget(key);
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -51,6 +51,8 @@
     /// Messages to other VMs that the system did not take, by kind: too large, or no way there.
     pub peer_unsent: Family<KindLabel, Counter>,
     pub open_requests: Gauge,
+    /// Endpoints that VMs could not reach, and that have answered none since.
+    pub doubted_endpoints: Gauge,
 }
 
 impl GatewayMetrics {
@@ -95,6 +97,12 @@
         registry.register("prompt_tokens", "Prompt tokens sent to engines", prompt_tokens.clone());
         registry.register("kept_tokens", "Of these, tokens believed kept there", kept_tokens.clone());
         registry.register("configuration_version", "Version in force", configuration_version.clone());
+        let doubted_endpoints = Gauge::default();
+        registry.register(
+            "doubted_endpoints",
+            "Endpoints that VMs could not reach",
+            doubted_endpoints.clone(),
+        );
         registry.register("open_requests", "Requests in flight at this VM", open_requests.clone());
         Self {
             registry,
@@ -113,6 +121,7 @@
             peer_bytes_sent,
             peer_unsent,
             open_requests,
+            doubted_endpoints,
         }
     }
 
