Loads reach the VMs of a large data centre after 12 ms in place of 45

Model (queues of 51 engines, 59 VMs): late 0.005 at 20 ms, 0.023 at 45, 0.039 at 70 where engines read for 0.56 of their time; 0.030, 0.093, 0.149 at 0.75; a wider random spread changes nothing. Change: VMs gather for 4 ms, leads for 8.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 //! where its kind is defined.
 
 use crate::LEADS;
-use crate::digest_relay::relays;
+use crate::digest_relay::{TELL_PAUSE, relays};
 use crate::follow::{StoreWord, ToldNews};
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
@@ -63,8 +63,9 @@
 /// Tells the other VMs of this one's loads until the process ends.
 pub(crate) async fn send_digests(gateway: Arc<Gateway>, socket: Arc<UdpSocket>) {
     loop {
+        let pause = if gateway.peers().relays_near() { TELL_PAUSE } else { GATHER_PAUSE };
         tokio::select! {
-            () = gateway.loads_changed.notified() => tokio::time::sleep(GATHER_PAUSE).await,
+            () = gateway.loads_changed.notified() => tokio::time::sleep(pause).await,
             () = tokio::time::sleep(REST) => {}
         }
         let now = gateway.now();
