Small changes of the store are answered to all VMs that ask

Cause: at a start each VM of a data centre has listed another revision; a teller answers four VMs at once, the others ask the store. Change: the limit is for changes of over 32 KiB.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,7 +14,9 @@
 use crate::peer_message::PeerKey;
 use crate::store_news::{NewsBody, StoreNews};
 use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreView};
-use crate::{NewsAssembly, NewsHistory, NewsProgress, StoreRefusal, StoreTransaction, VmKey, WireCall};
+use crate::{
+    NewsAssembly, NewsHistory, NewsProgress, StoreEvent, StoreRefusal, StoreTransaction, VmKey, WireCall,
+};
 use spanfold_entity::Moment;
 use std::pin::pin;
 use std::sync::Arc;
@@ -223,11 +225,11 @@
 
     /// Tells another VM the changes that it lacks, if they are known here.
     fn answer_ask(&mut self, vm: VmKey, from: u64) {
-        if !self.teller.may_answer(vm) {
-            return;
-        }
         let Some((to, mut events)) = self.history.since(from) else { return };
         events.retain(|event| !self.view.is_superseded(event));
+        if !self.teller.may_answer(vm, events.iter().map(StoreEvent::size).sum()) {
+            return;
+        }
         let age_micros = self.gateway.now().micros_since(self.news_at);
         self.teller.answer(vm, ToldChanges { from, to, events, age_micros });
     }
--- a/crates/gateway/src/news_teller.rs
+++ b/crates/gateway/src/news_teller.rs
@@ -13,8 +13,11 @@
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
 
-/// VMs that are answered at once: who asks beyond them asks the store, which has the wider link.
+/// VMs that are answered large changes at once: who asks beyond them asks the store, which has the wider link.
 const ANSWERS_LIMIT: usize = 4;
+/// Changes of at most so many bytes are answered to all that ask: right after a start each VM of a data centre has
+/// listed another revision, and those that get no answer here ask the store, where each call has its price.
+const SMALL_BYTES: usize = 32 * 1_024;
 
 /// What is told: changes between two revisions.
 #[derive(Clone, Debug)]
@@ -53,10 +56,11 @@
         gossip::tell(&self.gateway, &self.socket, &message, target.as_slice()).await;
     }
 
-    /// Whether a VM that asks may be answered now: one answer to each at once, and few in all.
-    pub(crate) fn may_answer(&mut self, vm: VmKey) -> bool {
+    /// Whether a VM that asks for so many bytes may be answered now: one answer to each at once, and few large ones.
+    pub(crate) fn may_answer(&mut self, vm: VmKey, bytes: usize) -> bool {
         self.answers.retain(|_, answer| !answer.is_finished());
-        self.answers.len() < ANSWERS_LIMIT && !self.answers.contains_key(&vm)
+        let is_free = bytes <= SMALL_BYTES || self.answers.len() < ANSWERS_LIMIT;
+        is_free && !self.answers.contains_key(&vm)
     }
 
     /// Tells a VM that asked, from a task of its own.
