Broken sends tell the request's identity, how far it was and whether its endpoint ended

Cause: lines of broken streams could not tell whether two requests are the same, nor an engine that ended from a connection that was reset. Change: send.broke with a keyed digest of account, method, host, path and body and the age of the run; the address of a broken send's endpoint is connected to once, endpoint.ended if it refuses. What is sent where does not change.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,11 +9,13 @@
 //! | `fleet` | what is there: endpoints with their loads, VMs, routes, the store's changes |
 //! | `kept` | what is kept where, and which parts of a prompt move or are saved |
 //! | `admit` | where a request goes, whether it is refused, whether it is sent again |
+//! | `quarantine` | which requests are held back because endpoints end under them |
 //! | `weights` | which engine loads which weights next |
 
 mod admit;
 mod fleet;
 mod kept;
+mod quarantine;
 mod weights;
 
 pub use admit::{
@@ -30,6 +32,7 @@
 pub use kept::{
     BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
 };
+pub use quarantine::{IdentityKey, KeyTextError, RequestIdentity, RequestKey};
 pub use weights::{
     DeskStep, EngineState, HolderRecord, HolderStanding, NamedVersion, NamedWeights, NamingRecord,
     NamingTime, WantedWeights, WeightDesk,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,7 +21,6 @@
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -49,7 +48,7 @@
 /// Where a request goes.
 enum PlaceResult {
     /// To this endpoint.
-    Placed(Box<PlacementChoice>, Box<SendFlight>, SocketAddr),
+    Placed(Box<PlacementChoice>, Box<SendFlight>),
     /// Nowhere yet: no engine has room.
     Wait,
     /// Nowhere: its caller would leave before the answer. It may come back after so many milliseconds.
@@ -82,9 +81,9 @@
 impl RequestRun {
     /// Chooses an endpoint and sends the request there once; none if there is no endpoint.
     pub(crate) async fn send_once(&mut self, last_event_id: Option<&Bytes>) -> Option<SendResult> {
-        let (choice, flight, address) = loop {
+        let (choice, flight) = loop {
             match self.choose()? {
-                PlaceResult::Placed(choice, flight, address) => break (*choice, *flight, address),
+                PlaceResult::Placed(choice, flight) => break (*choice, *flight),
                 PlaceResult::Late(back_millis) => return Some(SendResult::Late(back_millis)),
                 PlaceResult::Wait => self.wait_for_room().await,
             }
@@ -92,7 +91,7 @@
         self.choice = Some(choice);
         let request = self.endpoint_request(&flight, last_event_id);
         let Ok(request) = request else { return Some(SendResult::Lost("the request cannot be formed")) };
-        Some(self.send_to(flight, address, request).await)
+        Some(self.send_to(flight, request).await)
     }
 
     /// Waits a little before the next look at the engines.
@@ -165,10 +164,10 @@
         };
         gateway.note_placed(PlacedNote::new(&choice, &ticket.parts));
         gateway.metrics.kept_tokens.inc_by(choice.kept.kept_tokens + choice.kept.moved_tokens);
-        let flight = SendFlight::new(&gateway, &choice, endpoint, moves);
+        let flight = SendFlight::new(&gateway, &choice, (endpoint, address), moves);
         self.tried.push(choice.key);
         self.endpoint.clone_from(&flight.endpoint);
-        Some(PlaceResult::Placed(Box::new(choice), Box::new(flight), address))
+        Some(PlaceResult::Placed(Box::new(choice), Box::new(flight)))
     }
 
     fn endpoint_request(
@@ -240,14 +239,9 @@
         }
     }
 
-    async fn send_to(
-        &mut self,
-        mut flight: SendFlight,
-        address: SocketAddr,
-        request: Request<OutgoingBody>,
-    ) -> SendResult {
+    async fn send_to(&mut self, mut flight: SendFlight, request: Request<OutgoingBody>) -> SendResult {
         let gateway = Arc::clone(&self.gateway);
-        let result = match self.exchange(&flight, address, request).await {
+        let result = match self.exchange(&flight, request).await {
             Err(_elapsed) => {
                 flight.learn(SendOutcome::Silent);
                 self.sent();
@@ -261,6 +255,7 @@
             }
             Ok(Err(ExchangeError::Lost(cause))) => {
                 flight.learn(SendOutcome::Broken);
+                self.note_broken(&flight);
                 self.sent();
                 log::warn!(request = self.ticket.id_text(), endpoint = flight.endpoint.as_str(),
                     cause = cause.as_str(); "endpoint.broke");
@@ -290,12 +285,11 @@
     async fn exchange(
         &self,
         flight: &SendFlight,
-        address: SocketAddr,
         request: Request<OutgoingBody>,
     ) -> Result<Exchanged, Elapsed> {
         let gateway = &self.gateway;
         let (mark, is_long) = (request.body().mark(), request.body().is_long());
-        let mut exchange = pin!(gateway.pool.exchange(flight.key, address, request));
+        let mut exchange = pin!(gateway.pool.exchange(flight.key, flight.address, request));
         loop {
             let rest = mark.rest();
             let patience = self.patience();
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -8,6 +8,7 @@
 use crate::{EndpointKey, LoadCount, PlacementChoice, SendOutcome, SendReport};
 use hyper::header::HeaderMap;
 use spanfold_entity::Moment;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
     gateway: Arc<Gateway>,
     pub key: EndpointKey,
     pub endpoint: String,
+    pub address: SocketAddr,
     load: LoadCount,
     pub sent_at: Moment,
     pub expected_micros: u64,
@@ -24,6 +26,8 @@
     moves: Vec<(EndpointKey, u64)>,
     move_micros: f64,
     begun: bool,
+    /// When the endpoint's answer began.
+    head_at: Option<Moment>,
     connection: Option<EndpointConnection>,
     granted: Option<Duration>,
 }
@@ -33,19 +37,21 @@
     pub(crate) fn new(
         gateway: &Arc<Gateway>,
         choice: &PlacementChoice,
-        endpoint: String,
+        (endpoint, address): (String, SocketAddr),
         moves: Vec<(EndpointKey, u64)>,
     ) -> Self {
         Self {
             gateway: Arc::clone(gateway),
             key: choice.key,
             endpoint,
+            address,
             load: choice.load,
             sent_at: gateway.now(),
             expected_micros: choice.expected_micros,
             moves,
             move_micros: choice.kept.move_micros,
             begun: false,
+            head_at: None,
             connection: None,
             granted: None,
         }
@@ -53,10 +59,16 @@
 
     /// Holds the connection on which the answer comes.
     pub(crate) fn hold(&mut self, connection: EndpointConnection, head: &HeaderMap) {
+        self.head_at = Some(self.gateway.now());
         self.connection = Some(connection);
         self.granted = granted_idle(head);
     }
 
+    /// Whether its endpoint had begun to answer, and for how long it has been at it, in microseconds.
+    pub(crate) fn age(&self) -> (bool, u64) {
+        (self.head_at.is_some(), self.gateway.now().micros_since(self.head_at.unwrap_or(self.sent_at)))
+    }
+
     /// The first event or the answer's head is here: the prompt has been read.
     pub(crate) fn begin(&mut self) {
         if self.begun {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,15 +2,16 @@
 
 use crate::PeerBook;
 use crate::digest_relay::DigestRelay;
+use crate::end_watch::EndWatch;
 use crate::endpoint_pool::EndpointPool;
 use crate::gateway_metrics::GatewayMetrics;
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::placed_note::PlacedNote;
 use crate::waiting_notes::WaitingNotes;
 use crate::{
-    BudgetTerms, EndpointRow, FleetTable, NamedVersion, NamedWeights, PlacementAsk, PlacementChoice,
-    RetryBudget, RouteTable, SendReport, VmEntry, VmKey, WantedWeights, WeightTarget, WireDialect, place,
-    short_digest,
+    BudgetTerms, EndpointRow, FleetTable, IdentityKey, NamedVersion, NamedWeights, PlacementAsk,
+    PlacementChoice, RetryBudget, RouteTable, SendReport, VmEntry, VmKey, WantedWeights, WeightTarget,
+    WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -71,6 +72,8 @@
     pub far_reports: WaitingNotes<TellerReport>,
     /// The same of other data centres, while this VM leads.
     pub passed_reports: WaitingNotes<TellerReport>,
+    /// Sends that broke, until it is known whether their endpoints ended.
+    pub ends: EndWatch,
     /// Authenticates what VMs tell one another; none until the store told it.
     peer_key: RwLock<Option<PeerKey>>,
     /// Counts the messages to other VMs.
@@ -122,6 +125,7 @@
             near_reports: WaitingNotes::default(),
             far_reports: WaitingNotes::default(),
             passed_reports: WaitingNotes::default(),
+            ends: EndWatch::default(),
             peer_key: RwLock::default(),
             sequence: AtomicU64::new(0),
             stopping: watch::channel(false).0,
@@ -250,6 +254,12 @@
         *self.peer_key.write().unwrap_or_else(PoisonError::into_inner) = Some(key);
     }
 
+    /// The key under which requests are told apart; none until the deployment's secret is known.
+    pub(crate) fn identity_key(&self) -> Option<IdentityKey> {
+        let key = *self.peer_key.read().unwrap_or_else(PoisonError::into_inner);
+        key.as_ref().map(IdentityKey::derive)
+    }
+
     /// A message to other VMs in its form on the wire; none while the key is not known.
     pub(crate) fn seal(&self, message: &PeerMessage) -> Option<Vec<u8>> {
         let key = *self.peer_key.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod dialect;
 mod digest_relay;
 mod dispatch;
+mod end_watch;
 mod endpoint_pool;
 mod event_reader;
 mod flight;
@@ -58,9 +59,9 @@
 };
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EndpointRow,
-    EngineState, FleetTable, HeardVm, HolderRecord, HolderStanding, KeptRow, LEADS, LinkMoves, LoadCount,
-    LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress,
-    NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, RetryBudget, RouteTable, SendOutcome,
-    SendReport, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place,
-    salted_key, short_digest, take_part,
+    EngineState, FleetTable, HeardVm, HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LinkMoves,
+    LoadCount, LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece,
+    NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, RequestIdentity,
+    RequestKey, RetryBudget, RouteTable, SendOutcome, SendReport, VmEntry, VmKey, WantedWeights, WeightDesk,
+    cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
 };
--- a/crates/gateway/src/long_answer.rs
+++ b/crates/gateway/src/long_answer.rs
@@ -83,6 +83,7 @@
                 }
                 Some(Err(error)) => {
                     self.flight.learn(SendOutcome::Broken);
+                    self.run.note_broken(&self.flight);
                     log::warn!(request = self.run.ticket.id_text(), endpoint = self.flight.endpoint.as_str(),
                         cause:% = error; "answer.broke");
                     return Err(BrokenAnswer(error.to_string()));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -140,6 +140,7 @@
         Ok(Ok(AnswerStart::Long(begun))) => return Ok(pass_on_long(run, received, begun)),
         Ok(Err(_)) => {
             received.flight.learn(SendOutcome::Broken);
+            run.note_broken(&received.flight);
             return Err(FailedAnswer { run, cause: "the answer broke off" });
         }
         Err(_elapsed) => {
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -3,12 +3,14 @@
 //! Invariant: each request writes one line when it ends, with the inputs of its last decision, also if
 //! its caller left.
 
+use crate::end_watch::BrokenSend;
+use crate::flight::SendFlight;
 use crate::gateway::{CountGuard, Gateway};
 use crate::gateway_metrics::KindLabel;
 use crate::own_answer::{AnswerBody, OwnAnswer, full_body};
 use crate::relay::answer_with;
 use crate::request_ticket::RequestTicket;
-use crate::{EndpointKey, PlacementChoice};
+use crate::{EndpointKey, PlacementChoice, RequestIdentity, RequestKey};
 use bytes::Bytes;
 use hyper::http::response;
 use hyper::{Response, StatusCode};
@@ -99,6 +101,33 @@
         }
     }
 
+    /// What the request is known by, on every VM; none until the deployment's secret is known.
+    pub(crate) fn request_key(&self) -> Option<RequestKey> {
+        let ticket = &self.ticket;
+        let identity = RequestIdentity {
+            account: ticket.account.as_deref().unwrap_or_default(),
+            method: ticket.method.as_str(),
+            host: &ticket.host,
+            path: &ticket.path,
+            body: &self.body,
+        };
+        Some(self.gateway.identity_key()?.of(&identity))
+    }
+
+    /// Notes that the connection of a send broke before its answer was whole.
+    pub(crate) fn note_broken(&self, flight: &SendFlight) {
+        let (has_begun, age_micros) = flight.age();
+        self.gateway.note_broken(BrokenSend {
+            request: self.request_key(),
+            request_id: self.ticket.id_text().to_owned(),
+            endpoint: flight.key,
+            endpoint_id: flight.endpoint.clone(),
+            address: flight.address,
+            has_begun,
+            age_micros,
+        });
+    }
+
     /// Marks how the request ended; told by its log line.
     pub(crate) fn end(&mut self, outcome: &'static str) {
         self.outcome = outcome;
--- a/crates/gateway/src/request_ticket.rs
+++ b/crates/gateway/src/request_ticket.rs
@@ -37,6 +37,8 @@
     pub id: HeaderValue,
     pub method: Method,
     pub path: String,
+    /// The host that was asked for.
+    pub host: String,
     pub headers: HeaderMap,
     pub route: RouteRow,
     pub service: String,
@@ -90,6 +92,7 @@
             id,
             method: head.method.clone(),
             path: head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
+            host: host.to_owned(),
             headers: forwarded(headers, names),
             service: service.to_owned(),
             account: account.map(|account| account.name.clone()),
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -55,6 +55,7 @@
         Ok(Ok(first)) => first,
         Ok(Err(error)) => {
             flight.learn(SendOutcome::Broken);
+            run.note_broken(&flight);
             log::warn!(request = run.ticket.id_text(), endpoint = flight.endpoint.as_str(), cause:% = error;
                 "stream.broke");
             return Err(FailedAnswer { run, cause: "the stream broke" });
@@ -101,7 +102,9 @@
 enum PumpStep {
     Events(Bytes),
     End,
-    Failed(String),
+    /// The connection broke.
+    Broke(String),
+    Stalled,
     CallerLeft,
     TimeUp,
 }
@@ -127,12 +130,14 @@
                     self.break_off("no end in time").await;
                     return;
                 }
-                PumpStep::Failed(cause) => {
-                    self.flight.learn(SendOutcome::Broken);
-                    log::warn!(request = self.run.ticket.id_text(), endpoint = self.flight.endpoint.as_str(),
-                        cause = cause.as_str(); "stream.broke");
-                    if !self.go_on_elsewhere().await {
-                        self.break_off(&cause).await;
+                PumpStep::Broke(cause) => {
+                    self.run.note_broken(&self.flight);
+                    if !self.survives(&cause).await {
+                        return;
+                    }
+                }
+                PumpStep::Stalled => {
+                    if !self.survives("it stalled").await {
                         return;
                     }
                 }
@@ -142,6 +147,18 @@
         self.run.end("answered");
     }
 
+    /// Goes on elsewhere after a failure, or breaks the answer off; whether it goes on.
+    async fn survives(&mut self, cause: &str) -> bool {
+        self.flight.learn(SendOutcome::Broken);
+        log::warn!(request = self.run.ticket.id_text(), endpoint = self.flight.endpoint.as_str(), cause;
+            "stream.broke");
+        let goes_on = self.go_on_elsewhere().await;
+        if !goes_on {
+            self.break_off(cause).await;
+        }
+        goes_on
+    }
+
     async fn step(&mut self) -> PumpStep {
         let limit = self.run.ticket.limit;
         let stall = self.stall_at();
@@ -151,12 +168,12 @@
             next = self.reader.next() => match next {
                 Ok(Some(events)) => PumpStep::Events(events),
                 Ok(None) => PumpStep::End,
-                Err(EventError::Partial) => PumpStep::Failed("it ended within an event".to_owned()),
-                Err(error) => PumpStep::Failed(error.to_string()),
+                Err(EventError::Partial) => PumpStep::Broke("it ended within an event".to_owned()),
+                Err(error) => PumpStep::Broke(error.to_string()),
             },
             () = self.chunks.closed() => PumpStep::CallerLeft,
             () = tokio::time::sleep_until(until) => {
-                if stall < limit { PumpStep::Failed("it stalled".to_owned()) } else { PumpStep::TimeUp }
+                if stall < limit { PumpStep::Stalled } else { PumpStep::TimeUp }
             }
         }
     }
