Requests under which endpoints end are held back, by all VMs

Cause: one prompt ended engine after engine; each VM placed it once at most and had nothing to remember, and nobody told the others. Change: VMs report which requests an endpoint had when it ended; a request is found fatal if at least three endpoints ended under it, none ran it to its end, no other request explains the ends, and together they are too unlikely for an innocent one (decisions in decide/quarantine). It is turned away for ten minutes at all VMs, told in digests and kept in the store under a lease. Form 12 of messages.

--- /dev/null
+++ b/crates/decide/src/quarantine/ending.rs
@@ -0,0 +1,41 @@
+//! Ends of endpoints, and what ran there.
+
+use crate::{EndpointKey, RequestKey};
+use serde::{Deserialize, Serialize};
+use spanfold_entity::Moment;
+
+/// One start of an endpoint, from which it holds and knows nothing of before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct EndpointStart {
+    /// The endpoint.
+    pub endpoint: EndpointKey,
+    /// Time of day of its start in milliseconds, as it says itself; zero if it does not, and then its id is new.
+    pub born_millis: u64,
+}
+
+/// An endpoint that ended without having said that it leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndpointEnding {
+    /// Which start of which endpoint.
+    pub start: EndpointStart,
+    /// Short digest of its address.
+    pub place: u64,
+    /// Short digest of its service's name.
+    pub service: u64,
+    /// Endpoints that its service had then, it included.
+    pub among: u32,
+    /// When it ended.
+    pub at: Moment,
+}
+
+/// A request that an endpoint had when it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EndingReport {
+    /// The request.
+    pub request: RequestKey,
+    /// The endpoint's end.
+    pub ending: EndpointEnding,
+    /// For how long the endpoint had been at the request, in microseconds: since it began to answer, or since the
+    /// request was sent if it had not.
+    pub age_micros: u64,
+}
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -1,5 +1,15 @@
 //! Which requests are held back because endpoints end under them.
 
+mod crash_ledger;
+mod ending;
+mod held_book;
+mod quarantine_note;
 mod request_key;
+mod request_quarantine;
 
+pub use crash_ledger::{CrashLedger, CrashVerdict, ENDINGS_LEAST};
+pub use ending::{EndingReport, EndpointEnding, EndpointStart};
+pub use held_book::{HeldBook, HeldRequest, HoldPhase};
+pub use quarantine_note::QuarantineNote;
 pub use request_key::{IdentityKey, KeyTextError, RequestIdentity, RequestKey};
+pub use request_quarantine::{QuarantineChange, RequestQuarantine};
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -76,12 +76,19 @@
     Ended,
     /// It was not sent, because its caller would leave before the answer.
     Late(u64),
+    /// It was not sent, because endpoints end under it.
+    HeldBack,
 }
 
 impl RequestRun {
     /// Chooses an endpoint and sends the request there once; none if there is no endpoint.
     pub(crate) async fn send_once(&mut self, last_event_id: Option<&Bytes>) -> Option<SendResult> {
+        self.wait_for_end().await;
         let (choice, flight) = loop {
+            // Others may have learned something while it waited here.
+            if self.is_held_back() {
+                return Some(SendResult::HeldBack);
+            }
             match self.choose()? {
                 PlaceResult::Placed(choice, flight) => break (*choice, *flight),
                 PlaceResult::Late(back_millis) => return Some(SendResult::Late(back_millis)),
@@ -276,6 +283,7 @@
             SendResult::Ended => "ended",
             SendResult::Lost(_) => "lost",
             SendResult::Late(_) => "late",
+            SendResult::HeldBack => "held_back",
         };
         gateway.metrics.sends.get_or_create(&KindLabel::new(word)).inc();
         result
--- a/crates/gateway/src/front_door.rs
+++ b/crates/gateway/src/front_door.rs
@@ -1,20 +1,18 @@
-//! The listeners: for callers, for the balancer's readiness question, and for metrics.
+//! The listener for callers.
 
 use crate::RequestLimits;
 use crate::gateway::{CountGuard, Gateway};
-use crate::own_answer::{AnswerBody, full_body};
+use crate::own_answer::AnswerBody;
 use crate::relay::relay;
-use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -24,7 +22,7 @@
 /// Bytes that a head's framing may take beside what the configuration counts.
 const FRAMING_BYTES: usize = 1 << 10;
 /// Pause after an accept that failed, as when descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves callers until `closing`; then nothing new is accepted and kept connections end after
 /// their present request.
@@ -107,42 +105,3 @@
     }
     Ok(response)
 }
-
-/// Answers whether this VM takes new connections, and shows its metrics.
-pub(crate) async fn serve_operators(gateway: Arc<Gateway>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let gateway = Arc::clone(&gateway);
-        tokio::spawn(async move {
-            let service = service_fn(|request| {
-                let response = answer_operator(&gateway, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // The balancer asks again; a connection of it that broke says nothing.
-            let _ = connection.await;
-        });
-    }
-}
-
-fn answer_operator(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
-    let path = request.uri().path();
-    if path == "/metrics" {
-        let open = gateway.open_requests.load(Ordering::Relaxed);
-        gateway.metrics.open_requests.set(open as i64);
-        return Response::new(full_body(Bytes::from(gateway.metrics.encode())));
-    }
-    let (status, word) = if path != gateway.dialect.readiness_path {
-        (StatusCode::NOT_FOUND, "not found\n")
-    } else if gateway.is_ready() {
-        (StatusCode::OK, "ready\n")
-    } else {
-        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
-    };
-    let mut response = Response::new(full_body(Bytes::from_static(word.as_bytes())));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,11 +7,12 @@
 use crate::gateway_metrics::GatewayMetrics;
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::placed_note::PlacedNote;
+use crate::quarantine_desk::QuarantineDesk;
 use crate::waiting_notes::WaitingNotes;
 use crate::{
     BudgetTerms, EndpointRow, FleetTable, IdentityKey, NamedVersion, NamedWeights, PlacementAsk,
-    PlacementChoice, RetryBudget, RouteTable, SendReport, VmEntry, VmKey, WantedWeights, WeightTarget,
-    WireDialect, place, short_digest,
+    PlacementChoice, QuarantineNote, RetryBudget, RouteTable, SendReport, VmEntry, VmKey, WantedWeights,
+    WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -72,6 +73,16 @@
     pub far_reports: WaitingNotes<TellerReport>,
     /// The same of other data centres, while this VM leads.
     pub passed_reports: WaitingNotes<TellerReport>,
+    /// Requests under which endpoints end.
+    pub(crate) desk: Mutex<QuarantineDesk>,
+    /// Wakes the task that writes holds into the store.
+    pub holds_changed: Notify,
+    /// What the VMs of this data centre have not been told of such requests.
+    pub near_cases: WaitingNotes<QuarantineNote>,
+    /// The same for other data centres.
+    pub far_cases: WaitingNotes<QuarantineNote>,
+    /// The same of other data centres, while this VM leads.
+    pub passed_cases: WaitingNotes<QuarantineNote>,
     /// Sends that broke, until it is known whether their endpoints ended.
     pub ends: EndWatch,
     /// Authenticates what VMs tell one another; none until the store told it.
@@ -125,6 +136,11 @@
             near_reports: WaitingNotes::default(),
             far_reports: WaitingNotes::default(),
             passed_reports: WaitingNotes::default(),
+            desk: Mutex::default(),
+            holds_changed: Notify::new(),
+            near_cases: WaitingNotes::default(),
+            far_cases: WaitingNotes::default(),
+            passed_cases: WaitingNotes::default(),
             ends: EndWatch::default(),
             peer_key: RwLock::default(),
             sequence: AtomicU64::new(0),
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -5,7 +5,7 @@
 use crate::store_view::OrdersView;
 use crate::{
     WireDialect, digest_relay, follow, free_task, front_door, gossip, kept_digest, kept_task, lease_keeper,
-    naming_task, order_task,
+    naming_task, operator_port, order_task, quarantine_task,
 };
 use spanfold_declare::GatewaySettings;
 use std::net::SocketAddr;
@@ -77,14 +77,15 @@
             tokio::spawn(lease_keeper::keep_lease(share(), orders_view, right)),
             tokio::spawn(order_task::order_weights(share(), right_view.clone())),
             tokio::spawn(naming_task::keep_namings(share(), right_view.clone())),
+            tokio::spawn(quarantine_task::keep_holds(share())),
             tokio::spawn(free_task::free_old_parts(share(), right_view)),
             tokio::spawn(gossip::send_digests(share(), Arc::clone(&socket))),
             tokio::spawn(gossip::send_far_digests(share(), Arc::clone(&socket))),
             tokio::spawn(gossip::pass_on(share(), Arc::clone(&socket))),
             tokio::spawn(digest_relay::relay_digests(share(), Arc::clone(&socket))),
             tokio::spawn(gossip::receive(share(), socket, news)),
-            tokio::spawn(front_door::serve_operators(share(), readiness)),
-            tokio::spawn(front_door::serve_operators(share(), metrics)),
+            tokio::spawn(operator_port::serve_operators(share(), readiness, operator_port::answer_readiness)),
+            tokio::spawn(operator_port::serve_operators(share(), metrics, operator_port::answer_management)),
             tokio::spawn(front_door::serve_callers(share(), callers, closing.subscribe())),
             tokio::spawn(sweep(share())),
         ];
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -51,6 +51,14 @@
     /// Messages to other VMs that the system did not take, by kind: too large, or no way there.
     pub peer_unsent: Family<KindLabel, Counter>,
     pub open_requests: Gauge,
+    /// Requests that were at an endpoint's end, by who says so: this VM or another one.
+    pub quarantine_reports: Family<KindLabel, Counter>,
+    /// Holds, by what became of them here.
+    pub quarantine_holds: Family<KindLabel, Counter>,
+    /// Requests that this VM turned away because endpoints end under them.
+    pub turned_away: Counter,
+    /// Requests that are held back now.
+    pub held_requests: Gauge,
     /// Endpoints that VMs could not reach, and that have answered none since.
     pub doubted_endpoints: Gauge,
 }
@@ -103,6 +111,25 @@
             "Endpoints that VMs could not reach",
             doubted_endpoints.clone(),
         );
+        let quarantine_reports = Family::<KindLabel, Counter>::default();
+        registry.register(
+            "quarantine_reports",
+            "Requests that were at an endpoint's end, by who says so",
+            quarantine_reports.clone(),
+        );
+        let quarantine_holds = Family::<KindLabel, Counter>::default();
+        registry.register(
+            "quarantine_holds",
+            "Holds of requests, by what became of them",
+            quarantine_holds.clone(),
+        );
+        let (turned_away, held_requests) = (Counter::default(), Gauge::default());
+        registry.register(
+            "turned_away",
+            "Requests turned away because endpoints end under them",
+            turned_away.clone(),
+        );
+        registry.register("held_requests", "Requests that are held back", held_requests.clone());
         registry.register("open_requests", "Requests in flight at this VM", open_requests.clone());
         Self {
             registry,
@@ -121,6 +148,10 @@
             peer_bytes_sent,
             peer_unsent,
             open_requests,
+            quarantine_reports,
+            quarantine_holds,
+            turned_away,
+            held_requests,
             doubted_endpoints,
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,11 +32,14 @@
 mod long_answer;
 mod naming_task;
 mod news_teller;
+mod operator_port;
 mod order_task;
 mod outgoing_body;
 mod own_answer;
 mod peer_message;
 mod placed_note;
+mod quarantine_desk;
+mod quarantine_task;
 mod relay;
 mod request_run;
 mod request_ticket;
@@ -58,10 +61,11 @@
     StoreSpec, WeightTarget, salt_text,
 };
 pub(crate) use spanfold_decide::{
-    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EndpointRow,
-    EngineState, FleetTable, HeardVm, HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LinkMoves,
-    LoadCount, LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece,
-    NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, RequestIdentity,
-    RequestKey, RetryBudget, RouteTable, SendOutcome, SendReport, VmEntry, VmKey, WantedWeights, WeightDesk,
-    cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EndingReport,
+    EndpointEnding, EndpointRow, EndpointStart, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase,
+    HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LinkMoves, LoadCount, LoadSource,
+    NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm,
+    PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, QuarantineChange, QuarantineNote, RequestIdentity,
+    RequestKey, RequestQuarantine, RetryBudget, RouteTable, SendOutcome, SendReport, VmEntry, VmKey,
+    WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
 };
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -10,7 +10,8 @@
 use crate::placed_note::PlacedNote;
 use crate::waiting_notes::NOTES_MOST;
 use crate::{
-    EndpointKey, FleetTable, HeardVm, LEADS, LinkMoves, LoadCount, LoadSource, PeerBook, VmKey, short_digest,
+    EndpointKey, FleetTable, HeardVm, LEADS, LinkMoves, LoadCount, LoadSource, PeerBook, QuarantineNote,
+    VmKey, short_digest,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -40,6 +41,8 @@
     placed: Vec<PlacedNote>,
     /// How sends went that others must hear of, and which VM says so.
     reports: Vec<TellerReport>,
+    /// Requests under which endpoints end.
+    cases: Vec<QuarantineNote>,
     /// Engines that get no new work, and for how long, in microseconds.
     closed: Vec<(EndpointKey, u64)>,
     /// How long moves still take each store's link, in microseconds, and the pace that they have shown lately.
@@ -55,7 +58,7 @@
 impl LoadDigest {
     /// What this VM has to tell of itself.
     pub(crate) fn own(gateway: &Gateway) -> Self {
-        let notes = (gateway.near_notes.take(), gateway.near_reports.take());
+        let notes = (gateway.near_notes.take(), gateway.near_reports.take(), gateway.near_cases.take());
         let now = gateway.now();
         let table = gateway.table();
         let loads = table.loads_of(|_| false, now);
@@ -66,7 +69,7 @@
     /// What this VM, as a lead, has to tell of its data centre.
     pub(crate) fn of_data_centre(gateway: &Gateway) -> Self {
         let near = gateway.peers().near_vms();
-        let notes = (gateway.far_notes.take(), gateway.far_reports.take());
+        let notes = (gateway.far_notes.take(), gateway.far_reports.take(), gateway.far_cases.take());
         let now = gateway.now();
         let table = gateway.table();
         let loads = table.loads_of(|vm| near.contains(&vm), now);
@@ -76,7 +79,7 @@
 
     /// What this VM, as a lead, has to tell the VMs of its data centre of all others.
     pub(crate) fn of_elsewhere(gateway: &Gateway) -> Self {
-        let notes = (gateway.passed_notes.take(), gateway.passed_reports.take());
+        let notes = (gateway.passed_notes.take(), gateway.passed_reports.take(), gateway.passed_cases.take());
         let now = gateway.now();
         let heard = gateway.peers().far_heard(now);
         let table = gateway.table();
@@ -89,19 +92,27 @@
     pub(crate) fn follow(&mut self, earlier: Self) {
         self.placed.splice(0..0, earlier.placed);
         self.reports.splice(0..0, earlier.reports);
+        self.cases.splice(0..0, earlier.cases);
         self.placed.truncate(NOTES_MOST);
         self.reports.truncate(NOTES_MOST);
+        self.cases.truncate(NOTES_MOST);
     }
 
     fn build(
         gateway: &Gateway,
         table: &FleetTable,
         scope: DigestScope,
-        (placed, reports): (Vec<PlacedNote>, Vec<TellerReport>),
+        (placed, reports, mut cases): (Vec<PlacedNote>, Vec<TellerReport>, Vec<QuarantineNote>),
         loads: Vec<(EndpointKey, LoadCount)>,
         moves: Vec<LinkMoves>,
     ) -> Self {
         let now = gateway.now();
+        let audience = match scope {
+            DigestScope::Vm => 0,
+            DigestScope::DataCentre => 1,
+            DigestScope::Elsewhere => 2,
+        };
+        cases.extend(gateway.desk().quarantine.retell(audience, now));
         let loads = loads.into_iter();
         Self {
             scope,
@@ -110,6 +121,7 @@
                 .collect(),
             placed,
             reports,
+            cases,
             closed: closed_engines(table, scope, now),
             moves,
             weights: seen_weights(table, scope, now),
@@ -176,6 +188,7 @@
         }
         drop(table);
         gateway.apply_named_ages(&self.named);
+        gateway.take_notes(&self.cases, self.scope, vm, is_lead);
         if is_near {
             self.placed.iter().for_each(|note| gateway.far_notes.push(note.clone()));
             self.reports.iter().for_each(|report| gateway.report_far(*report));
--- a/crates/gateway/src/long_answer.rs
+++ b/crates/gateway/src/long_answer.rs
@@ -92,6 +92,7 @@
         }
         self.flight.learn(SendOutcome::Answered);
         self.flight.complete();
+        self.run.note_answered();
         Ok("answered")
     }
 }
--- /dev/null
+++ b/crates/gateway/src/operator_port.rs
@@ -0,0 +1,93 @@
+//! The listeners for the balancer's readiness question, for metrics, and for what operators ask of held requests.
+//!
+//! Invariant: what changes anything is answered at the metrics address only; the readiness address is the balancer's.
+
+use crate::RequestKey;
+use crate::front_door::ACCEPT_PAUSE;
+use crate::gateway::Gateway;
+use crate::own_answer::{AnswerBody, full_body};
+use bytes::Bytes;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::net::TcpListener;
+
+/// Path of the list of held requests; a digest after it names one.
+const HELD_PATH: &str = "/held";
+
+/// What is answered at one of the operators' addresses.
+pub(crate) type OperatorAnswer = fn(&Gateway, &Request<Incoming>) -> Response<AnswerBody>;
+
+/// Answers operators until the process ends.
+pub(crate) async fn serve_operators(gateway: Arc<Gateway>, listener: TcpListener, answer: OperatorAnswer) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let gateway = Arc::clone(&gateway);
+        tokio::spawn(async move {
+            let service = service_fn(|request| {
+                let response = answer(&gateway, &request);
+                async move { Ok::<_, Infallible>(response) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // The balancer asks again; a connection of it that broke says nothing.
+            let _ = connection.await;
+        });
+    }
+}
+
+/// Answers whether this VM takes new connections, and shows its metrics.
+pub(crate) fn answer_readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    let path = request.uri().path();
+    if path == "/metrics" {
+        let open = gateway.open_requests.load(Ordering::Relaxed);
+        gateway.metrics.open_requests.set(open as i64);
+        return text(StatusCode::OK, gateway.metrics.encode());
+    }
+    if path != gateway.dialect.readiness_path {
+        text(StatusCode::NOT_FOUND, "not found\n")
+    } else if gateway.is_ready() {
+        text(StatusCode::OK, "ready\n")
+    } else {
+        text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+/// The same, and lists and lifts holds.
+pub(crate) fn answer_management(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    match (request.method(), request.uri().path().strip_prefix(HELD_PATH)) {
+        (&Method::GET, Some("")) => list_held(gateway),
+        (&Method::DELETE, Some(rest)) => lift_held(gateway, rest.trim_start_matches('/')),
+        _ => answer_readiness(gateway, request),
+    }
+}
+
+fn list_held(gateway: &Gateway) -> Response<AnswerBody> {
+    // Plain structs of numbers and texts always have a JSON form.
+    let rows = serde_json::to_string(&gateway.quarantine_rows()).unwrap_or_default();
+    let mut response = text(StatusCode::OK, rows);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+fn lift_held(gateway: &Gateway, digest: &str) -> Response<AnswerBody> {
+    match digest.parse::<RequestKey>() {
+        Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
+        Ok(request) if gateway.lift_hold(request) => text(StatusCode::OK, "lifted\n"),
+        Ok(_) => text(StatusCode::NOT_FOUND, "no such hold\n"),
+    }
+}
+
+fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerBody> {
+    let mut response = Response::new(full_body(text.into()));
+    *response.status_mut() = status;
+    response
+}
--- a/crates/gateway/src/own_answer.rs
+++ b/crates/gateway/src/own_answer.rs
@@ -28,6 +28,15 @@
 }
 
 impl OwnAnswer {
+    /// Endpoints end under the request, and this one has reached none. No time to return: it would end the same way.
+    pub(crate) const HELD_BACK: Self = Self::plain(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "held back: endpoints end under this request; it was not run",
+    );
+    /// Endpoints end under the request, this one's among them.
+    pub(crate) const HELD_AFTER_RUN: Self =
+        Self::plain(StatusCode::BAD_GATEWAY, "held back: endpoints end under this request; it may have run");
+
     pub(crate) const fn plain(status: StatusCode, reason: &'static str) -> Self {
         Self { status, reason, retry_after_millis: None }
     }
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages' form; others are ignored.
-const FORM: u8 = 11;
+const FORM: u8 = 12;
 /// Bytes of the authentication code at the end of a datagram.
 const CODE_BYTES: usize = 16;
 
--- /dev/null
+++ b/crates/gateway/src/quarantine_task.rs
@@ -0,0 +1,139 @@
+//! Keeps holds in the platform's store, each under a lease that ends with it, so that VMs that start later know them.
+//!
+//! Invariant: a key is written only over none or over an earlier hold of the same request; the store removes it by itself
+//! when the hold is over, and nobody has to live for that.
+
+use crate::call_link::CallLink;
+use crate::gateway::Gateway;
+use crate::gateway_metrics::KindLabel;
+use crate::quarantine_desk::StoredHold;
+use crate::{HeldRequest, HoldPhase, RequestKey, StoreDecoder, StoreRefusal, StoreTransaction, WireCall};
+use spanfold_entity::{MICROS_PER_MILLI, Moment};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Prefix of holds; the request's digest follows.
+pub(crate) const HOLD_PREFIX: &str = "spanfold/held/";
+
+/// Pause between looks.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+/// A call that takes longer has failed.
+const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after a failed call, in milliseconds: calls are priced, refused ones too.
+const RETRY_MILLIS: u64 = 2_000;
+/// The shortest lease that is asked for, in milliseconds.
+const LEASE_LEAST_MILLIS: u64 = 1_000;
+
+/// Writes holds, and ends those whose time is over, until the process ends.
+pub(crate) async fn keep_holds(gateway: Arc<Gateway>) {
+    let mut keeper = HoldKeeper { link: CallLink::new(gateway.settings.store), gateway };
+    loop {
+        tokio::select! {
+            () = keeper.gateway.holds_changed.notified() => {}
+            () = tokio::time::sleep(LOOK_PAUSE) => keeper.sweep(),
+        }
+        keeper.write_due().await;
+    }
+}
+
+struct HoldKeeper {
+    gateway: Arc<Gateway>,
+    link: CallLink,
+}
+
+impl HoldKeeper {
+    fn sweep(&self) {
+        let now = self.gateway.now();
+        let (ended, held) = {
+            let mut desk = self.gateway.desk();
+            let ended = desk.quarantine.sweep(now);
+            (ended, desk.quarantine.rows().filter(|(_, row)| row.phase == HoldPhase::Held).count())
+        };
+        self.gateway.metrics.held_requests.set(held as i64);
+        for (request, row) in ended {
+            log::warn!(digest:% = request, round = row.round, turned_away = row.turned_away; "quarantine.ended");
+            self.gateway.metrics.quarantine_holds.get_or_create(&KindLabel::new("ended")).inc();
+        }
+    }
+
+    async fn write_due(&mut self) {
+        loop {
+            let now = self.gateway.now();
+            let Some((request, row)) = self.gateway.desk().quarantine.due_write(now) else { return };
+            let is_done = match row.phase {
+                HoldPhase::Held => self.write(request, &row).await,
+                HoldPhase::Trial => true,
+                HoldPhase::Lifted => self.remove(request).await,
+            };
+            let again = if is_done { Moment::NEVER } else { self.gateway.now().after_millis(RETRY_MILLIS) };
+            self.gateway.desk().quarantine.note_written(request, again);
+        }
+    }
+
+    /// Writes a hold under a lease of its own; whether it stands in the store, or a later one does.
+    async fn write(&mut self, request: RequestKey, row: &HeldRequest) -> bool {
+        let dialect = self.gateway.dialect.store;
+        let rest_millis = row.until.micros_since(self.gateway.now()) / MICROS_PER_MILLI;
+        let grant = (dialect.grant)(rest_millis.max(LEASE_LEAST_MILLIS));
+        let Some(Ok(grant)) = self.call("grant", &grant, dialect.read_grant).await else { return false };
+        let label = self.gateway.desk().label(request).to_owned();
+        let hold = StoredHold { round: row.round, endings: row.endings, request: label };
+        // Plain structs of numbers and texts always have a JSON form.
+        let value = serde_json::to_vec(&hold).unwrap_or_default();
+        let key = format!("{HOLD_PREFIX}{request}");
+        let mut revision = 0;
+        for _ in 0..2 {
+            let write = StoreTransaction {
+                conditions: vec![(key.clone(), revision)],
+                writes: vec![(key.clone(), value.clone(), grant.lease)],
+                removals: Vec::new(),
+            };
+            match self.call("write", &(dialect.transact)(&write), dialect.read_transact).await {
+                Some(Ok(revision)) => {
+                    log::info!(digest:% = request, round = row.round, revision; "quarantine.written");
+                    return true;
+                }
+                Some(Err(StoreRefusal::Conflict(items))) => {
+                    let Some(item) = items.first() else { return false };
+                    let standing = serde_json::from_slice::<StoredHold>(&item.value);
+                    if standing.is_ok_and(|standing| standing.round >= row.round) {
+                        return true;
+                    }
+                    revision = item.revision;
+                }
+                _ => return false,
+            }
+        }
+        false
+    }
+
+    async fn remove(&mut self, request: RequestKey) -> bool {
+        let dialect = self.gateway.dialect.store;
+        let removals = vec![format!("{HOLD_PREFIX}{request}")];
+        let write = StoreTransaction { removals, ..StoreTransaction::default() };
+        matches!(self.call("write", &(dialect.transact)(&write), dialect.read_transact).await, Some(Ok(_)))
+    }
+
+    async fn call<T>(
+        &mut self,
+        kind: &str,
+        call: &WireCall,
+        read: StoreDecoder<T>,
+    ) -> Option<Result<T, StoreRefusal>> {
+        self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
+        match self.link.call(call, Instant::now() + CALL_TIMEOUT).await {
+            Ok((status, body)) => {
+                let result = read(status, &body);
+                if let Err(error) = &result {
+                    log::warn!(call = kind, cause:% = error; "quarantine.refused");
+                }
+                Some(result)
+            }
+            Err(error) => {
+                log::warn!(call = kind, cause:% = error; "quarantine.unanswered");
+                None
+            }
+        }
+    }
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -96,6 +96,7 @@
             SendResult::Late(back_millis) => {
                 return run.refuse("no engine has room in time", back_millis);
             }
+            SendResult::HeldBack => return run.hold_back(),
             SendResult::Refused => "refused by the endpoint",
             SendResult::Ended => "another endpoint has its address",
             SendResult::Lost(cause) => cause,
@@ -150,6 +151,7 @@
     };
     let ReceivedHead { head, mut flight, .. } = received;
     run.note_first();
+    run.note_answered();
     flight.begin();
     flight.complete();
     if head.status.is_server_error() {
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -3,14 +3,16 @@
 //! Invariant: each request writes one line when it ends, with the inputs of its last decision, also if
 //! its caller left.
 
-use crate::end_watch::BrokenSend;
+use crate::end_watch::{BrokenEndpoint, BrokenSend, EndAnswer, millis};
 use crate::flight::SendFlight;
 use crate::gateway::{CountGuard, Gateway};
 use crate::gateway_metrics::KindLabel;
 use crate::own_answer::{AnswerBody, OwnAnswer, full_body};
 use crate::relay::answer_with;
 use crate::request_ticket::RequestTicket;
-use crate::{EndpointKey, PlacementChoice, RequestIdentity, RequestKey};
+use crate::{
+    EndpointEnding, EndpointKey, EndpointStart, PlacementChoice, RequestIdentity, RequestKey, short_digest,
+};
 use bytes::Bytes;
 use hyper::http::response;
 use hyper::{Response, StatusCode};
@@ -39,6 +41,10 @@
     pub first_at: Option<Moment>,
     /// An endpoint's own failure, to be passed on if nothing better comes.
     pub failure: Option<(Box<response::Parts>, Bytes)>,
+    /// Its identity, if that was asked for.
+    key: Option<RequestKey>,
+    /// Tells when the endpoint of the last broken send has been asked whether it ended.
+    pub end_answer: Option<EndAnswer>,
     outcome: &'static str,
     status: u16,
     _open: CountGuard,
@@ -60,6 +66,7 @@
             route = self.ticket.route.name.as_str(),
             account = self.ticket.account.as_deref().unwrap_or(""),
             config = self.ticket.config_version,
+            digest = self.key.map_or_else(String::new, |key| key.to_string()).as_str(),
             endpoint = self.endpoint.as_str(),
             sends = self.sends,
             candidates,
@@ -95,6 +102,8 @@
             waited_micros: 0,
             first_at: None,
             failure: None,
+            key: None,
+            end_answer: None,
             outcome: "caller left",
             status: 0,
             _open: open,
@@ -102,30 +111,101 @@
     }
 
     /// What the request is known by, on every VM; none until the deployment's secret is known.
-    pub(crate) fn request_key(&self) -> Option<RequestKey> {
-        let ticket = &self.ticket;
-        let identity = RequestIdentity {
-            account: ticket.account.as_deref().unwrap_or_default(),
-            method: ticket.method.as_str(),
-            host: &ticket.host,
-            path: &ticket.path,
-            body: &self.body,
-        };
-        Some(self.gateway.identity_key()?.of(&identity))
-    }
-
-    /// Notes that the connection of a send broke before its answer was whole.
-    pub(crate) fn note_broken(&self, flight: &SendFlight) {
+    fn request_key(&mut self) -> Option<RequestKey> {
+        if self.key.is_none() {
+            let ticket = &self.ticket;
+            let identity = RequestIdentity {
+                account: ticket.account.as_deref().unwrap_or_default(),
+                method: ticket.method.as_str(),
+                host: &ticket.host,
+                path: &ticket.path,
+                body: &self.body,
+            };
+            self.key = Some(self.gateway.identity_key()?.of(&identity));
+        }
+        self.key
+    }
+
+    /// Whether it is turned away, because endpoints end under it.
+    pub(crate) fn is_held_back(&mut self) -> bool {
+        // Most of the time no request is suspicious, and no body is hashed.
+        if self.gateway.desk().quarantine.is_idle() {
+            return false;
+        }
+        let Some(key) = self.request_key() else { return false };
+        let now = self.gateway.now();
+        self.gateway.desk().quarantine.held(key, now).is_some()
+    }
+
+    /// Waits until it is known whether the endpoint of the last send ended, if that may be what holds the request back.
+    pub(crate) async fn wait_for_end(&mut self) {
+        let Some(mut answer) = self.end_answer.take() else { return };
+        let is_close = self.key.is_some_and(|key| self.gateway.desk().quarantine.is_close(key));
+        if is_close {
+            // The sender is gone once the endpoint has ended: that is an answer, too.
+            let _ = answer.wait_for(|asked| *asked).await;
+        }
+    }
+
+    /// The final answer of a request that is turned away: it says whether it ran, and invites nobody back.
+    pub(crate) fn hold_back(&mut self) -> Response<AnswerBody> {
+        if let Some(key) = self.key {
+            let label = self.label();
+            let mut desk = self.gateway.desk();
+            desk.quarantine.count_turned_away(key);
+            desk.describe(key, &label);
+        }
+        self.gateway.metrics.turned_away.inc();
+        self.own(if self.may_have_run { OwnAnswer::HELD_AFTER_RUN } else { OwnAnswer::HELD_BACK })
+    }
+
+    /// Notes that an endpoint ran it to its end.
+    pub(crate) fn note_answered(&mut self) {
+        if self.gateway.desk().quarantine.is_idle() {
+            return;
+        }
+        if let Some(key) = self.request_key() {
+            self.gateway.note_answered(key);
+        }
+    }
+
+    /// Notes that the connection of a send broke before its answer was whole: if its endpoint ended, that is evidence.
+    pub(crate) fn note_broken(&mut self, flight: &SendFlight) {
         let (has_begun, age_micros) = flight.age();
-        self.gateway.note_broken(BrokenSend {
-            request: self.request_key(),
-            request_id: self.ticket.id_text().to_owned(),
-            endpoint: flight.key,
-            endpoint_id: flight.endpoint.clone(),
-            address: flight.address,
-            has_begun,
-            age_micros,
-        });
+        let key = self.request_key();
+        let digest = key.map_or_else(String::new, |key| key.to_string());
+        log::warn!(request = self.ticket.id_text(), digest = digest.as_str(), endpoint = flight.endpoint.as_str(),
+            begun = has_begun, age_ms = millis(age_micros); "send.broke");
+        let (Some(request), Some(ending)) = (key, self.ending_of(flight)) else { return };
+        let label = self.label();
+        self.gateway.desk().describe(request, &label);
+        let endpoint = BrokenEndpoint { id: flight.endpoint.clone(), address: flight.address };
+        let request_id = self.ticket.id_text().to_owned();
+        let send = BrokenSend { request, request_id, ending, age_micros };
+        self.end_answer = self.gateway.note_broken(&endpoint, send);
+    }
+
+    /// What the end of a send's endpoint would be; none if it leaves, or is not known any more.
+    fn ending_of(&self, flight: &SendFlight) -> Option<EndpointEnding> {
+        let now = self.gateway.now();
+        let table = self.gateway.table();
+        let row = table.row(flight.key).filter(|row| !row.entry.draining && row.missing_until.is_none())?;
+        let service = &row.entry.service;
+        let among = table.rows_of(service).filter(|(_, row)| !row.is_leaving(now)).count();
+        Some(EndpointEnding {
+            start: EndpointStart { endpoint: flight.key, born_millis: 0 },
+            place: short_digest(&flight.address.to_string()),
+            service: short_digest(service),
+            among: among as u32,
+            at: now,
+        })
+    }
+
+    /// What operators know the request by: client account, method, host and path.
+    fn label(&self) -> String {
+        let ticket = &self.ticket;
+        let account = ticket.account.as_deref().unwrap_or("-");
+        format!("{account} {} {}{} ({} bytes)", ticket.method, ticket.host, ticket.path, self.body.len())
     }
 
     /// Marks how the request ended; told by its log line.
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -5,7 +5,13 @@
 use crate::HolderRecord;
 use crate::gateway::Gateway;
 use crate::lease_keeper::{ORDERS_KEY, VM_PREFIX};
-use crate::{RouteTable, StoreEvent, StoreItem, VmEntry};
+use crate::quarantine_desk::StoredHold;
+use crate::quarantine_task::HOLD_PREFIX;
+use crate::{
+    EndpointEnding, EndpointKey, EndpointStart, RequestKey, RouteTable, StoreEvent, StoreItem, VmEntry,
+    short_digest,
+};
+use spanfold_entity::Moment;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -13,6 +19,9 @@
 /// Key of the secret that authenticates messages between VMs; it stays as long as the deployment.
 pub(crate) const PEER_KEY_KEY: &str = "spanfold/peer-key";
 
+/// An endpoint's entry goes so long after its end, in microseconds: three heartbeats of 1.2 s.
+const LAPSE_MICROS: u64 = 3_400_000;
+
 /// What the tasks that order engines need to know of the store.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OrdersView {
@@ -85,6 +94,8 @@
                 Ok(entry) => self.gateway.peers().list_at(entry, self.gateway.now()),
                 Err(error) => log::error!(key = item.key.as_str(), cause:% = error; "vm.unreadable"),
             }
+        } else if let Some(digest) = item.key.strip_prefix(HOLD_PREFIX) {
+            self.hold_written(digest, item);
         } else if item.key == PEER_KEY_KEY {
             match item.value.as_slice().try_into() {
                 Ok(key) => self.gateway.set_peer_key(key),
@@ -122,16 +133,51 @@
         match (self.gateway.dialect.decode.endpoint)(id, &item.value) {
             Ok(entry) => {
                 let (service, draining) = (entry.service.clone(), entry.draining);
-                let address = entry.address.to_string();
+                let (key, at) = (EndpointKey::of(id), entry.address);
+                let address = at.to_string();
                 if self.gateway.table().apply_entry(entry, self.gateway.now()) {
                     let (service, address) = (service.as_str(), address.as_str());
                     log::info!(endpoint = id, service, address, draining, revision = item.revision; "endpoint.entry");
+                    self.gateway.note_started_at(at, key);
                 }
             }
             Err(fault) => log::error!(endpoint = id, cause = fault.as_str(); "endpoint.unreadable"),
         }
     }
 
+    fn hold_written(&self, digest: &str, item: &StoreItem) {
+        let request = digest.parse::<RequestKey>().map_err(|error| error.to_string());
+        let hold = serde_json::from_slice::<StoredHold>(&item.value).map_err(|error| error.to_string());
+        match request.and_then(|request| Ok((request, hold?))) {
+            Ok((request, hold)) => self.gateway.take_stored_hold(request, &hold),
+            Err(cause) => {
+                log::error!(key = item.key.as_str(), cause = cause.as_str(); "quarantine.unreadable");
+            }
+        }
+    }
+
+    /// An entry that went while the store was well, of an endpoint that had not said that it leaves: it has ended.
+    fn endpoint_lapsed(&self, id: &str, now: Moment) {
+        let key = EndpointKey::of(id);
+        let ending = {
+            let table = self.gateway.table();
+            table.row(key).filter(|row| !row.entry.draining).map(|row| {
+                let service = &row.entry.service;
+                EndpointEnding {
+                    start: EndpointStart { endpoint: key, born_millis: 0 },
+                    place: short_digest(&row.entry.address.to_string()),
+                    service: short_digest(service),
+                    among: table.rows_of(service).count() as u32,
+                    at: Moment(now.0.saturating_sub(LAPSE_MICROS)),
+                }
+            })
+        };
+        if let Some(ending) = ending {
+            self.gateway.note_lapsed(ending);
+            self.gateway.note_ended(key, "its entry is gone");
+        }
+    }
+
     fn weights_written(&self, item: &StoreItem) {
         match (self.gateway.dialect.decode.weights)(&item.value) {
             Ok(target) => {
@@ -152,6 +198,9 @@
         if let Some(id) = key.strip_prefix(self.gateway.dialect.keys.endpoints) {
             let held_until = self.gateway.hold_until();
             self.gateway.table().miss_entry(id, held_until);
+            if held_until == Moment(0) {
+                self.endpoint_lapsed(id, now);
+            }
             log::info!(endpoint = id, source, held_until:% = held_until; "endpoint.missing");
         } else if let Some(name) = key.strip_prefix(VM_PREFIX) {
             self.gateway.peers().unlist(name, now);
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -144,6 +144,7 @@
             }
         }
         self.flight.complete();
+        self.run.note_answered();
         self.run.end("answered");
     }
 
@@ -219,7 +220,8 @@
                 | SendResult::Ended
                 | SendResult::Refused
                 | SendResult::Lost(_)
-                | SendResult::Late(_),
+                | SendResult::Late(_)
+                | SendResult::HeldBack,
             )
             | None => false,
         };
