--- a/crates/gateway/src/operator_port.rs
+++ b/crates/gateway/src/operator_port.rs
@@ -18,8 +18,10 @@
 use std::sync::atomic::Ordering;
 use tokio::net::TcpListener;
 
-/// Path of the list of held requests; a digest after it names one.
+/// Path of the list of held requests.
 const HELD_PATH: &str = "/held";
+/// What follows the path and a request's digest in a call that lifts its hold.
+const LIFT_WORD: &str = "lift";
 
 /// What is answered at one of the operators' addresses.
 pub(crate) type OperatorAnswer = fn(&Gateway, &Request<Incoming>) -> Response<AnswerBody>;
@@ -65,7 +67,7 @@
 pub(crate) fn answer_management(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
     match (request.method(), request.uri().path().strip_prefix(HELD_PATH)) {
         (&Method::GET, Some("")) => list_held(gateway),
-        (&Method::DELETE, Some(rest)) => lift_held(gateway, rest.trim_start_matches('/')),
+        (&Method::POST, Some(rest)) => lift_held(gateway, rest),
         _ => answer_readiness(gateway, request),
     }
 }
@@ -73,19 +75,27 @@
 fn list_held(gateway: &Gateway) -> Response<AnswerBody> {
     // Plain structs of numbers and texts always have a JSON form.
     let rows = serde_json::to_string(&gateway.quarantine_rows()).unwrap_or_default();
-    let mut response = text(StatusCode::OK, rows);
-    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    response
+    json(rows)
 }
 
-fn lift_held(gateway: &Gateway, digest: &str) -> Response<AnswerBody> {
+/// Lifts the hold that `rest` of a path names, `/DIGEST/lift`.
+fn lift_held(gateway: &Gateway, rest: &str) -> Response<AnswerBody> {
+    let Some((digest, LIFT_WORD)) = rest.trim_start_matches('/').split_once('/') else {
+        return text(StatusCode::NOT_FOUND, "not found\n");
+    };
     match digest.parse::<RequestKey>() {
         Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
-        Ok(request) if gateway.lift_hold(request) => text(StatusCode::OK, "lifted\n"),
+        Ok(request) if gateway.lift_hold(request) => json("{\"lifted\":true}"),
         Ok(_) => text(StatusCode::NOT_FOUND, "no such hold\n"),
     }
 }
 
+fn json(value: impl Into<Bytes>) -> Response<AnswerBody> {
+    let mut response = text(StatusCode::OK, value);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
 fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<AnswerBody> {
     let mut response = Response::new(full_body(text.into()));
     *response.status_mut() = status;
--- a/crates/keyvalue/src/http.rs
+++ b/crates/keyvalue/src/http.rs
@@ -89,6 +89,14 @@
     request.map_err(|error| PlatformError::NotSent(error.to_string()))
 }
 
+/// Posts `body` to a JSON resource of `address`.
+///
+/// # Errors
+/// If there was no answer, it is an error, or it is not JSON.
+pub async fn post_json(address: SocketAddr, path: &str, body: &Value) -> Result<Value, PlatformError> {
+    call(&json_client(), address, path, Some(body), READ_TIMEOUT).await
+}
+
 /// Reads a JSON resource of `address`, such as a VM's `/status`.
 ///
 /// # Errors
--- a/crates/spanfold/src/arguments.rs
+++ b/crates/spanfold/src/arguments.rs
@@ -136,6 +136,9 @@
         #[bpaf(positional("FILE"), some("name at least one file"))]
         files: Vec<PathBuf>,
     },
+    /// Requests that gateways hold back because endpoints end under them
+    #[bpaf(command)]
+    Held(#[bpaf(external(held_call))] HeldCall),
     /// Replay a recorded session; exit code 1 if the effects differ
     #[bpaf(command)]
     Replay {
@@ -145,6 +148,31 @@
     },
 }
 
+/// What is done with held requests.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum HeldCall {
+    /// List them
+    #[bpaf(command)]
+    List {
+        /// Print JSON
+        #[bpaf(long)]
+        json: bool,
+        /// Metrics addresses of VMs
+        #[bpaf(positional("IP:PORT"), some("name at least one VM"))]
+        vms: Vec<SocketAddr>,
+    },
+    /// Let one run again, at all VMs
+    #[bpaf(command)]
+    Lift {
+        /// Metrics address of any VM
+        #[bpaf(positional("IP:PORT"))]
+        vm: SocketAddr,
+        /// The request's digest, as `list` and the logs tell it
+        #[bpaf(positional("DIGEST"))]
+        digest: String,
+    },
+}
+
 /// `burn IP:PORT...`
 fn burn_vms() -> impl bpaf::Parser<Vec<SocketAddr>> {
     use bpaf::Parser;
--- a/crates/spanfold/src/main.rs
+++ b/crates/spanfold/src/main.rs
@@ -8,12 +8,13 @@
 mod client;
 mod declare;
 mod explain;
+mod held;
 mod log_lines;
 mod losses;
 mod outcome;
 mod status_report;
 
-use arguments::Command;
+use arguments::{Command, HeldCall};
 use outcome::Outcome;
 use std::process::ExitCode;
 
@@ -49,6 +50,8 @@
         Command::Status { json, vms } => status_report::status(json, &vms).await,
         Command::ReportBurn { json, vms } => burn_report::burn(json, &vms).await,
         Command::Explain { request, files } => explain::explain(&request, &files),
+        Command::Held(HeldCall::List { json, vms }) => held::list(json, &vms).await,
+        Command::Held(HeldCall::Lift { vm, digest }) => held::lift(vm, &digest).await,
         Command::Losses { json, files } => losses::losses(json, &files),
         Command::Replay { file } => declare::replay_session(&file),
     }
