--- a/crates/spanfold/src/explain.rs
+++ b/crates/spanfold/src/explain.rs
@@ -2,7 +2,8 @@
 //!
 //! Invariant: lines come out in the order of their times, each with its VM; beside the request's own
 //! lines stand what its VM came to believe shortly before about the endpoints that it used, about
-//! the store, the configuration and the weights. What is not a JSON line is passed over and counted.
+//! the store, the configuration and the weights, and what all VMs found out about requests that are the same.
+//! What is not a JSON line is passed over and counted.
 
 use crate::log_lines::{LogLine, LogLines, read_files};
 use crate::outcome::{FINDINGS, Outcome};
@@ -24,6 +25,8 @@
     "watch.relist",
     "weights.named",
 ];
+/// Events that tell of requests under which endpoints end.
+const QUARANTINE_EVENTS: &str = "quarantine.";
 /// Fields that every line has, told in other places.
 const COMMON: [&str; 4] = ["time_ms", "level", "event", "request"];
 
@@ -42,9 +45,14 @@
     let vms: BTreeSet<_> = own.iter().map(|line| line.vm.as_str()).collect();
     let endpoints: BTreeSet<_> =
         own.iter().map(|line| line.text("endpoint")).filter(|endpoint| !endpoint.is_empty()).collect();
+    let digests: BTreeSet<_> =
+        own.iter().map(|line| line.text("digest")).filter(|digest| !digest.is_empty()).collect();
+    let is_same =
+        |line: &LogLine| line.event.starts_with(QUARANTINE_EVENTS) && digests.contains(line.text("digest"));
     let from = last.time_millis.saturating_sub(BELIEF_MILLIS);
     let belongs = |line: &&LogLine| {
         line.text("request") == request
+            || (is_same(line) && line.time_millis <= last.time_millis)
             || (vms.contains(line.vm.as_str())
                 && (from..=last.time_millis).contains(&line.time_millis)
                 && line.text("request").is_empty()
@@ -52,10 +60,15 @@
     };
     let mut text = String::new();
     for line in lines.iter().filter(belongs) {
-        let mark = if line.text("request") == request { "request" } else { "belief " };
+        let mark = match line.text("request") {
+            id if id == request => "request",
+            _ if is_same(line) => "same   ",
+            _ => "belief ",
+        };
         let before = last.time_millis - line.time_millis;
         let _ = write!(text, "-{before:>6} ms  {mark}  {}  {}", line.vm, line.event);
-        for (key, value) in line.fields.iter().filter(|(key, _)| !COMMON.contains(&key.as_str())) {
+        let is_told = |key: &str| !COMMON.contains(&key) || (key == "request" && is_same(line));
+        for (key, value) in line.fields.iter().filter(|(key, _)| is_told(key)) {
             let _ =
                 write!(text, "  {key}={}", value.as_str().map_or_else(|| value.to_string(), str::to_owned));
         }
--- a/crates/spanfold/tests/explain.rs
+++ b/crates/spanfold/tests/explain.rs
@@ -4,10 +4,14 @@
 use std::process::Command;
 
 fn explain(request: &str) -> (i32, String) {
+    explain_from(request, ["vm-1.log", "vm-2.log"])
+}
+
+fn explain_from(request: &str, files: [&str; 2]) -> (i32, String) {
     let logs = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/logs");
     let output = Command::new(env!("CARGO_BIN_EXE_spanfold"))
         .args(["explain", request])
-        .args([logs.join("vm-1.log"), logs.join("vm-2.log")])
+        .args(files.map(|file| logs.join(file)))
         .output()
         .unwrap();
     (output.status.code().unwrap(), String::from_utf8(output.stdout).unwrap())
@@ -33,3 +37,18 @@
     assert_eq!(code, 1);
     assert!(text.starts_with("r-0: no line of it in 10 lines (1 passed over)"), "{text}");
 }
+
+#[test]
+fn the_story_of_a_request_that_was_held_back_holds_the_evidence_of_all_vms() {
+    let (code, text) = explain_from("r-9", ["quarantine-1.log", "quarantine-2.log"]);
+    assert_eq!(code, 0);
+    let expected = "\
+-  8000 ms  same     quarantine-1  quarantine.evidence  age_ms=60  digest=00ff  endings=1  endpoint=i-1  request=r-1
+-  7000 ms  same     quarantine-1  quarantine.evidence  age_ms=55  digest=00ff  endings=2  endpoint=i-2  request=r-2
+-  5900 ms  same     quarantine-2  quarantine.evidence  age_ms=70  digest=00ff  endings=3  endpoint=i-3  request=r-3
+-  5700 ms  same     quarantine-1  quarantine.begun  digest=00ff  endings=3  request=one POST h/p (5 bytes)  round=1
+-  5680 ms  same     quarantine-2  quarantine.adopted  digest=00ff  round=1
+-     0 ms  request  quarantine-2  request.ended  digest=00ff  endpoint=  outcome=held back: endpoints end under this request; it was not run  status=503
+";
+    assert_eq!(text, expected);
+}
