What is believed of an endpoint belongs to one of its starts; entries of other writers name no endpoint

Cause: an endpoint may start again under its id. Ejection, faults, pace, loads, kept parts, weights, counts of orders and notes of other VMs all stood under the id, so a new start inherited them, and one that had drained never came back. Change: an endpoint's key is a digest of its id and start, at all VMs, so that nothing else need know of starts; late words of an earlier start are dropped; reports of another start are not acted on. Entries lack no field that each engine writes, state ready or draining, and a start that is a whole number and not in the future; else the endpoint gets no work until a readable one follows, told once and counted by cause.

--- a/crates/decide/examples/placement_cost.rs
+++ b/crates/decide/examples/placement_cost.rs
@@ -120,6 +120,7 @@
 fn entry(engine: usize, size: FleetSize) -> EndpointEntry {
     EndpointEntry {
         id: format!("engine-{engine}"),
+        born_millis: None,
         service: "llm".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         data_centre: format!("dc-{}", engine % size.data_centres),
--- a/crates/decide/src/fleet/deployment.rs
+++ b/crates/decide/src/fleet/deployment.rs
@@ -3,6 +3,7 @@
 //! Invariant: these types speak the project's words only. An adapter decodes the platform's form
 //! into them once, and nothing downstream reads the platform's form again.
 
+use crate::EndpointKey;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -187,8 +188,10 @@
 /// One running endpoint as service discovery tells it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EndpointEntry {
-    /// Its incarnation's id; it appears nowhere else, ever.
+    /// Its id. An endpoint may start again under the id that it had.
     pub id: String,
+    /// Time of day of its start in milliseconds, if its platform tells starts apart: it holds and knows nothing of before.
+    pub born_millis: Option<u64>,
     /// The service that it belongs to.
     pub service: String,
     /// Where it listens.
@@ -203,6 +206,13 @@
     pub weights: BTreeMap<String, u64>,
 }
 
+impl EndpointEntry {
+    /// The key of this start of the endpoint.
+    pub fn key(&self) -> EndpointKey {
+        EndpointKey::of_start(&self.id, self.born_millis)
+    }
+}
+
 /// The weight version that a model's engines should have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WeightTarget {
@@ -219,7 +229,9 @@
     pub weights: BTreeMap<String, u64>,
     /// Whether an order is under way.
     pub busy: bool,
-    /// Orders that it has taken in this incarnation.
+    /// Time of day of its start in milliseconds, if it was told.
+    pub born_millis: Option<u64>,
+    /// Orders that it has taken since then.
     pub orders_taken: u64,
     /// The engines' clock at the answer, in milliseconds, if it was told.
     pub clock_millis: Option<u64>,
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -90,6 +90,8 @@
     pub entry: EndpointEntry,
     /// Its entry vanished; until this moment it may return, and the endpoint goes on getting work.
     pub missing_until: Option<Moment>,
+    /// Its entry cannot be read since it was written last: it names no endpoint to use.
+    pub is_unreadable: bool,
     /// What this VM has in flight there.
     pub own: LoadCount,
     /// What others have in flight there, as they told.
@@ -120,6 +122,7 @@
     pub fn new(entry: EndpointEntry) -> Self {
         Self {
             missing_until: None,
+            is_unreadable: false,
             own: LoadCount::default(),
             peers: PeerLoads::default(),
             kept: KeptParts::default(),
@@ -178,9 +181,9 @@
         self.ejected_until = self.ejected_until.max(until);
     }
 
-    /// Whether it has said that it leaves, or its entry is gone for good.
+    /// Whether it gets no new work: it has said that it leaves, its entry is gone for good, or cannot be read.
     pub fn is_leaving(&self, now: Moment) -> bool {
-        self.entry.draining || self.missing_until.is_some_and(|until| now >= until)
+        self.entry.draining || self.is_unreadable || self.missing_until.is_some_and(|until| now >= until)
     }
 
     /// Whether its weights are being changed, or about to be.
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -1,8 +1,9 @@
 //! All endpoints that this VM knows, with their loads.
 //!
-//! Invariant: an endpoint that has said it leaves is never chosen again in its incarnation, and one whose entry is
-//! gone only if it writes it again; ids are never used twice. Rows are found by a short digest of the id, which is
-//! the same on all VMs, so that digests of loads need no names.
+//! Invariant: an endpoint that has said it leaves is never chosen again in its present start, and one whose entry is
+//! gone only if it writes it again. Of two starts under one id the later one stands, and nothing that is believed of the
+//! earlier one holds for it. Rows are found by a short digest of id and start, which is the same on all VMs, so that
+//! digests of loads need no names.
 
 use crate::CloseTeller;
 use crate::{
@@ -13,7 +14,7 @@
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
-/// Short digest of an endpoint's id.
+/// Short digest of an endpoint's id and of its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointKey(pub u64);
 
@@ -57,10 +58,25 @@
 }
 
 impl EndpointKey {
-    /// The key of the endpoint called `id`.
+    /// The key of the endpoint called `id`, on a platform that does not tell starts apart: a new start has a new id.
     pub fn of(id: &str) -> Self {
         Self(short_digest(id))
     }
+
+    /// The key of a start of the endpoint called `id`, where `born_millis` tells starts apart.
+    ///
+    /// All that is believed of an endpoint, here and at other VMs, stands under this key: what belongs to an earlier start
+    /// is not found under a later one's.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::EndpointKey;
+    /// assert_ne!(EndpointKey::of_start("a", Some(1)), EndpointKey::of_start("a", Some(2)));
+    /// assert_eq!(EndpointKey::of_start("a", None), EndpointKey::of("a"));
+    /// ```
+    pub fn of_start(id: &str, born_millis: Option<u64>) -> Self {
+        born_millis.map_or_else(|| Self::of(id), |born| Self(short_digest(&format!("{id}@{born}"))))
+    }
 }
 
 impl VmKey {
@@ -91,6 +107,12 @@
     rows: BTreeMap<EndpointKey, EndpointRow>,
     services: BTreeMap<String, ServiceRow>,
     by_service: HashMap<String, Vec<EndpointKey>>,
+    /// Ids whose entries cannot be read since they were written last.
+    unreadable: HashSet<String>,
+    /// Services whose endpoints tell their starts.
+    dated: HashSet<String>,
+    /// The newest start of each id.
+    newest: HashMap<String, NewestStart>,
     ended: HashMap<EndpointKey, EndedRow>,
     stores: BTreeMap<EndpointKey, StoreRow>,
     reach: HashMap<String, ReachNote>,
@@ -105,6 +127,13 @@
     stores: Vec<EndpointKey>,
 }
 
+/// The newest start of an endpoint that was told.
+#[derive(Clone, Copy, Debug)]
+struct NewestStart {
+    key: EndpointKey,
+    born_millis: Option<u64>,
+}
+
 /// An incarnation that is gone.
 #[derive(Debug)]
 struct EndedRow {
@@ -209,7 +238,13 @@
     ///
     /// An entry cannot take back that its endpoint leaves: an older one may arrive late.
     pub fn apply_entry(&mut self, mut entry: EndpointEntry, now: Moment) -> bool {
-        let key = EndpointKey::of(&entry.id);
+        let key = entry.key();
+        if !self.is_newest(&entry, key) {
+            return false;
+        }
+        if entry.born_millis.is_some() && !self.dated.contains(&entry.service) {
+            self.note_dated(&entry.service);
+        }
         // A living endpoint's entry goes too, if a cut outlasts its heartbeats, and is written again afterwards.
         if self.ended.get(&key).is_some_and(|row| row.draining) {
             return false;
@@ -217,6 +252,7 @@
         let has_returned = self.ended.remove(&key).is_some();
         if let Some(row) = self.rows.get_mut(&key) {
             row.missing_until = None;
+            row.is_unreadable = false;
             entry.draining |= row.entry.draining;
             row.listed_weights.clone_from(&entry.weights);
             // Entries lag behind: what was seen at the engine itself may be newer.
@@ -241,11 +277,69 @@
         true
     }
 
+    /// Notes that the entry of `id` was written and cannot be read: it names no endpoint to use until one that can be
+    /// read follows. Whether it could be read before.
+    pub fn set_unreadable(&mut self, id: &str) -> bool {
+        let key = self.key_of(id);
+        if let Some(row) = self.rows.get_mut(&key) {
+            row.is_unreadable = true;
+        }
+        self.unreadable.len() < ENDED_MOST && self.unreadable.insert(id.to_owned())
+    }
+
+    /// Notes that the entry of `id` can be read, or is gone; whether it could not be read before.
+    pub fn clear_unreadable(&mut self, id: &str) -> bool {
+        self.unreadable.remove(id)
+    }
+
+    /// Whether an entry lacks the start that all endpoints of its service tell: it is not that endpoint's own.
+    pub fn lacks_start(&self, entry: &EndpointEntry) -> bool {
+        entry.born_millis.is_none() && self.dated.contains(&entry.service)
+    }
+
+    /// Learns that the endpoints of a service tell their starts: entries without were not their own.
+    fn note_dated(&mut self, service: &str) {
+        self.dated.insert(service.to_owned());
+        let rows = self.rows.values_mut();
+        for row in rows.filter(|row| row.entry.service == service && row.entry.born_millis.is_none()) {
+            row.is_unreadable = true;
+        }
+    }
+
+    /// Whether an entry is of the newest start of its id; an earlier start that it takes the place of has ended.
+    fn is_newest(&mut self, entry: &EndpointEntry, key: EndpointKey) -> bool {
+        let start = NewestStart { key, born_millis: entry.born_millis };
+        match self.newest.insert(entry.id.clone(), start) {
+            Some(known) if known.born_millis > entry.born_millis => {
+                // The last word of an earlier start came late.
+                self.newest.insert(entry.id.clone(), known);
+                false
+            }
+            Some(known) => {
+                if known.key != key {
+                    self.miss_key(known.key, Moment(0));
+                }
+                true
+            }
+            None => true,
+        }
+    }
+
+    /// The key of the newest start of `id`.
+    pub fn key_of(&self, id: &str) -> EndpointKey {
+        self.newest.get(id).map_or_else(|| EndpointKey::of(id), |start| start.key)
+    }
+
     /// Notes that the entry of `id` is gone; until `hold` its endpoint goes on getting work.
     ///
     /// A hold is for entries that lapsed while their store was away: those of living endpoints return.
     pub fn miss_entry(&mut self, id: &str, hold: Moment) {
-        if let Some(row) = self.rows.get_mut(&EndpointKey::of(id)) {
+        self.miss_key(self.key_of(id), hold);
+    }
+
+    /// The same for one start of an endpoint.
+    pub fn miss_key(&mut self, key: EndpointKey, hold: Moment) {
+        if let Some(row) = self.rows.get_mut(&key) {
             row.missing_until = Some(row.missing_until.map_or(hold, |until| until.min(hold)));
         }
     }
@@ -301,9 +395,11 @@
             if let Some(keys) = self.by_service.get_mut(&row.entry.service) {
                 keys.retain(|other| other != key);
             }
+            let EndpointEntry { id, weights, draining, .. } = row.entry;
             if self.ended.len() < ENDED_MOST {
-                let EndpointEntry { weights, draining, .. } = row.entry;
                 self.ended.insert(*key, EndedRow { at: now, weights, draining });
+            } else if self.key_of(&id) == *key {
+                self.newest.remove(&id);
             }
         }
         for row in self.rows.values_mut() {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -33,9 +33,9 @@
     BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
 };
 pub use quarantine::{
-    CrashLedger, CrashVerdict, ENDINGS_LEAST, EndingReport, EndpointEnding, EndpointStart, HeldBook,
-    HeldRequest, HoldPhase, IdentityKey, KeyTextError, QuarantineChange, QuarantineNote, RequestIdentity,
-    RequestKey, RequestQuarantine,
+    CrashLedger, CrashVerdict, ENDINGS_LEAST, EndingReport, EndpointEnding, HeldBook, HeldRequest, HoldPhase,
+    IdentityKey, KeyTextError, QuarantineChange, QuarantineNote, RequestIdentity, RequestKey,
+    RequestQuarantine,
 };
 pub use weights::{
     DeskStep, EngineState, HolderRecord, HolderStanding, NamedVersion, NamedWeights, NamingRecord,
--- a/crates/decide/src/quarantine/crash_ledger.rs
+++ b/crates/decide/src/quarantine/crash_ledger.rs
@@ -15,7 +15,7 @@
 //! So in a quiet fleet three ends within a second of the request's begin suffice, while in a fleet whose endpoints
 //! fall over by themselves, or a data centre at once, many more are needed.
 
-use crate::{EndingReport, EndpointEnding, EndpointStart, RequestKey};
+use crate::{EndingReport, EndpointEnding, EndpointKey, RequestKey};
 use spanfold_entity::{MICROS_PER_MILLI, MICROS_PER_SECOND, Moment};
 use std::collections::BTreeMap;
 
@@ -101,8 +101,8 @@
 /// Ends of endpoints, and what ran there.
 #[derive(Debug, Default)]
 pub struct CrashLedger {
-    endings: BTreeMap<EndpointStart, EndingRow>,
-    requests: BTreeMap<RequestKey, Vec<EndpointStart>>,
+    endings: BTreeMap<EndpointKey, EndingRow>,
+    requests: BTreeMap<RequestKey, Vec<EndpointKey>>,
     answered: BTreeMap<RequestKey, Moment>,
     runs: usize,
 }
@@ -296,7 +296,7 @@
         }
     }
 
-    fn remove(&mut self, start: EndpointStart) {
+    fn remove(&mut self, start: EndpointKey) {
         let Some(row) = self.endings.remove(&start) else { return };
         self.runs -= row.runs.len();
         for run in row.runs {
--- a/crates/decide/src/quarantine/ending.rs
+++ b/crates/decide/src/quarantine/ending.rs
@@ -1,23 +1,13 @@
 //! Ends of endpoints, and what ran there.
 
 use crate::{EndpointKey, RequestKey};
-use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 
-/// One start of an endpoint, from which it holds and knows nothing of before.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct EndpointStart {
-    /// The endpoint.
-    pub endpoint: EndpointKey,
-    /// Time of day of its start in milliseconds, as it says itself; zero if it does not, and then its id is new.
-    pub born_millis: u64,
-}
-
 /// An endpoint that ended without having said that it leaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndpointEnding {
     /// Which start of which endpoint.
-    pub start: EndpointStart,
+    pub start: EndpointKey,
     /// Short digest of its address.
     pub place: u64,
     /// Short digest of its service's name.
--- a/crates/decide/src/quarantine/mod.rs
+++ b/crates/decide/src/quarantine/mod.rs
@@ -8,7 +8,7 @@
 mod request_quarantine;
 
 pub use crash_ledger::{CrashLedger, CrashVerdict, ENDINGS_LEAST};
-pub use ending::{EndingReport, EndpointEnding, EndpointStart};
+pub use ending::{EndingReport, EndpointEnding};
 pub use held_book::{HeldBook, HeldRequest, HoldPhase};
 pub use quarantine_note::QuarantineNote;
 pub use request_key::{IdentityKey, KeyTextError, RequestIdentity, RequestKey};
--- a/crates/decide/src/quarantine/quarantine_note.rs
+++ b/crates/decide/src/quarantine/quarantine_note.rs
@@ -3,7 +3,7 @@
 //! Invariant: times are told as ages and rests, since each VM counts from its own start; a note that comes twice or late
 //! changes nothing more.
 
-use crate::{EndingReport, EndpointEnding, EndpointStart, RequestKey};
+use crate::{EndingReport, EndpointEnding, EndpointKey, RequestKey};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 
@@ -15,7 +15,7 @@
         /// The request.
         request: RequestKey,
         /// Which start of which endpoint.
-        start: EndpointStart,
+        start: EndpointKey,
         /// Short digest of its address.
         place: u64,
         /// Short digest of its service's name.
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -47,6 +47,7 @@
         table.apply_entry(
             EndpointEntry {
                 id: format!("i-{engine}"),
+                born_millis: None,
                 service: "llm".to_owned(),
                 address: "127.0.0.1:9".parse().unwrap(),
                 data_centre: "dc-a".to_owned(),
--- a/crates/decide/tests/crash_ledger.rs
+++ b/crates/decide/tests/crash_ledger.rs
@@ -4,8 +4,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use spanfold_decide::{
-    CrashLedger, EndingReport, EndpointEnding, EndpointKey, EndpointStart, IdentityKey, RequestIdentity,
-    RequestKey,
+    CrashLedger, EndingReport, EndpointEnding, EndpointKey, IdentityKey, RequestIdentity, RequestKey,
 };
 use spanfold_entity::Moment;
 
@@ -20,8 +19,8 @@
 
 /// The end of the `start`th endpoint that ever ran, at a place of its own among 18.
 fn ending(start: u64, at: u64) -> EndpointEnding {
-    let start = EndpointStart { endpoint: EndpointKey(start), born_millis: 0 };
-    EndpointEnding { start, place: start.endpoint.0 + 1_000, service: 7, among: 18, at: Moment(at) }
+    let start = EndpointKey(start);
+    EndpointEnding { start, place: start.0 + 1_000, service: 7, among: 18, at: Moment(at) }
 }
 
 fn report(number: u64, ending: EndpointEnding, age_millis: u64) -> EndingReport {
@@ -56,7 +55,7 @@
     let mut ledger = CrashLedger::default();
     for born in 0..3 {
         let mut ending = ending(1, born * 4 * SECOND);
-        ending.start.born_millis = born;
+        ending.start = EndpointKey::of_start("i-1", Some(born));
         ledger.take(&report(1, ending, 60));
     }
     assert_eq!(ledger.endings_of(request(1)), 3);
@@ -67,7 +66,7 @@
     let mut ledger = CrashLedger::default();
     for born in 0..6 {
         let mut ending = EndpointEnding { among: 1, ..ending(1, born * 4 * SECOND) };
-        ending.start.born_millis = born;
+        ending.start = EndpointKey::of_start("i-1", Some(born));
         ledger.take(&report(1, ending, 150));
     }
     assert!(is_fatal(&ledger, 1));
@@ -236,7 +235,7 @@
         }
         let mut ended = Vec::new();
         for place in ending {
-            let start = EndpointStart { endpoint: EndpointKey(starts[place]), born_millis: 0 };
+            let start = EndpointKey(starts[place]);
             let (at, among) = (Moment(now), endpoints as u32);
             let end = EndpointEnding { start, place: place as u64, service: 1, among, at };
             ledger.note_ending(end);
--- /dev/null
+++ b/crates/decide/tests/engine_starts.rs
@@ -0,0 +1,158 @@
+//! Endpoints that start again under the id that they had: what belongs to one start holds for no other.
+
+use spanfold_decide::{
+    EndpointEntry, EndpointKey, FleetTable, LoadCount, LoadSource, PromptPart, SendOutcome, SendReport, VmKey,
+};
+use spanfold_entity::Moment;
+use std::collections::BTreeMap;
+
+const PARTS: [PromptPart; 1] = [PromptPart { key: 5, tokens: 100 }];
+
+fn at(millis: u64) -> Moment {
+    Moment(millis * 1_000)
+}
+
+fn entry(born: Option<u64>, version: u64) -> EndpointEntry {
+    EndpointEntry {
+        id: "i-1".into(),
+        born_millis: born,
+        service: "llm".into(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "dc-a".into(),
+        slots: 8,
+        draining: false,
+        weights: BTreeMap::from([("m".to_owned(), version)]),
+    }
+}
+
+fn key(born: u64) -> EndpointKey {
+    EndpointKey::of_start("i-1", Some(born))
+}
+
+/// A table that knows the start of 1,000, of which much is believed, and then that of 2,000.
+fn restarted(before: impl Fn(&mut FleetTable)) -> FleetTable {
+    let mut table = FleetTable::default();
+    table.apply_entry(entry(Some(1_000), 1), at(0));
+    before(&mut table);
+    assert!(table.apply_entry(entry(Some(2_000), 2), at(10)));
+    table
+}
+
+fn takes_work(table: &FleetTable, key: EndpointKey, millis: u64) -> bool {
+    table.row(key).is_some_and(|row| !row.is_leaving(at(millis)) && !row.is_ejected(at(millis)))
+}
+
+#[test]
+fn a_start_after_one_that_said_it_leaves_gets_work_at_once() {
+    let table = restarted(|table| {
+        table.apply_entry(EndpointEntry { draining: true, ..entry(Some(1_000), 1) }, at(5));
+    });
+    assert!(takes_work(&table, key(2_000), 10) && !takes_work(&table, key(1_000), 10));
+}
+
+#[test]
+fn a_start_after_one_whose_entry_went_gets_work_at_once() {
+    let table = restarted(|table| {
+        table.miss_entry("i-1", Moment(0));
+        table.sweep(at(6));
+    });
+    assert!(takes_work(&table, key(2_000), 10));
+}
+
+#[test]
+fn neither_ejection_nor_pace_nor_faults_nor_doubt_pass_over_to_the_next_start() {
+    let table = restarted(|table| {
+        for _ in 0..8 {
+            table.learn(key(1_000), SendOutcome::Broken, at(4));
+            table.learn_pace(key(1_000), 9_000, 1_000);
+        }
+        for vm in ["a", "b"] {
+            let report = SendReport { key: key(1_000), outcome: SendOutcome::Unreached, pace: None };
+            table.learn_told(VmKey::of(vm), &report, 0.0, at(5));
+        }
+    });
+    let row = table.row(key(2_000)).unwrap();
+    assert!(takes_work(&table, key(2_000), 10) && !row.is_doubted());
+    assert!((row.pace() - 1.0).abs() < 1e-9 && row.failure_ratio() < 1e-9);
+}
+
+#[test]
+fn what_was_in_flight_or_kept_at_the_earlier_start_is_not_at_the_next_one() {
+    let load = LoadCount { running: 3, unread_tokens: 40, memory_tokens: 90 };
+    let table = restarted(|table| {
+        table.take(key(1_000), load, &PARTS, 7);
+        table.apply_peer_loads(LoadSource::Vm(VmKey::of("a")), &[(key(1_000), load)], at(5));
+    });
+    let row = table.row(key(2_000)).unwrap();
+    assert_eq!(row.load(at(10)), LoadCount::default());
+    assert_eq!(row.kept.leading(&PARTS, 7), 0);
+    // What still runs at the earlier start is counted there until it has ended.
+    assert_eq!(table.row(key(1_000)).unwrap().own, load);
+}
+
+#[test]
+fn weights_are_those_that_the_new_start_lists_even_if_they_are_older() {
+    let mut table = FleetTable::default();
+    table.apply_entry(entry(Some(1_000), 1), at(0));
+    table.set_weights(key(1_000), &BTreeMap::from([("m".to_owned(), 7)]), at(1));
+    table.apply_entry(entry(Some(2_000), 5), at(2));
+    assert_eq!(table.row(key(2_000)).unwrap().entry.weights["m"], 5);
+}
+
+#[test]
+fn words_of_an_earlier_start_that_come_late_change_nothing() {
+    let mut table = restarted(|_| {});
+    assert!(!table.apply_entry(EndpointEntry { draining: true, ..entry(Some(1_000), 9) }, at(20)));
+    let load = LoadCount { running: 9, ..LoadCount::default() };
+    table.apply_peer_loads(LoadSource::Vm(VmKey::of("a")), &[(key(1_000), load)], at(21));
+    table.raise_weights(key(1_000), spanfold_decide::short_digest("m"), 9, true, at(22));
+    table.close_as_told(key(1_000), at(900), true);
+    table.note_parts(key(1_000), &PARTS, 7);
+    table.learn(key(1_000), SendOutcome::Broken, at(23));
+    let row = table.row(key(2_000)).unwrap();
+    assert!(takes_work(&table, key(2_000), 24) && !row.is_closing(at(24)));
+    assert_eq!((row.entry.weights["m"], row.load(at(24)).running), (2, 0));
+    assert_eq!(row.kept.leading(&PARTS, 7), 0);
+}
+
+#[test]
+fn an_entry_of_the_same_start_goes_on_with_what_is_believed() {
+    let mut table = FleetTable::default();
+    table.apply_entry(entry(Some(1_000), 1), at(0));
+    table.take(key(1_000), LoadCount { running: 1, ..LoadCount::default() }, &PARTS, 7);
+    assert!(!table.apply_entry(entry(Some(1_000), 1), at(1)));
+    assert_eq!(table.row(key(1_000)).unwrap().own.running, 1);
+}
+
+#[test]
+fn a_removed_entry_is_the_newest_starts() {
+    let mut table = restarted(|_| {});
+    table.miss_entry("i-1", Moment(0));
+    assert!(!takes_work(&table, key(2_000), 20));
+}
+
+#[test]
+fn where_starts_are_told_an_entry_without_one_is_of_another_writer() {
+    let mut table = FleetTable::default();
+    let other = EndpointEntry { id: "i-2".into(), ..entry(None, 1) };
+    assert!(!table.lacks_start(&other));
+    table.apply_entry(other.clone(), at(0));
+    assert!(takes_work(&table, EndpointKey::of("i-2"), 1));
+    table.apply_entry(entry(Some(1_000), 1), at(2));
+    assert!(table.lacks_start(&other));
+    assert!(!takes_work(&table, EndpointKey::of("i-2"), 3) && takes_work(&table, key(1_000), 3));
+    assert!(!table.apply_entry(entry(None, 9), at(4)));
+    assert!(takes_work(&table, key(1_000), 5));
+}
+
+#[test]
+fn an_entry_that_cannot_be_read_takes_its_endpoint_out_until_one_that_can_follows() {
+    let mut table = FleetTable::default();
+    table.apply_entry(entry(Some(1_000), 1), at(0));
+    assert!(table.set_unreadable("i-1") && !table.set_unreadable("i-1"));
+    assert!(!takes_work(&table, key(1_000), 1));
+    assert!(table.clear_unreadable("i-1"));
+    table.apply_entry(entry(Some(1_000), 1), at(2));
+    assert!(takes_work(&table, key(1_000), 3));
+    assert!(!table.clear_unreadable("i-1"));
+}
--- a/crates/decide/tests/fleet_table.rs
+++ b/crates/decide/tests/fleet_table.rs
@@ -7,6 +7,7 @@
 fn entry(id: &str, version: u64) -> EndpointEntry {
     EndpointEntry {
         id: id.to_owned(),
+        born_millis: None,
         service: "llm".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         data_centre: "dc-a".to_owned(),
--- a/crates/decide/tests/peer_loads.rs
+++ b/crates/decide/tests/peer_loads.rs
@@ -41,6 +41,7 @@
     for endpoint in 0..ENDPOINTS {
         let entry = EndpointEntry {
             id: format!("i-{endpoint}"),
+            born_millis: None,
             service: "llm".to_owned(),
             address: "127.0.0.1:9".parse().unwrap(),
             data_centre: "dc-a".to_owned(),
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -14,6 +14,7 @@
 fn entry(id: &str, data_centre: &str, version: u64) -> EndpointEntry {
     EndpointEntry {
         id: id.to_owned(),
+        born_millis: None,
         service: "llm".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         data_centre: data_centre.to_owned(),
--- a/crates/decide/tests/request_quarantine.rs
+++ b/crates/decide/tests/request_quarantine.rs
@@ -3,8 +3,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use spanfold_decide::{
-    EndingReport, EndpointEnding, EndpointKey, EndpointStart, HeldBook, HoldPhase, IdentityKey,
-    QuarantineChange, QuarantineNote, RequestIdentity, RequestKey, RequestQuarantine,
+    EndingReport, EndpointEnding, EndpointKey, HeldBook, HoldPhase, IdentityKey, QuarantineChange,
+    QuarantineNote, RequestIdentity, RequestKey, RequestQuarantine,
 };
 use spanfold_entity::Moment;
 
@@ -19,8 +19,8 @@
 }
 
 fn report(number: u64, start: u64, at: Moment) -> EndingReport {
-    let start = EndpointStart { endpoint: EndpointKey(start), born_millis: 0 };
-    let ending = EndpointEnding { start, place: start.endpoint.0, service: 1, among: 18, at };
+    let start = EndpointKey(start);
+    let ending = EndpointEnding { start, place: start.0, service: 1, among: 18, at };
     EndingReport { request: request(number), ending, age_micros: 60_000 }
 }
 
--- a/crates/decide/tests/told_health.rs
+++ b/crates/decide/tests/told_health.rs
@@ -26,6 +26,7 @@
     for engine in 0..engines {
         let entry = EndpointEntry {
             id: format!("i-{engine}"),
+            born_millis: None,
             service: "llm".to_owned(),
             address: "127.0.0.1:9".parse().unwrap(),
             data_centre: "dc-a".to_owned(),
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -214,7 +214,7 @@
     /// Asks an engine for its state.
     pub report: fn() -> WireCall,
     /// Reads an engine's state.
-    pub read_report: fn(&[u8]) -> Result<EngineReport, String>,
+    pub read_report: fn(&[u8]) -> Result<EngineReport, EntryError>,
     /// Gives an order.
     pub order: fn(&WeightOrder) -> WireCall,
     /// Reads the answer to an order from its status.
@@ -239,13 +239,47 @@
     pub part_addresses: fn(&[Option<SocketAddr>]) -> String,
 }
 
+/// Why an endpoint's entry, or what it says of itself, names no endpoint to use.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum EntryError {
+    /// Its bytes have no form at all.
+    #[error("the bytes cannot be read: {0}")]
+    Bytes(String),
+    /// A field is missing or of another type.
+    #[error("a field is missing or of another type: {0}")]
+    Field(String),
+    /// It states what this system does not know.
+    #[error("unknown state `{0}`")]
+    State(String),
+    /// Its start is no whole number of milliseconds.
+    #[error("the start is no whole number of milliseconds")]
+    Born,
+}
+
+impl EntryError {
+    /// A word for metrics.
+    ///
+    /// # Examples
+    /// ```
+    /// assert_eq!(spanfold_gateway::EntryError::Born.kind(), "born");
+    /// ```
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Bytes(_) => "bytes",
+            Self::Field(_) => "field",
+            Self::State(_) => "state",
+            Self::Born => "born",
+        }
+    }
+}
+
 /// What the store's values and the callers' headers mean.
 #[derive(Clone, Copy, Debug)]
 pub struct ValueDialect {
     /// Reads a configuration; on faults, all of them.
     pub configuration: fn(&[u8]) -> Result<DeploymentConfig, Vec<String>>,
     /// Reads the entry of the endpoint with the given id.
-    pub endpoint: fn(&str, &[u8]) -> Result<EndpointEntry, String>,
+    pub endpoint: fn(&str, &[u8]) -> Result<EndpointEntry, EntryError>,
     /// Reads a weight target.
     pub weights: fn(&[u8]) -> Result<WeightTarget, String>,
     /// Reads the prompt's parts from their header.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -329,7 +329,7 @@
     fn learn_ended(&self, flight: &SendFlight) {
         log::info!(request = self.ticket.id_text(), endpoint = flight.endpoint.as_str(),
             source = "its address", held_until = 0; "endpoint.missing");
-        self.gateway.table().miss_entry(&flight.endpoint, Moment(0));
+        self.gateway.table().miss_key(flight.key, Moment(0));
     }
 
     /// Judges an answer's head: is it this request's, and did the endpoint run it?
--- a/crates/gateway/src/end_watch.rs
+++ b/crates/gateway/src/end_watch.rs
@@ -66,7 +66,7 @@
             return None;
         }
         let mut is_new = false;
-        let end = ends.entry(send.ending.start.endpoint).or_insert_with(|| {
+        let end = ends.entry(send.ending.start).or_insert_with(|| {
             is_new = true;
             let (endpoint, asked) = (endpoint.clone(), watch::channel(false).0);
             AskedEnd { endpoint, sends: Vec::new(), asked, until: Moment(0) }
@@ -105,7 +105,7 @@
         endpoint: &BrokenEndpoint,
         send: BrokenSend,
     ) -> Option<EndAnswer> {
-        let key = send.ending.start.endpoint;
+        let key = send.ending.start;
         let (answer, is_due) = self.ends.add(endpoint, send, self.now())?;
         if is_due {
             tokio::spawn(ask(Arc::clone(self), key, endpoint.address));
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -51,6 +51,8 @@
     /// Messages to other VMs that the system did not take, by kind: too large, or no way there.
     pub peer_unsent: Family<KindLabel, Counter>,
     pub open_requests: Gauge,
+    /// Entries of endpoints that could not be read, by cause.
+    pub unreadable_entries: Family<KindLabel, Counter>,
     /// Requests that were at an endpoint's end, by who says so: this VM or another one.
     pub quarantine_reports: Family<KindLabel, Counter>,
     /// Holds, by what became of them here.
@@ -111,6 +113,12 @@
             "Endpoints that VMs could not reach",
             doubted_endpoints.clone(),
         );
+        let unreadable_entries = Family::<KindLabel, Counter>::default();
+        registry.register(
+            "unreadable_entries",
+            "Entries of endpoints that could not be read, by cause",
+            unreadable_entries.clone(),
+        );
         let quarantine_reports = Family::<KindLabel, Counter>::default();
         registry.register(
             "quarantine_reports",
@@ -148,6 +156,7 @@
             peer_bytes_sent,
             peer_unsent,
             open_requests,
+            unreadable_entries,
             quarantine_reports,
             quarantine_holds,
             turned_away,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,8 +49,9 @@
 mod waiting_notes;
 
 pub use dialect::{
-    EngineDialect, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder, StoreDialect,
-    StoreKeys, StoreRefusal, StoreTransaction, ValueDialect, WatchPage, WeightOrder, WireCall, WireDialect,
+    EngineDialect, EntryError, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder,
+    StoreDialect, StoreKeys, StoreRefusal, StoreTransaction, ValueDialect, WatchPage, WeightOrder, WireCall,
+    WireDialect,
 };
 pub use event_reader::{EventError, EventReader};
 pub use gateway_daemon::{GatewayDaemon, GatewayError};
@@ -62,10 +63,10 @@
 };
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EndingReport,
-    EndpointEnding, EndpointRow, EndpointStart, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase,
-    HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LinkMoves, LoadCount, LoadSource,
-    NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm,
-    PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, QuarantineChange, QuarantineNote, RequestIdentity,
-    RequestKey, RequestQuarantine, RetryBudget, RouteTable, SendOutcome, SendReport, VmEntry, VmKey,
-    WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    EndpointEnding, EndpointRow, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase, HolderRecord,
+    HolderStanding, IdentityKey, KeptRow, LEADS, LinkMoves, LoadCount, LoadSource, NamedVersion,
+    NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES,
+    PeerBook, PlacementAsk, PlacementChoice, QuarantineChange, QuarantineNote, RequestIdentity, RequestKey,
+    RequestQuarantine, RetryBudget, RouteTable, SendOutcome, SendReport, VmEntry, VmKey, WantedWeights,
+    WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
 };
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -233,17 +233,28 @@
         return None;
     }
     match (gateway.dialect.engine.read_report)(&body) {
+        Ok(report) if is_other_start(gateway, key, &report) => {
+            log::info!(path = "report"; "engine.restarted");
+            None
+        }
         Ok(report) => {
             gateway.set_engine_clock(report.clock_millis);
             Some(report)
         }
         Err(cause) => {
-            log::warn!(cause = cause.as_str(); "report.unreadable");
+            log::warn!(cause:% = cause; "report.unreadable");
             None
         }
     }
 }
 
+/// Whether a report is of another start than the one that was asked, which its entry will tell: orders, weights and
+/// counts of that one are not this one's.
+fn is_other_start(gateway: &Gateway, key: EndpointKey, report: &EngineReport) -> bool {
+    let born = gateway.table().row(key).and_then(|row| row.entry.born_millis);
+    born.is_some() && report.born_millis != born
+}
+
 /// Calls an engine on a connection of its own; the answer's status and body.
 async fn call_engine(
     gateway: &Gateway,
--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine_desk.rs
@@ -85,7 +85,7 @@
         drop(desk);
         self.metrics.quarantine_reports.get_or_create(&KindLabel::new("own")).inc();
         log::warn!(request = send.request_id.as_str(), digest:% = report.request, endpoint,
-            born = report.ending.start.born_millis, age_ms = millis(report.age_micros), endings;
+            age_ms = millis(report.age_micros), endings;
             "quarantine.evidence");
         let note = QuarantineNote::of_report(report, now);
         self.near_cases.push(note);
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -10,9 +10,7 @@
 use crate::own_answer::{AnswerBody, OwnAnswer, full_body};
 use crate::relay::answer_with;
 use crate::request_ticket::RequestTicket;
-use crate::{
-    EndpointEnding, EndpointKey, EndpointStart, PlacementChoice, RequestIdentity, RequestKey, short_digest,
-};
+use crate::{EndpointEnding, EndpointKey, PlacementChoice, RequestIdentity, RequestKey, short_digest};
 use bytes::Bytes;
 use hyper::http::response;
 use hyper::{Response, StatusCode};
@@ -203,7 +201,7 @@
         let service = &row.entry.service;
         let among = table.rows_of(service).filter(|(_, row)| !row.is_leaving(now)).count();
         Some(EndpointEnding {
-            start: EndpointStart { endpoint: flight.key, born_millis: 0 },
+            start: flight.key,
             place: short_digest(&flight.address.to_string()),
             service: short_digest(service),
             among: among as u32,
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -4,16 +4,18 @@
 
 use crate::HolderRecord;
 use crate::gateway::Gateway;
+use crate::gateway_metrics::KindLabel;
 use crate::lease_keeper::{ORDERS_KEY, VM_PREFIX};
 use crate::quarantine_desk::StoredHold;
 use crate::quarantine_task::HOLD_PREFIX;
 use crate::{
-    EndpointEnding, EndpointKey, EndpointStart, RequestKey, RouteTable, StoreEvent, StoreItem, VmEntry,
+    EndpointEnding, EndpointEntry, EntryError, RequestKey, RouteTable, StoreEvent, StoreItem, VmEntry,
     short_digest,
 };
 use spanfold_entity::Moment;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 
 /// Key of the secret that authenticates messages between VMs; it stays as long as the deployment.
@@ -22,6 +24,10 @@
 /// An endpoint's entry goes so long after its end, in microseconds: three heartbeats of 1.2 s.
 const LAPSE_MICROS: u64 = 3_400_000;
 
+/// A start may lie so far ahead of this VM's time of day, in milliseconds: clocks step by seconds. One beyond it would
+/// pass for the newest as long as the deployment lives.
+const FUTURE_MILLIS: u64 = 60_000;
+
 /// What the tasks that order engines need to know of the store.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OrdersView {
@@ -130,18 +136,44 @@
     }
 
     fn endpoint_written(&self, id: &str, item: &StoreItem) {
-        match (self.gateway.dialect.decode.endpoint)(id, &item.value) {
-            Ok(entry) => {
-                let (service, draining) = (entry.service.clone(), entry.draining);
-                let (key, at) = (EndpointKey::of(id), entry.address);
-                let address = at.to_string();
-                if self.gateway.table().apply_entry(entry, self.gateway.now()) {
-                    let (service, address) = (service.as_str(), address.as_str());
-                    log::info!(endpoint = id, service, address, draining, revision = item.revision; "endpoint.entry");
-                    self.gateway.note_started_at(at, key);
-                }
-            }
-            Err(fault) => log::error!(endpoint = id, cause = fault.as_str(); "endpoint.unreadable"),
+        let entry = match self.read_endpoint(id, &item.value) {
+            Ok(entry) => entry,
+            Err(fault) => return self.endpoint_unreadable(id, &fault),
+        };
+        let (service, draining) = (entry.service.clone(), entry.draining);
+        let (key, at) = (entry.key(), entry.address);
+        let (is_readable_again, is_changed) = {
+            let mut table = self.gateway.table();
+            (table.clear_unreadable(id), table.apply_entry(entry, self.gateway.now()))
+        };
+        if is_readable_again {
+            log::info!(endpoint = id, revision = item.revision; "endpoint.readable");
+        }
+        if is_changed {
+            let (service, address) = (service.as_str(), at.to_string());
+            let address = address.as_str();
+            log::info!(endpoint = id, service, address, draining, revision = item.revision; "endpoint.entry");
+            self.gateway.note_started_at(at, key);
+        }
+    }
+
+    /// Reads an entry that an endpoint wrote itself; one of another writer is no such entry.
+    fn read_endpoint(&self, id: &str, value: &[u8]) -> Result<EndpointEntry, EntryError> {
+        let entry = (self.gateway.dialect.decode.endpoint)(id, value)?;
+        let latest = time_of_day_millis().saturating_add(FUTURE_MILLIS);
+        let is_future = entry.born_millis.is_some_and(|born| born > latest);
+        if is_future || self.gateway.table().lacks_start(&entry) {
+            return Err(EntryError::Born);
+        }
+        Ok(entry)
+    }
+
+    /// An entry that names no endpoint to use; told once, not with each heartbeat.
+    fn endpoint_unreadable(&self, id: &str, fault: &EntryError) {
+        let kind = KindLabel::new(fault.kind());
+        self.gateway.metrics.unreadable_entries.get_or_create(&kind).inc();
+        if self.gateway.table().set_unreadable(id) {
+            log::error!(endpoint = id, cause:% = fault; "endpoint.unreadable");
         }
     }
 
@@ -158,19 +190,20 @@
 
     /// An entry that went while the store was well, of an endpoint that had not said that it leaves: it has ended.
     fn endpoint_lapsed(&self, id: &str, now: Moment) {
-        let key = EndpointKey::of(id);
-        let ending = {
+        let (key, ending) = {
             let table = self.gateway.table();
-            table.row(key).filter(|row| !row.entry.draining).map(|row| {
+            let key = table.key_of(id);
+            let ending = table.row(key).filter(|row| !row.entry.draining).map(|row| {
                 let service = &row.entry.service;
                 EndpointEnding {
-                    start: EndpointStart { endpoint: key, born_millis: 0 },
+                    start: key,
                     place: short_digest(&row.entry.address.to_string()),
                     service: short_digest(service),
                     among: table.rows_of(service).count() as u32,
                     at: Moment(now.0.saturating_sub(LAPSE_MICROS)),
                 }
-            })
+            });
+            (key, ending)
         };
         if let Some(ending) = ending {
             self.gateway.note_lapsed(ending);
@@ -198,6 +231,7 @@
         if let Some(id) = key.strip_prefix(self.gateway.dialect.keys.endpoints) {
             let held_until = self.gateway.hold_until();
             self.gateway.table().miss_entry(id, held_until);
+            self.gateway.table().clear_unreadable(id);
             if held_until == Moment(0) {
                 self.endpoint_lapsed(id, now);
             }
@@ -210,3 +244,8 @@
         }
     }
 }
+
+/// The time of day in milliseconds.
+fn time_of_day_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
