All moments are counted by a clock that goes on while the VM is suspended

Cause: leases, ages, holds, loads and callers' deadlines were counted by the steady clock, which stands still while a VM is suspended: after a resume a VM believed them younger than they are. The clock is injected in tests.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! Invariant: whether the request may have run is known after each send; it may not where no byte left
 //! or the endpoint refused it itself.
 
+use crate::clock::TimeIsUp;
 use crate::endpoint_pool::{EndpointConnection, ExchangeError};
 use crate::flight::SendFlight;
 use crate::gateway::CountGuard;
@@ -25,7 +26,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::time::error::Elapsed;
 
 /// Pause before a waiting prompt looks for room again, in milliseconds: a part of the time for which an engine runs one.
 const LOOK_MILLIS: u64 = 20;
@@ -78,6 +78,8 @@
     Late(u64),
     /// It was not sent, because endpoints end under it.
     HeldBack,
+    /// It was not sent, because its time was over before.
+    OutOfTime,
 }
 
 impl RequestRun {
@@ -86,6 +88,9 @@
         let (choice, flight) = loop {
             // Others may have learned something while it waited here.
             self.wait_for_judgement().await;
+            if self.gateway.now() >= self.ticket.limit {
+                return Some(SendResult::OutOfTime);
+            }
             if self.is_held_back() {
                 return Some(SendResult::HeldBack);
             }
@@ -249,7 +254,7 @@
     async fn send_to(&mut self, mut flight: SendFlight, request: Request<OutgoingBody>) -> SendResult {
         let gateway = Arc::clone(&self.gateway);
         let result = match self.exchange(&flight, request).await {
-            Err(_elapsed) => {
+            Err(TimeIsUp) => {
                 flight.learn(SendOutcome::Silent);
                 self.sent();
                 SendResult::Lost("silent")
@@ -284,6 +289,7 @@
             SendResult::Lost(_) => "lost",
             SendResult::Late(_) => "late",
             SendResult::HeldBack => "held_back",
+            SendResult::OutOfTime => "out_of_time",
         };
         gateway.metrics.sends.get_or_create(&KindLabel::new(word)).inc();
         result
@@ -294,16 +300,16 @@
         &self,
         flight: &SendFlight,
         request: Request<OutgoingBody>,
-    ) -> Result<Exchanged, Elapsed> {
+    ) -> Result<Exchanged, TimeIsUp> {
         let gateway = &self.gateway;
         let (mark, is_long) = (request.body().mark(), request.body().is_long());
         let mut exchange = pin!(gateway.pool.exchange(flight.key, flight.address, request));
         loop {
             let rest = mark.rest();
             let patience = self.patience();
-            match tokio::time::timeout_at(gateway.instant(patience), exchange.as_mut()).await {
+            match gateway.within(patience, exchange.as_mut()).await {
                 // What is on its way would begin from zero elsewhere.
-                Err(_elapsed) if is_long && mark.rest() < rest && patience < self.ticket.limit => {}
+                Err(TimeIsUp) if is_long && mark.rest() < rest && patience < self.ticket.limit => {}
                 result => return result,
             }
         }
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -135,6 +135,11 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(&key);
     }
 
+    /// Cuts all idle connections: their endpoints may have closed them long ago.
+    pub(crate) fn forget_all(&self) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     /// Cuts idle connections whose time is over.
     pub(crate) fn sweep(&self) {
         let now = Instant::now();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -99,7 +99,7 @@
         if follower.list_all().await {
             while follower.step(&mut told).await {}
         } else {
-            tokio::time::sleep_until(follower.gateway.instant(follower.rest_until)).await;
+            follower.gateway.until(follower.rest_until).await;
         }
     }
 }
@@ -138,14 +138,13 @@
         let now = self.gateway.now();
         self.note_lacking(now);
         let turn = self.turn(now);
-        let wake = self.gateway.instant(turn.min(now.after_millis(LOOK_MILLIS)));
         tokio::select! {
             biased;
             Some(word) = told.recv() => {
                 self.take_word(word).await;
                 true
             }
-            () = tokio::time::sleep_until(wake) => {
+            () = self.gateway.until(turn.min(now.after_millis(LOOK_MILLIS))) => {
                 if now < turn { true } else { self.watch_once(told).await }
             }
         }
@@ -162,7 +161,7 @@
     /// When this VM asks the store itself.
     fn turn(&self, now: Moment) -> Moment {
         let place = self.gateway.peers().expected_place(now) as u64;
-        let turn = if place == 0 || self.is_asking {
+        let turn = if place == 0 || self.is_asking || self.gateway.is_stale() {
             Moment(0)
         } else {
             self.news_at.after_millis(TURN_MILLIS + TURN_STEP_MILLIS * place)
@@ -274,7 +273,8 @@
         // Who only catches up does not wait: the news go on coming from another VM.
         let waits =
             self.gateway.peers().expected_place(self.gateway.now()) == 0 || self.behind_since.is_none();
-        let wait_millis = if waits { WATCH_MILLIS } else { 0 };
+        // Nor does one that was suspended: requests wait for the answer.
+        let wait_millis = if waits && !self.gateway.is_stale() { WATCH_MILLIS } else { 0 };
         let from = self.revision;
         let call = (self.gateway.dialect.store.watch)("", from, wait_millis);
         let deadline = Instant::now() + Duration::from_millis(wait_millis) + WATCH_MARGIN;
@@ -327,6 +327,8 @@
                 tokio::select! {
                     answer = &mut exchange => break answer,
                     Some(word) = told.recv() => self.take_word(word).await,
+                    // What was asked before a suspension is asked anew: its answer may be long lost.
+                    () = self.gateway.jumped.notified() => return None,
                 }
                 let is_behind = self.behind_since.is_some();
                 if was_behind && !is_behind {
@@ -345,6 +347,7 @@
         self.note_told(revision);
         self.news_at = self.gateway.now();
         self.behind_since = None;
+        self.gateway.note_fresh();
     }
 
     fn set_revision(&mut self, revision: u64) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,6 +1,7 @@
 //! What the tasks of one gateway share.
 
 use crate::PeerBook;
+use crate::clock::GatewayClock;
 use crate::digest_relay::DigestRelay;
 use crate::end_watch::EndWatch;
 use crate::endpoint_pool::EndpointPool;
@@ -19,7 +20,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
 /// Entries that lapsed while the store was in trouble return within two seconds after it (the users'
@@ -43,7 +44,13 @@
 pub(crate) struct Gateway {
     pub settings: GatewaySettings,
     pub dialect: WireDialect,
-    origin: Instant,
+    pub clock: GatewayClock,
+    /// What the clock showed at the process's start.
+    origin: Duration,
+    /// Wakes what waits until a moment, when the VM has been suspended.
+    pub jumped: Notify,
+    /// Until when requests wait for the store to be asked, after a suspension; zero once that is done.
+    pub stale_until: watch::Sender<Moment>,
     routes: RwLock<Option<Arc<RouteTable>>>,
     table: Mutex<FleetTable>,
     budget: Mutex<RetryBudget>,
@@ -103,7 +110,7 @@
 }
 
 impl Gateway {
-    pub(crate) fn new(settings: GatewaySettings, dialect: WireDialect) -> Self {
+    pub(crate) fn new(settings: GatewaySettings, dialect: WireDialect, clock: GatewayClock) -> Self {
         let terms = BudgetTerms {
             ratio: settings.retry_ratio,
             slack: settings.retry_slack,
@@ -120,7 +127,10 @@
         Self {
             settings,
             dialect,
-            origin: Instant::now(),
+            origin: clock.read(),
+            clock,
+            jumped: Notify::new(),
+            stale_until: watch::channel(Moment(0)).0,
             routes: RwLock::default(),
             table: Mutex::default(),
             budget: Mutex::new(RetryBudget::new(terms)),
@@ -156,14 +166,9 @@
         }
     }
 
-    /// The time, in this process's count.
+    /// The time, in this process's count, suspensions of the VM included.
     pub(crate) fn now(&self) -> Moment {
-        Moment(START_MICROS + self.origin.elapsed().as_micros() as u64)
-    }
-
-    /// The same moment for tokio's timers; all that lies before the process's start is over alike.
-    pub(crate) fn instant(&self, moment: Moment) -> tokio::time::Instant {
-        (self.origin + Duration::from_micros(moment.0.saturating_sub(START_MICROS))).into()
+        Moment(START_MICROS + self.clock.read().saturating_sub(self.origin).as_micros() as u64)
     }
 
     /// Notes that a call to the store failed at `at`, here or at another VM: entries may lapse although
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -1,11 +1,12 @@
 //! One running gateway: its listeners, its tasks, and its planned stop.
 
+use crate::clock::GatewayClock;
 use crate::gateway::Gateway;
 use crate::lease_keeper::OrderRight;
 use crate::store_view::OrdersView;
 use crate::{
-    WireDialect, digest_relay, follow, free_task, front_door, gossip, kept_digest, kept_task, lease_keeper,
-    naming_task, operator_port, order_task, quarantine_task,
+    WireDialect, clock, digest_relay, follow, free_task, front_door, gossip, kept_digest, kept_task,
+    lease_keeper, naming_task, operator_port, order_task, quarantine_task,
 };
 use spanfold_declare::GatewaySettings;
 use std::net::SocketAddr;
@@ -53,7 +54,19 @@
     ///
     /// # Errors
     /// If an address cannot be listened on.
-    pub async fn start(mut settings: GatewaySettings, dialect: WireDialect) -> Result<Self, GatewayError> {
+    pub async fn start(settings: GatewaySettings, dialect: WireDialect) -> Result<Self, GatewayError> {
+        Self::start_with_clock(settings, dialect, GatewayClock::system()).await
+    }
+
+    /// The same with a clock of its own, as tests need it.
+    ///
+    /// # Errors
+    /// If an address cannot be listened on.
+    pub async fn start_with_clock(
+        mut settings: GatewaySettings,
+        dialect: WireDialect,
+        clock: GatewayClock,
+    ) -> Result<Self, GatewayError> {
         let callers = listen(settings.callers).await?;
         let readiness = listen(settings.readiness).await?;
         let metrics = listen(settings.metrics).await?;
@@ -64,13 +77,14 @@
         settings.peers = socket.local_addr().unwrap_or(settings.peers);
         let addresses = [&callers, &readiness, &metrics].map(local);
         let socket = Arc::new(socket);
-        let gateway = Arc::new(Gateway::new(settings, dialect));
+        let gateway = Arc::new(Gateway::new(settings, dialect, clock));
         let closing = watch::channel(false).0;
         let (orders, orders_view) = watch::channel(OrdersView::default());
         let (right, right_view) = watch::channel(OrderRight::default());
         let (news, told) = mpsc::channel(NEWS_WAITING);
         let share = || Arc::clone(&gateway);
         let tasks = vec![
+            tokio::spawn(clock::compare_clocks(share())),
             tokio::spawn(follow::follow_store(share(), Arc::clone(&socket), orders, told)),
             tokio::spawn(kept_task::follow_stores(share())),
             tokio::spawn(kept_digest::tell_kept(share(), Arc::clone(&socket))),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`EventReader`] cuts streams into whole events.
 
 mod call_link;
+mod clock;
 mod dialect;
 mod digest_relay;
 mod dispatch;
@@ -48,6 +49,7 @@
 mod stream_relay;
 mod waiting_notes;
 
+pub use clock::GatewayClock;
 pub use dialect::{
     EngineDialect, EntryError, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder,
     StoreDialect, StoreKeys, StoreRefusal, StoreTransaction, ValueDialect, WatchPage, WeightOrder, WireCall,
--- a/crates/gateway/src/long_answer.rs
+++ b/crates/gateway/src/long_answer.rs
@@ -4,6 +4,7 @@
 //! breaks is broken off visibly: it never looks complete.
 
 use crate::SendOutcome;
+use crate::clock::TimeIsUp;
 use crate::dispatch::ReceivedHead;
 use crate::flight::SendFlight;
 use crate::own_answer::{AnswerBody, BrokenAnswer};
@@ -15,6 +16,7 @@
 use hyper::Response;
 use hyper::body::{Frame, Incoming};
 use hyper::header::CONTENT_LENGTH;
+use std::sync::Arc;
 use tokio::sync::mpsc;
 
 /// Pieces that wait for a caller who reads slowly; beyond them the endpoint is held up.
@@ -51,11 +53,11 @@
 
 impl LongPump {
     async fn pass_on(mut self) {
-        let limit = self.run.gateway.instant(self.run.ticket.limit);
-        let broken = match tokio::time::timeout_at(limit, self.pass_rest()).await {
+        let (gateway, limit) = (Arc::clone(&self.run.gateway), self.run.ticket.limit);
+        let broken = match gateway.within(limit, self.pass_rest()).await {
             Ok(Ok(outcome)) => return self.run.end(outcome),
             Ok(Err(broken)) => broken,
-            Err(_elapsed) => {
+            Err(TimeIsUp) => {
                 self.run.end("answer out of time");
                 BrokenAnswer("no end in time".to_owned())
             }
--- a/crates/gateway/src/quarantine_task.rs
+++ b/crates/gateway/src/quarantine_task.rs
@@ -34,7 +34,7 @@
         let wake = gateway.desk().quarantine.judge_at().min(sweep_at);
         tokio::select! {
             () = gateway.evidence_came.notified() => {}
-            () = tokio::time::sleep_until(gateway.instant(wake)) => {}
+            () = gateway.until(wake) => {}
         }
         gateway.judge_requests();
         if gateway.now() >= sweep_at {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,6 +4,7 @@
 //! endpoint's own refusal makes "not run" true again. Second sends draw on the retry budget.
 
 use crate::SendOutcome;
+use crate::clock::TimeIsUp;
 use crate::dispatch::{ReceivedHead, SendResult};
 use crate::gateway::{CountGuard, Gateway};
 use crate::gateway_metrics::KindLabel;
@@ -34,6 +35,7 @@
 
 /// Serves one request of a caller.
 pub(crate) async fn relay(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    gateway.until_fresh().await;
     let received = gateway.now();
     let (head, body) = request.into_parts();
     let ticket = match RequestTicket::read(&gateway, &head, received) {
@@ -68,13 +70,13 @@
 async fn read_body(gateway: &Gateway, body: Incoming, limit: Moment) -> Result<Bytes, OwnAnswer> {
     let most = gateway.routes().map_or(0, |table| table.config().limits.body_bytes);
     let collected = Limited::new(body, most).collect();
-    match tokio::time::timeout_at(gateway.instant(limit), collected).await {
+    match gateway.within(limit, collected).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
             Err(OwnAnswer::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"))
         }
         Ok(Err(_)) => Err(OwnAnswer::plain(StatusCode::BAD_REQUEST, "the body broke off")),
-        Err(_elapsed) => Err(OwnAnswer::plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
+        Err(TimeIsUp) => Err(OwnAnswer::plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
     }
 }
 
@@ -96,6 +98,7 @@
             SendResult::Late(back_millis) => {
                 return run.refuse("no engine has room in time", back_millis);
             }
+            SendResult::OutOfTime => return run.time_up(),
             SendResult::HeldBack => return run.hold_back(),
             SendResult::Refused => "refused by the endpoint",
             SendResult::Ended => "another endpoint has its address",
@@ -135,8 +138,7 @@
         let ReceivedHead { head, body, flight } = received;
         return stream_relay::take_stream(run, head, body, flight).await;
     }
-    let limit = run.gateway.instant(run.ticket.limit);
-    let bytes = match tokio::time::timeout_at(limit, read_answer(&mut received.body)).await {
+    let bytes = match run.gateway.within(run.ticket.limit, read_answer(&mut received.body)).await {
         Ok(Ok(AnswerStart::Whole(bytes))) => bytes,
         Ok(Ok(AnswerStart::Long(begun))) => return Ok(pass_on_long(run, received, begun)),
         Ok(Err(_)) => {
@@ -144,7 +146,7 @@
             run.note_broken(&received.flight);
             return Err(FailedAnswer { run, cause: "the answer broke off" });
         }
-        Err(_elapsed) => {
+        Err(TimeIsUp) => {
             received.flight.learn(SendOutcome::Silent);
             return Err(FailedAnswer { run, cause: "the answer did not end" });
         }
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -150,7 +150,7 @@
         }
         let judge_at = self.gateway.desk().quarantine.judge_at_of(key);
         if let Some(judge_at) = judge_at {
-            tokio::time::sleep_until(self.gateway.instant(judge_at)).await;
+            self.gateway.until(judge_at).await;
             self.gateway.judge_requests();
         }
     }
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -5,6 +5,7 @@
 //! answer. A stream that cannot go on is broken off visibly: it never looks complete.
 
 use crate::SendOutcome;
+use crate::clock::TimeIsUp;
 use crate::dispatch::{ReceivedHead, SendResult};
 use crate::event_reader::{EventError, EventReader};
 use crate::flight::SendFlight;
@@ -50,8 +51,8 @@
     mut flight: SendFlight,
 ) -> Result<Response<AnswerBody>, FailedAnswer> {
     let mut reader = EventReader::new(body);
-    let patience = run.gateway.instant(first_event_patience(&run));
-    let first = match tokio::time::timeout_at(patience, reader.next()).await {
+    let patience = first_event_patience(&run);
+    let first = match run.gateway.within(patience, reader.next()).await {
         Ok(Ok(first)) => first,
         Ok(Err(error)) => {
             flight.learn(SendOutcome::Broken);
@@ -60,7 +61,7 @@
                 "stream.broke");
             return Err(FailedAnswer { run, cause: "the stream broke" });
         }
-        Err(_elapsed) => {
+        Err(TimeIsUp) => {
             flight.learn(SendOutcome::Silent);
             return Err(FailedAnswer { run, cause: "no first event" });
         }
@@ -163,7 +164,6 @@
     async fn step(&mut self) -> PumpStep {
         let limit = self.run.ticket.limit;
         let stall = self.stall_at();
-        let until = self.run.gateway.instant(stall.min(limit));
         tokio::select! {
             biased;
             next = self.reader.next() => match next {
@@ -173,7 +173,7 @@
                 Err(error) => PumpStep::Broke(error.to_string()),
             },
             () = self.chunks.closed() => PumpStep::CallerLeft,
-            () = tokio::time::sleep_until(until) => {
+            () = self.run.gateway.until(stall.min(limit)) => {
                 if stall < limit { PumpStep::Stalled } else { PumpStep::TimeUp }
             }
         }
@@ -221,7 +221,8 @@
                 | SendResult::Refused
                 | SendResult::Lost(_)
                 | SendResult::Late(_)
-                | SendResult::HeldBack,
+                | SendResult::HeldBack
+                | SendResult::OutOfTime,
             )
             | None => false,
         };
