--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -4,9 +4,8 @@
 //! sent, less a margin; when that moment has passed, nothing more is ordered, whatever the store
 //! says later. The store ends the lease of a VM that died, and with it both keys.
 
-use crate::call_link::CallLink;
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
+use crate::store_link::StoreLink;
 use crate::store_view::OrdersView;
 use crate::{HolderRecord, HolderStanding};
 use crate::{StoreDecoder, StoreRefusal, StoreTransaction, WireCall};
@@ -33,8 +32,6 @@
 const LONG_RENEW_PAUSE: Duration = Duration::from_millis(2_800);
 /// The right ends this long before the lease does, in milliseconds.
 const SAFETY_MILLIS: u64 = 800;
-/// A call that takes longer has failed.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// First pause after a failed call, doubled with each further one: calls are priced, refused ones too.
 const FAILURE_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause after failed calls: a lease lapses if its store is away for longer than it lasts, and
@@ -82,7 +79,7 @@
     right: watch::Sender<OrderRight>,
 ) {
     let mut keeper = LeaseKeeper {
-        link: CallLink::new(gateway.settings.store),
+        link: StoreLink::new(&gateway, "lease"),
         lease: None,
         safe_until: Moment(0),
         free_since: None,
@@ -109,7 +106,7 @@
 
 struct LeaseKeeper {
     gateway: Arc<Gateway>,
-    link: CallLink,
+    link: StoreLink,
     lease: Option<u64>,
     /// The lease is safe until then, by this VM's clock.
     safe_until: Moment,
@@ -281,24 +278,11 @@
         call: &WireCall,
         read: StoreDecoder<T>,
     ) -> Option<Result<T, StoreRefusal>> {
-        self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
-        match self.link.call(call, Instant::now() + CALL_TIMEOUT).await {
-            Ok((status, body)) => {
-                let result = read(status, &body);
-                if matches!(result, Err(StoreRefusal::NotDone(_))) {
-                    self.gateway.note_store_trouble(self.gateway.now());
-                }
-                if let Err(error) = &result {
-                    log::warn!(call = kind, cause:% = error; "store.refused");
-                }
-                Some(result)
-            }
-            Err(error) => {
-                self.gateway.note_store_trouble(self.gateway.now());
-                log::warn!(call = kind, cause:% = error; "store.unanswered");
-                None
-            }
+        let result = self.link.call(kind, call, read).await;
+        if matches!(result, None | Some(Err(StoreRefusal::NotDone(_)))) {
+            self.gateway.note_store_trouble(self.gateway.now());
         }
+        result
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod relay;
 mod request_run;
 mod request_ticket;
+mod store_link;
 mod store_news;
 mod store_view;
 mod stream_relay;
--- a/crates/gateway/src/naming_task.rs
+++ b/crates/gateway/src/naming_task.rs
@@ -6,17 +6,15 @@
 //!
 //! Invariant: a record is written only over the one that was read, so that what it told before is in it.
 
-use crate::call_link::CallLink;
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
 use crate::lease_keeper::OrderRight;
 use crate::order_task::read_report;
-use crate::{EndpointKey, NamingRecord, StoreDecoder, StoreItem, StoreRefusal, StoreTransaction, WireCall};
+use crate::store_link::StoreLink;
+use crate::{EndpointKey, NamingRecord, StoreItem, StoreTransaction};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// Prefix of the records; the digest of the model's name follows.
 const NAMED_PREFIX: &str = "spanfold/named/";
@@ -25,8 +23,6 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a call that failed: calls are priced, refused ones too.
 const FAILURE_PAUSE: Duration = Duration::from_millis(800);
-/// A call that takes longer has failed.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// A model's record as the store holds it.
 #[derive(Debug)]
@@ -37,7 +33,7 @@
 
 /// Keeps the records until the process ends.
 pub(crate) async fn keep_namings(gateway: Arc<Gateway>, right: watch::Receiver<OrderRight>) {
-    let mut keeper = NamingKeeper { link: CallLink::new(gateway.settings.store), gateway, held: None };
+    let mut keeper = NamingKeeper { link: StoreLink::new(&gateway, "namings"), gateway, held: None };
     loop {
         let holds = right.borrow().fencing != 0 && !keeper.gateway.is_stopping();
         let pause = if holds {
@@ -52,7 +48,7 @@
 
 struct NamingKeeper {
     gateway: Arc<Gateway>,
-    link: CallLink,
+    link: StoreLink,
     /// The records by model; none until they have been read, or if a write may not have been done.
     held: Option<BTreeMap<u64, HeldRecord>>,
 }
@@ -95,7 +91,7 @@
         }
         let dialect = self.gateway.dialect.store;
         let call = (dialect.range)(NAMED_PREFIX, None);
-        let Some(Ok(page)) = self.call("list", &call, dialect.read_range).await else { return false };
+        let Some(Ok(page)) = self.link.call("list", &call, dialect.read_range).await else { return false };
         let held: BTreeMap<_, _> = page.items.iter().filter_map(read_record).collect();
         let clock = self.gateway.engine_clock_at(self.gateway.now()).unwrap_or(0);
         for row in held.values() {
@@ -137,7 +133,9 @@
         };
         let dialect = self.gateway.dialect.store;
         let call = (dialect.transact)(&write);
-        let Some(Ok(revision)) = self.call("write", &call, dialect.read_transact).await else { return false };
+        let Some(Ok(revision)) = self.link.call("write", &call, dialect.read_transact).await else {
+            return false;
+        };
         let newest = record.namings.last().map_or(0, |row| row.version);
         log::info!(model = record.model, version = newest, revision; "namings.written");
         if let Some(held) = &mut self.held {
@@ -145,28 +143,6 @@
         }
         true
     }
-
-    async fn call<T>(
-        &mut self,
-        kind: &str,
-        call: &WireCall,
-        read: StoreDecoder<T>,
-    ) -> Option<Result<T, StoreRefusal>> {
-        self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
-        match self.link.call(call, Instant::now() + CALL_TIMEOUT).await {
-            Ok((status, body)) => {
-                let result = read(status, &body);
-                if let Err(error) = &result {
-                    log::warn!(call = kind, cause:% = error; "namings.refused");
-                }
-                Some(result)
-            }
-            Err(error) => {
-                log::warn!(call = kind, cause:% = error; "namings.unanswered");
-                None
-            }
-        }
-    }
 }
 
 fn read_record(item: &StoreItem) -> Option<(u64, HeldRecord)> {
--- a/crates/gateway/src/quarantine_task.rs
+++ b/crates/gateway/src/quarantine_task.rs
@@ -3,23 +3,20 @@
 //! Invariant: a key is written only over none or over an earlier hold of the same request; the store removes it by itself
 //! when the hold is over, and nobody has to live for that.
 
-use crate::call_link::CallLink;
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::quarantine_desk::StoredHold;
-use crate::{HeldRequest, HoldPhase, RequestKey, StoreDecoder, StoreRefusal, StoreTransaction, WireCall};
+use crate::store_link::StoreLink;
+use crate::{HeldRequest, HoldPhase, RequestKey, StoreRefusal, StoreTransaction};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::Instant;
 
 /// Prefix of holds; the request's digest follows.
 pub(crate) const HOLD_PREFIX: &str = "spanfold/held/";
 
 /// Pause between looks at what is over, in milliseconds.
 const LOOK_MILLIS: u64 = 500;
-/// A call that takes longer has failed.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after a failed call, in milliseconds: calls are priced, refused ones too.
 const RETRY_MILLIS: u64 = 2_000;
 /// The shortest lease that is asked for, in milliseconds.
@@ -60,7 +57,7 @@
 
 /// Writes holds into the store, and removes lifted ones there, until the process ends.
 pub(crate) async fn write_holds(gateway: Arc<Gateway>) {
-    let mut writer = HoldWriter { link: CallLink::new(gateway.settings.store), gateway };
+    let mut writer = HoldWriter { link: StoreLink::new(&gateway, "holds"), gateway };
     loop {
         tokio::select! {
             () = writer.gateway.holds_changed.notified() => {}
@@ -72,7 +69,7 @@
 
 struct HoldWriter {
     gateway: Arc<Gateway>,
-    link: CallLink,
+    link: StoreLink,
 }
 
 impl HoldWriter {
@@ -95,7 +92,7 @@
         let dialect = self.gateway.dialect.store;
         let rest_millis = row.until.micros_since(self.gateway.now()) / MICROS_PER_MILLI;
         let grant = (dialect.grant)(rest_millis.max(LEASE_LEAST_MILLIS));
-        let Some(Ok(grant)) = self.call("grant", &grant, dialect.read_grant).await else { return false };
+        let Some(Ok(grant)) = self.link.call("grant", &grant, dialect.read_grant).await else { return false };
         let label = self.gateway.desk().label(request).to_owned();
         let hold = StoredHold { round: row.round, endings: row.endings, request: label };
         // Plain structs of numbers and texts always have a JSON form.
@@ -108,7 +105,7 @@
                 writes: vec![(key.clone(), value.clone(), grant.lease)],
                 removals: Vec::new(),
             };
-            match self.call("write", &(dialect.transact)(&write), dialect.read_transact).await {
+            match self.link.call("write", &(dialect.transact)(&write), dialect.read_transact).await {
                 Some(Ok(revision)) => {
                     log::info!(digest:% = request, round = row.round, revision; "quarantine.written");
                     return true;
@@ -131,28 +128,9 @@
         let dialect = self.gateway.dialect.store;
         let removals = vec![format!("{HOLD_PREFIX}{request}")];
         let write = StoreTransaction { removals, ..StoreTransaction::default() };
-        matches!(self.call("write", &(dialect.transact)(&write), dialect.read_transact).await, Some(Ok(_)))
-    }
-
-    async fn call<T>(
-        &mut self,
-        kind: &str,
-        call: &WireCall,
-        read: StoreDecoder<T>,
-    ) -> Option<Result<T, StoreRefusal>> {
-        self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
-        match self.link.call(call, Instant::now() + CALL_TIMEOUT).await {
-            Ok((status, body)) => {
-                let result = read(status, &body);
-                if let Err(error) = &result {
-                    log::warn!(call = kind, cause:% = error; "quarantine.refused");
-                }
-                Some(result)
-            }
-            Err(error) => {
-                log::warn!(call = kind, cause:% = error; "quarantine.unanswered");
-                None
-            }
-        }
+        matches!(
+            self.link.call("write", &(dialect.transact)(&write), dialect.read_transact).await,
+            Some(Ok(_))
+        )
     }
 }
--- a/crates/spanfold/src/held.rs
+++ b/crates/spanfold/src/held.rs
@@ -1,6 +1,6 @@
 //! `spanfold held`: requests that gateways hold back because endpoints end under them.
 
-use crate::client::ask_vms;
+use crate::client::{answers_code, answers_json, ask_vms};
 use crate::outcome::{FINDINGS, NOT_REACHED, Outcome};
 use serde_json::{Value, json};
 use spanfold_keyvalue::{PlatformError, post_json};
@@ -10,16 +10,9 @@
 /// Lists what each VM holds back, or has on trial after a hold.
 pub(crate) async fn list(as_json: bool, vms: &[SocketAddr]) -> Outcome {
     let answers = ask_vms(vms, "/held").await;
-    let code = if answers.iter().any(|(_, answer)| answer.is_err()) { NOT_REACHED } else { 0 };
+    let code = answers_code(&answers);
     if as_json {
-        let rows: Vec<Value> = answers
-            .iter()
-            .map(|(vm, answer)| match answer {
-                Ok(held) => json!({ "vm": vm.to_string(), "held": held }),
-                Err(error) => json!({ "vm": vm.to_string(), "error": error.to_string() }),
-            })
-            .collect();
-        return Outcome { text: Value::Array(rows).to_string(), code };
+        return Outcome { text: answers_json(&answers, "held"), code };
     }
     let mut text = String::new();
     for (vm, answer) in &answers {
--- a/crates/spanfold/src/status_report.rs
+++ b/crates/spanfold/src/status_report.rs
@@ -1,24 +1,17 @@
 //! `spanfold status`.
 
-use crate::client::ask_vms;
-use crate::outcome::{NOT_REACHED, Outcome};
-use serde_json::{Value, json};
+use crate::client::{answers_code, answers_json, ask_vms};
+use crate::outcome::Outcome;
+use serde_json::Value;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
 /// Shows what each VM says of itself.
 pub(crate) async fn status(as_json: bool, vms: &[SocketAddr]) -> Outcome {
     let answers = ask_vms(vms, "/status").await;
-    let code = if answers.iter().any(|(_, answer)| answer.is_err()) { NOT_REACHED } else { 0 };
+    let code = answers_code(&answers);
     if as_json {
-        let rows: Vec<Value> = answers
-            .iter()
-            .map(|(vm, answer)| match answer {
-                Ok(status) => json!({ "vm": vm.to_string(), "status": status }),
-                Err(error) => json!({ "vm": vm.to_string(), "error": error.to_string() }),
-            })
-            .collect();
-        return Outcome { text: Value::Array(rows).to_string(), code };
+        return Outcome { text: answers_json(&answers, "status"), code };
     }
     let mut text = String::new();
     for (vm, answer) in &answers {
