--- a/crates/decide/tests/engine_starts.rs
+++ b/crates/decide/tests/engine_starts.rs
@@ -1,5 +1,7 @@
 //! Endpoints that start again under the id that they had: what belongs to one start holds for no other.
 
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use spanfold_decide::{
     EndpointEntry, EndpointKey, FleetTable, LoadCount, LoadSource, PromptPart, SendOutcome, SendReport, VmKey,
 };
@@ -156,3 +158,73 @@
     assert!(takes_work(&table, key(1_000), 3));
     assert!(!table.clear_unreadable("i-1"));
 }
+
+/// What happens to one entry of three.
+#[derive(Clone, Debug)]
+enum EntryChange {
+    Written { id: usize, born: u64, is_draining: bool },
+    Unreadable { id: usize },
+    Removed { id: usize },
+}
+
+fn changes() -> impl Strategy<Value = Vec<EntryChange>> {
+    let written = (0..3_usize, 1..4_u64, any::<bool>())
+        .prop_map(|(id, born, is_draining)| EntryChange::Written { id, born, is_draining });
+    let unreadable = (0..3_usize).prop_map(|id| EntryChange::Unreadable { id });
+    let removed = (0..3_usize).prop_map(|id| EntryChange::Removed { id });
+    prop::collection::vec(prop_oneof![3 => written, 1 => unreadable, 1 => removed], 1..40)
+}
+
+#[test]
+fn no_endpoint_is_in_use_whose_last_entry_is_not_a_readable_one_of_its_newest_start() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::with_cases(512), rng);
+    runner
+        .run(&changes(), |changes| {
+            let mut table = FleetTable::default();
+            // By id: the newest start that was written, and whether its last entry names it.
+            let mut model: [(u64, bool); 3] = Default::default();
+            for (step, change) in changes.iter().enumerate() {
+                let now = at(step as u64);
+                match *change {
+                    EntryChange::Written { id, born, is_draining } => {
+                        let name = format!("i-{id}");
+                        table.clear_unreadable(&name);
+                        let draining = is_draining;
+                        table.apply_entry(EndpointEntry { id: name, draining, ..entry(Some(born), 1) }, now);
+                        let (newest, is_named) = &mut model[id];
+                        let stays_out = *newest == born && !*is_named;
+                        if born >= *newest {
+                            // One that said it leaves does not come back; any other may be written again.
+                            let stays_out = stays_out && is_out_for_good(&table, id, born);
+                            *is_named = !is_draining && !stays_out;
+                            *newest = born;
+                        }
+                    }
+                    EntryChange::Unreadable { id } => {
+                        table.set_unreadable(&format!("i-{id}"));
+                        model[id].1 = false;
+                    }
+                    EntryChange::Removed { id } => {
+                        table.miss_entry(&format!("i-{id}"), Moment(0));
+                        model[id].1 = false;
+                    }
+                }
+                for (id, (newest, is_named)) in model.iter().enumerate() {
+                    for born in 1..4 {
+                        let key = EndpointKey::of_start(&format!("i-{id}"), Some(born));
+                        let is_used = table.row(key).is_some_and(|row| !row.is_leaving(now));
+                        prop_assert!(!is_used || (born == *newest && *is_named), "{id} {born}: {changes:?}");
+                    }
+                }
+            }
+            Ok(())
+        })
+        .unwrap();
+}
+
+/// Whether a start has said that it leaves.
+fn is_out_for_good(table: &FleetTable, id: usize, born: u64) -> bool {
+    let key = EndpointKey::of_start(&format!("i-{id}"), Some(born));
+    table.row(key).is_some_and(|row| row.entry.draining)
+}
