Evacuated data centres get no work until the operator takes that back

Cause: nothing read the operator's evacuations; requests went on to engines there. Each VM now takes the set from the store with all other changes, and placement passes over endpoints of an evacuated data centre whatever else is left; all of them evacuated, a request gets its 503 at once. Plain services count as engines; stores of kept cache do not. Orders to load weights go on: they are no requests, and the weights are to be newest everywhere.

--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -3,8 +3,8 @@
 //! The endpoint with the least expected cost wins: expected time to the first event (prompts that
 //! wait there, parts that must be moved there, the rest that must be read, memory that must come
 //! free first), and on top the price of crossing data centres, of failing answers and of old
-//! weights, all in microseconds. Invariant: an endpoint that leaves, that has failed this request
-//! or whose weights are overdue is never chosen; one that is ejected only if all are. Each VM
+//! weights, all in microseconds. Invariant: an endpoint that leaves, that has failed this request,
+//! whose data centre is evacuated or whose weights are overdue is never chosen; one that is ejected only if all are. Each VM
 //! decides by itself on loads that peers told it some milliseconds ago: asking a home VM would cost
 //! more time than its exactness saves.
 
@@ -123,7 +123,7 @@
 pub fn place(table: &FleetTable, ask: &PlacementAsk<'_>, now: Moment) -> Option<PlacementChoice> {
     let usable: Vec<_> = table
         .rows_of(ask.service)
-        .filter(|(key, row)| !row.is_leaving(now) && !ask.exclude.contains(key))
+        .filter(|(key, row)| row.takes_work(now) && !ask.exclude.contains(key))
         .collect();
     let sound = |row: &EndpointRow| !row.is_ejected(now) && !row.is_closing(now);
     let any_sound = usable.iter().any(|(_, row)| sound(row));
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -92,6 +92,8 @@
     pub missing_until: Option<Moment>,
     /// Its entry cannot be read since it was written last: it names no endpoint to use.
     pub is_unreadable: bool,
+    /// Until when its data centre is evacuated: it gets no new work, and what runs there ends by itself.
+    pub evacuated_until: Moment,
     /// What this VM has in flight there.
     pub own: LoadCount,
     /// What others have in flight there, as they told.
@@ -123,6 +125,7 @@
         Self {
             missing_until: None,
             is_unreadable: false,
+            evacuated_until: Moment(0),
             own: LoadCount::default(),
             peers: PeerLoads::default(),
             kept: KeptParts::default(),
@@ -186,6 +189,11 @@
         self.entry.draining || self.is_unreadable || self.missing_until.is_some_and(|until| now >= until)
     }
 
+    /// Whether it may get new work: it does not leave, and its data centre is not evacuated.
+    pub fn takes_work(&self, now: Moment) -> bool {
+        now >= self.evacuated_until && !self.is_leaving(now)
+    }
+
     /// Whether its weights are being changed, or about to be.
     pub fn is_closing(&self, now: Moment) -> bool {
         now < self.closing_until
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -117,6 +117,8 @@
     stores: BTreeMap<EndpointKey, StoreRow>,
     reach: HashMap<String, ReachNote>,
     told: HashMap<LoadSource, ToldRows>,
+    /// Evacuated data centres, and until when.
+    evacuated: BTreeMap<String, Moment>,
 }
 
 /// Which rows a source's last digest named: those that its next one does not name are at rest.
@@ -269,6 +271,7 @@
         }
         self.by_service.entry(entry.service.clone()).or_default().push(key);
         let mut row = EndpointRow::new(entry);
+        row.evacuated_until = self.evacuated.get(&row.entry.data_centre).copied().unwrap_or(Moment(0));
         if has_returned {
             // The last write of one that is gone may come late: its entry lapses before this time is over.
             row.eject_until(now.after_millis(RETURNED_MILLIS));
@@ -277,6 +280,32 @@
         true
     }
 
+    /// Notes that a data centre is evacuated until `until`, [`Moment::NEVER`] while the operator asks for it; whether it
+    /// was not before.
+    pub fn evacuate(&mut self, data_centre: &str, until: Moment, now: Moment) -> bool {
+        let before = self.evacuated.insert(data_centre.to_owned(), until);
+        self.mark_evacuated(data_centre, until);
+        before.is_none_or(|before| now >= before)
+    }
+
+    /// Notes that an evacuation was taken back; whether there was one.
+    pub fn end_evacuation(&mut self, data_centre: &str) -> bool {
+        self.mark_evacuated(data_centre, Moment(0));
+        self.evacuated.remove(data_centre).is_some()
+    }
+
+    /// Data centres that are evacuated.
+    pub fn evacuated(&self, now: Moment) -> impl Iterator<Item = &str> {
+        let rows = self.evacuated.iter().filter(move |(_, until)| now < **until);
+        rows.map(|(data_centre, _)| data_centre.as_str())
+    }
+
+    fn mark_evacuated(&mut self, data_centre: &str, until: Moment) {
+        for row in self.rows.values_mut().filter(|row| row.entry.data_centre == data_centre) {
+            row.evacuated_until = until;
+        }
+    }
+
     /// Notes that the entry of `id` was written and cannot be read: it names no endpoint to use until one that can be
     /// read follows. Whether it could be read before.
     pub fn set_unreadable(&mut self, id: &str) -> bool {
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -75,6 +75,8 @@
     pub endpoints: &'static str,
     /// Prefix of weight targets; the model's name follows.
     pub weights: &'static str,
+    /// Prefix of evacuated data centres; the data centre's name follows.
+    pub evacuations: &'static str,
 }
 
 /// One call, ready to be sent.
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -167,11 +167,13 @@
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
         let now = gateway.now();
-        let (gone, doubted) = {
+        let (gone, doubted, evacuated) = {
             let mut table = gateway.table();
             let gone = table.sweep(now);
-            (gone, table.rows().filter(|(_, row)| row.is_doubted()).count())
+            let doubted = table.rows().filter(|(_, row)| row.is_doubted()).count();
+            (gone, doubted, table.evacuated(now).count())
         };
+        gateway.metrics.evacuated_data_centres.set(evacuated as i64);
         gateway.metrics.doubted_endpoints.set(doubted as i64);
         for key in gone {
             gateway.pool.forget(key);
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -63,6 +63,8 @@
     pub held_requests: Gauge,
     /// Endpoints that VMs could not reach, and that have answered none since.
     pub doubted_endpoints: Gauge,
+    /// Data centres whose endpoints get no work because the operator asked for that.
+    pub evacuated_data_centres: Gauge,
 }
 
 impl GatewayMetrics {
@@ -113,6 +115,12 @@
             "Endpoints that VMs could not reach",
             doubted_endpoints.clone(),
         );
+        let evacuated_data_centres = Gauge::default();
+        registry.register(
+            "evacuated_data_centres",
+            "Data centres whose endpoints get no work, as the operator asked",
+            evacuated_data_centres.clone(),
+        );
         let unreadable_entries = Family::<KindLabel, Counter>::default();
         registry.register(
             "unreadable_entries",
@@ -162,6 +170,7 @@
             turned_away,
             held_requests,
             doubted_endpoints,
+            evacuated_data_centres,
         }
     }
 
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -95,6 +95,8 @@
             self.endpoint_written(id, item);
         } else if item.key.starts_with(keys.weights) {
             self.weights_written(item);
+        } else if let Some(data_centre) = item.key.strip_prefix(keys.evacuations) {
+            self.evacuation_written(data_centre, item.revision);
         } else if item.key.starts_with(VM_PREFIX) {
             match serde_json::from_slice::<VmEntry>(&item.value) {
                 Ok(entry) => self.gateway.peers().list_at(entry, self.gateway.now()),
@@ -177,6 +179,16 @@
         }
     }
 
+    /// What the operator writes beside the data centre's name does not matter.
+    fn evacuation_written(&self, data_centre: &str, revision: u64) {
+        let now = self.gateway.now();
+        let mut table = self.gateway.table();
+        if table.evacuate(data_centre, Moment::NEVER, now) {
+            let endpoints = table.rows().filter(|(_, row)| row.entry.data_centre == data_centre).count();
+            log::warn!(data_centre, endpoints, revision; "evacuation.begun");
+        }
+    }
+
     fn hold_written(&self, digest: &str, item: &StoreItem) {
         let request = digest.parse::<RequestKey>().map_err(|error| error.to_string());
         let hold = serde_json::from_slice::<StoredHold>(&item.value).map_err(|error| error.to_string());
@@ -236,6 +248,10 @@
                 self.endpoint_lapsed(id, now);
             }
             log::info!(endpoint = id, source, held_until:% = held_until; "endpoint.missing");
+        } else if let Some(data_centre) = key.strip_prefix(self.gateway.dialect.keys.evacuations) {
+            if self.gateway.table().end_evacuation(data_centre) {
+                log::warn!(data_centre, revision; "evacuation.ended");
+            }
         } else if let Some(name) = key.strip_prefix(VM_PREFIX) {
             self.gateway.peers().unlist(name, now);
             log::info!(vm = name; "vm.unlisted");
