Cold endpoints get what they bear, from few VMs of their data centre

Cause: a fresh engine looks idle and attracts all VMs together; what entries say of cold engines was thrown away. Each VM now takes for how long an engine is cold from its entry, counted down or anew. While it is, five VMs of its data centre, by rendezvous hashing over the listed ones, may send to it, each a part of what it bears; a VM does so only while its lease stands, its list is fresh and the others have had the time to hear of it.

--- a/crates/decide/examples/placement_cost.rs
+++ b/crates/decide/examples/placement_cost.rs
@@ -92,6 +92,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        cold: None,
         draw: rand::random,
     };
     place(table, &ask, NOW).map(|choice| choice.key)
@@ -126,6 +127,7 @@
         data_centre: format!("dc-{}", engine % size.data_centres),
         slots: 24,
         draining: false,
+        cold_millis: None,
         weights: BTreeMap::from([("m".to_owned(), 1)]),
     }
 }
--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -11,7 +11,9 @@
 use crate::kept::{
     KeptPlan, MoveTerms, PartHolders, PartMoves, REREAD_MICROS, plan_fetches, plan_kept, plan_saves,
 };
-use crate::{EndpointKey, EndpointRow, FleetTable, LoadCount, PromptPart, WantedWeights, short_digest};
+use crate::{
+    ColdRight, EndpointKey, EndpointRow, FleetTable, LoadCount, PromptPart, WantedWeights, short_digest,
+};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
 /// Time in which an engine reads one prompt token, in microseconds, until its pace is learned;
@@ -75,6 +77,8 @@
     pub wall: &'a str,
     /// Endpoints that this request was sent to already.
     pub exclude: &'a [EndpointKey],
+    /// This VM's right to send to cold endpoints of its data centre, if it has any.
+    pub cold: Option<&'a ColdRight>,
     /// A random number in `0.0..1.0` for each candidate.
     pub draw: fn() -> f64,
 }
@@ -124,6 +128,7 @@
     let usable: Vec<_> = table
         .rows_of(ask.service)
         .filter(|(key, row)| row.takes_work(now) && !ask.exclude.contains(key))
+        .filter(|(key, row)| bears_more(table, *key, row, ask, now))
         .collect();
     let sound = |row: &EndpointRow| !row.is_ejected(now) && !row.is_closing(now);
     let any_sound = usable.iter().any(|(_, row)| sound(row));
@@ -225,6 +230,19 @@
     ask.model.and_then(|model| row.entry.weights.get(model).copied())
 }
 
+/// Whether an endpoint is warm, or this VM's part of what it bears while it is cold is not used up.
+fn bears_more(
+    table: &FleetTable,
+    key: EndpointKey,
+    row: &EndpointRow,
+    ask: &PlacementAsk<'_>,
+    now: Moment,
+) -> bool {
+    let Some(spec) = table.cold_spec(row, now) else { return true };
+    let right = ask.cold.filter(|_| row.entry.data_centre == ask.data_centre);
+    row.cold_sends.count(now) < right.map_or(0, |right| right.part(key, spec))
+}
+
 fn move_terms(row: &EndpointRow, ask: &PlacementAsk<'_>) -> MoveTerms {
     MoveTerms {
         read_micros: READ_MICROS * row.pace(),
--- a/crates/decide/src/fleet/deployment.rs
+++ b/crates/decide/src/fleet/deployment.rs
@@ -107,6 +107,17 @@
     pub engine: Option<EngineSpec>,
     /// Where it stands, if it is a store of kept cache.
     pub store: Option<StoreSpec>,
+    /// What its endpoints bear while they are cold.
+    pub cold: ColdSpec,
+}
+
+/// What an endpoint bears while it is cold.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ColdSpec {
+    /// How long one that has started without a word about it is taken for cold, in milliseconds.
+    pub start_millis: u64,
+    /// Requests a second from all VMs together; zero if it bears as many as a warm one.
+    pub per_s: f64,
 }
 
 /// What all engines of a service have in common.
@@ -202,6 +213,8 @@
     pub slots: u32,
     /// Whether it has said that it is leaving.
     pub draining: bool,
+    /// How long it stays cold, in milliseconds, from when this was written; none if it does not tell.
+    pub cold_millis: Option<u64>,
     /// Weight versions by model.
     pub weights: BTreeMap<String, u64>,
 }
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::peer_loads::PeerLoads;
 use crate::fleet::told_health::ToldHealth;
-use crate::{EndpointEntry, KeptParts, SendReport, VmKey};
+use crate::{ColdSends, EndpointEntry, KeptParts, SendReport, VmKey};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -94,6 +94,10 @@
     pub is_unreadable: bool,
     /// Until when its data centre is evacuated: it gets no new work, and what runs there ends by itself.
     pub evacuated_until: Moment,
+    /// Until when it is cold, and bears a few requests a second only.
+    pub cold_until: Moment,
+    /// What this VM has sent there while it was cold.
+    pub(crate) cold_sends: ColdSends,
     /// What this VM has in flight there.
     pub own: LoadCount,
     /// What others have in flight there, as they told.
@@ -126,6 +130,8 @@
             missing_until: None,
             is_unreadable: false,
             evacuated_until: Moment(0),
+            cold_until: Moment(0),
+            cold_sends: ColdSends::default(),
             own: LoadCount::default(),
             peers: PeerLoads::default(),
             kept: KeptParts::default(),
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -7,8 +7,8 @@
 
 use crate::CloseTeller;
 use crate::{
-    DeploymentConfig, EndpointEntry, EndpointRow, LoadCount, PromptPart, SendOutcome, SendReport, ServiceRow,
-    StoreRow, StoreSpec,
+    ColdRight, ColdSpec, DeploymentConfig, EndpointEntry, EndpointRow, LoadCount, PromptPart, SendOutcome,
+    SendReport, ServiceRow, StoreRow, StoreSpec,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -98,6 +98,8 @@
 const RETURNED_MILLIS: u64 = 4_000;
 /// A VM with an answer from any endpoint within this time, in milliseconds, is believed of one that it cannot reach.
 const REACHING_MILLIS: u64 = 2_000;
+/// An endpoint is taken for cold for this long at most, in milliseconds, whatever its entry says.
+const COLD_MOST_MILLIS: u64 = 600_000;
 /// Ids of ended incarnations that are remembered, so that a late entry does not revive one.
 const ENDED_MOST: usize = 4_096;
 
@@ -119,6 +121,8 @@
     told: HashMap<LoadSource, ToldRows>,
     /// Evacuated data centres, and until when.
     evacuated: BTreeMap<String, Moment>,
+    /// No endpoint is cold from then on, as far as is known.
+    cold_until: Moment,
 }
 
 /// Which rows a source's last digest named: those that its next one does not name are at rest.
@@ -252,6 +256,7 @@
             return false;
         }
         let has_returned = self.ended.remove(&key).is_some();
+        let cold_until = self.cold_until(&entry, now);
         if let Some(row) = self.rows.get_mut(&key) {
             row.missing_until = None;
             row.is_unreadable = false;
@@ -265,12 +270,19 @@
             if entry.weights != row.entry.weights {
                 row.kept.clear();
             }
+            // An entry that was written for another reason repeats what it said before.
+            if entry.cold_millis != row.entry.cold_millis {
+                // The time was counted down when the entry was written: what was heard sooner after that is nearer.
+                let counts_down = entry.cold_millis < row.entry.cold_millis;
+                row.cold_until = if counts_down { cold_until.min(row.cold_until) } else { cold_until };
+            }
             let changed = entry.draining != row.entry.draining;
             row.entry = entry;
             return changed;
         }
         self.by_service.entry(entry.service.clone()).or_default().push(key);
         let mut row = EndpointRow::new(entry);
+        row.cold_until = cold_until;
         row.evacuated_until = self.evacuated.get(&row.entry.data_centre).copied().unwrap_or(Moment(0));
         if has_returned {
             // The last write of one that is gone may come late: its entry lapses before this time is over.
@@ -280,6 +292,49 @@
         true
     }
 
+    /// Until when an endpoint is cold whose entry has come at `now`.
+    fn cold_until(&mut self, entry: &EndpointEntry, now: Moment) -> Moment {
+        let spec = self.services.get(&entry.service).map_or_else(ColdSpec::default, |service| service.cold);
+        let millis = entry.cold_millis.unwrap_or(spec.start_millis).min(COLD_MOST_MILLIS);
+        let until = now.after_millis(millis);
+        if spec.per_s > 0.0 {
+            self.cold_until = self.cold_until.max(until);
+        }
+        until
+    }
+
+    /// Whether any endpoint may be cold.
+    pub fn is_any_cold(&self, now: Moment) -> bool {
+        now < self.cold_until
+    }
+
+    /// What an endpoint bears, if it is cold and bears less than a warm one.
+    pub fn cold_spec(&self, row: &EndpointRow, now: Moment) -> Option<ColdSpec> {
+        if now >= row.cold_until {
+            return None;
+        }
+        let spec = self.services.get(&row.entry.service)?.cold;
+        (spec.per_s > 0.0).then_some(spec)
+    }
+
+    /// Endpoints that are cold and bear less than warm ones.
+    pub fn cold_count(&self, now: Moment) -> usize {
+        self.rows.values().filter(|row| self.cold_spec(row, now).is_some()).count()
+    }
+
+    /// Counts a request that is about to be sent to an endpoint, if that is cold; false if this VM's part of what it
+    /// bears is used up, which another request may have done since the choice.
+    pub fn take_cold_part(&mut self, key: EndpointKey, right: Option<&ColdRight>, now: Moment) -> bool {
+        let Some(spec) = self.rows.get(&key).and_then(|row| self.cold_spec(row, now)) else { return true };
+        let Some(row) = self.rows.get_mut(&key) else { return false };
+        let part = right.map_or(0, |right| right.part(key, spec));
+        let takes = row.cold_sends.count(now) < part;
+        if takes {
+            row.cold_sends.push(now);
+        }
+        takes
+    }
+
     /// Notes that a data centre is evacuated until `until`, [`Moment::NEVER`] while the operator asks for it; whether it
     /// was not before.
     pub fn evacuate(&mut self, data_centre: &str, until: Moment, now: Moment) -> bool {
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -13,8 +13,8 @@
 pub(crate) mod told_health;
 
 pub use deployment::{
-    AccountRow, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews, PromptPart,
-    RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec, WeightTarget,
+    AccountRow, ColdSpec, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews,
+    PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec, WeightTarget,
 };
 pub use endpoint_row::{CloseTeller, EndpointRow, LoadCount, SendOutcome};
 pub use fleet_table::{EndpointKey, FleetTable, LinkMoves, LoadSource, VmKey, short_digest};
--- a/crates/decide/src/fleet/peer_book.rs
+++ b/crates/decide/src/fleet/peer_book.rs
@@ -240,6 +240,12 @@
         self.rows.iter().filter(|(_, row)| self.is_near_row(row)).map(|(key, _)| *key).collect()
     }
 
+    /// The other VMs of this data centre whose entries stand in the store.
+    pub fn near_listed(&self) -> Vec<VmKey> {
+        let near = self.rows.iter().filter(|(_, row)| row.listed && self.is_near_row(row));
+        near.map(|(vm, _)| *vm).collect()
+    }
+
     fn is_near_row(&self, row: &PeerRow) -> bool {
         row.entry.data_centre == self.own.data_centre
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,15 +19,16 @@
 mod weights;
 
 pub use admit::{
-    AdmissionVerdict, AdmissionView, BudgetTerms, PlacementAsk, PlacementChoice, RetryBudget, place,
-    salt_text, salt_version, take_part,
+    AdmissionVerdict, AdmissionView, BudgetTerms, ColdRight, ColdSends, ColdTerms, ListStanding,
+    PlacementAsk, PlacementChoice, RetryBudget, place, salt_text, salt_version, take_part,
 };
 pub use fleet::{
-    AccountRow, CloseTeller, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow, EngineReport,
-    EngineSpec, FleetTable, HeardVm, KeptChange, KeptNews, LEADS, LinkMoves, LoadCount, LoadSource,
-    NewsAssembly, NewsHistory, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook, PromptPart,
-    RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight,
-    StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target, short_digest,
+    AccountRow, CloseTeller, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow,
+    EngineReport, EngineSpec, FleetTable, HeardVm, KeptChange, KeptNews, LEADS, LinkMoves, LoadCount,
+    LoadSource, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook,
+    PromptPart, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendReport, ServiceRow,
+    ServiceWeight, StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target,
+    short_digest,
 };
 pub use kept::{
     BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -53,6 +53,7 @@
                 data_centre: "dc-a".to_owned(),
                 slots: 64,
                 draining: false,
+                cold_millis: None,
                 weights: BTreeMap::new(),
             },
             Moment(0),
@@ -77,6 +78,7 @@
         memory_part,
         wall: "shared",
         exclude: &[],
+        cold: None,
         draw: || 0.0,
     };
     place(table, &ask, now).unwrap()
--- a/crates/decide/tests/engine_starts.rs
+++ b/crates/decide/tests/engine_starts.rs
@@ -23,6 +23,7 @@
         data_centre: "dc-a".into(),
         slots: 8,
         draining: false,
+        cold_millis: None,
         weights: BTreeMap::from([("m".to_owned(), version)]),
     }
 }
--- a/crates/decide/tests/fleet_table.rs
+++ b/crates/decide/tests/fleet_table.rs
@@ -13,6 +13,7 @@
         data_centre: "dc-a".to_owned(),
         slots: 8,
         draining: false,
+        cold_millis: None,
         weights: BTreeMap::from([("m".to_owned(), version)]),
     }
 }
--- a/crates/decide/tests/peer_loads.rs
+++ b/crates/decide/tests/peer_loads.rs
@@ -47,6 +47,7 @@
             data_centre: "dc-a".to_owned(),
             slots: 8,
             draining: false,
+            cold_millis: None,
             weights: BTreeMap::new(),
         };
         table.apply_entry(entry, Moment(0));
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -20,6 +20,7 @@
         data_centre: data_centre.to_owned(),
         slots: 64,
         draining: false,
+        cold_millis: None,
         weights: BTreeMap::from([("m".to_owned(), version)]),
     }
 }
@@ -73,6 +74,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        cold: None,
         draw: || 0.0,
     }
 }
--- a/crates/decide/tests/told_health.rs
+++ b/crates/decide/tests/told_health.rs
@@ -32,6 +32,7 @@
             data_centre: "dc-a".to_owned(),
             slots: 24,
             draining: false,
+            cold_millis: None,
             weights: BTreeMap::new(),
         };
         table.apply_entry(entry, Moment(0));
@@ -138,6 +139,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        cold: None,
         draw: || 0.0,
     };
     let choice = place(table, &ask, now).unwrap().key;
--- a/crates/declare/src/gateway_settings.rs
+++ b/crates/declare/src/gateway_settings.rs
@@ -30,6 +30,8 @@
         "bounds" "retry_ratio" "0.2" "second sends for each request, over all VMs";
         "bounds" "retry_window_s" "10" "seconds over which second sends are counted";
         "bounds" "retry_slack" "20" "second sends of all VMs in a window beyond the ratio";
+        "bounds" "cold_overrun" "1" "multiple of what a cold endpoint bears that all VMs may send it in a second";
+        "bounds" "cold_slack" "0" "requests in a second that all VMs may send it beyond that";
         "log" "level" "info" "error, warn, info, debug or trace";
     }
 }
@@ -52,6 +54,8 @@
     pub retry_ratio: f64,
     pub retry_window_s: u64,
     pub retry_slack: f64,
+    pub cold_overrun: f64,
+    pub cold_slack: f64,
     pub log_level: String,
 }
 
@@ -73,6 +77,8 @@
             retry_ratio: 0.2,
             retry_window_s: 10,
             retry_slack: 20.0,
+            cold_overrun: 1.0,
+            cold_slack: 0.0,
             log_level: "info".to_owned(),
         }
     }
@@ -128,6 +134,8 @@
                 self.retry_ratio = reader.number("retry_ratio", self.retry_ratio);
                 self.retry_window_s = reader.number("retry_window_s", self.retry_window_s);
                 self.retry_slack = reader.number("retry_slack", self.retry_slack);
+                self.cold_overrun = reader.number("cold_overrun", self.cold_overrun);
+                self.cold_slack = reader.number("cold_slack", self.cold_slack);
             }
             "log" => {
                 self.log_level = word(reader, "level", &crate::settings::LEVELS, "info");
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -256,6 +256,9 @@
     /// Its start is no whole number of milliseconds.
     #[error("the start is no whole number of milliseconds")]
     Born,
+    /// The time for which it is cold is less than none.
+    #[error("the time for which it is cold is less than none")]
+    Cold,
 }
 
 impl EntryError {
@@ -271,6 +274,7 @@
             Self::Field(_) => "field",
             Self::State(_) => "state",
             Self::Born => "born",
+            Self::Cold => "cold",
         }
     }
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -137,6 +137,7 @@
         let wanted = model.and_then(|model| gateway.wanted_weights(model));
         let silent = gateway.cut_data_centres();
         let silent: Vec<&str> = silent.iter().map(String::as_str).collect();
+        let cold = gateway.cold_right();
         let ask = PlacementAsk {
             service: &ticket.service,
             silent: &silent,
@@ -151,6 +152,7 @@
             memory_part: admission.map_or(1.0, |view| view.memory_part(gateway.now())),
             wall: &ticket.wall,
             exclude: &self.tried,
+            cold: cold.as_ref(),
             draw: rand::random,
         };
         let choice = gateway.place(&ask)?;
@@ -168,6 +170,9 @@
         let moves: Vec<_> = choice.kept.moves(&ticket.parts).collect();
         let (endpoint, address) = {
             let mut table = gateway.table();
+            if !table.take_cold_part(choice.key, cold.as_ref(), gateway.now()) {
+                return Some(PlaceResult::Wait);
+            }
             table.take(choice.key, choice.load, &ticket.parts, choice.salt);
             let row = table.row(choice.key)?;
             let (id, address) = (row.entry.id.clone(), row.entry.address);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,9 +11,9 @@
 use crate::quarantine_desk::QuarantineDesk;
 use crate::waiting_notes::WaitingNotes;
 use crate::{
-    BudgetTerms, EndpointRow, FleetTable, IdentityKey, NamedVersion, NamedWeights, PlacementAsk,
-    PlacementChoice, QuarantineNote, RetryBudget, RouteTable, SendReport, VmEntry, VmKey, WantedWeights,
-    WeightTarget, WireDialect, place, short_digest,
+    BudgetTerms, ColdRight, ColdTerms, EndpointRow, FleetTable, IdentityKey, ListStanding, NamedVersion,
+    NamedWeights, PlacementAsk, PlacementChoice, QuarantineNote, RetryBudget, RouteTable, SendReport,
+    VmEntry, VmKey, WantedWeights, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -49,6 +49,8 @@
     origin: Duration,
     /// Wakes what waits until a moment, when the VM has been suspended.
     pub jumped: Notify,
+    /// Whether this VM and the others know the same list of VMs.
+    list_standing: Mutex<ListStanding>,
     /// Until when requests wait for the store to be asked, after a suspension; zero once that is done.
     pub stale_until: watch::Sender<Moment>,
     routes: RwLock<Option<Arc<RouteTable>>>,
@@ -130,6 +132,7 @@
             origin: clock.read(),
             clock,
             jumped: Notify::new(),
+            list_standing: Mutex::default(),
             stale_until: watch::channel(Moment(0)).0,
             routes: RwLock::default(),
             table: Mutex::default(),
@@ -375,6 +378,26 @@
         place(&self.table(), ask, self.now())
     }
 
+    /// Whether this VM and the others know the same list of VMs. Never held across a wait.
+    pub(crate) fn list_standing(&self) -> MutexGuard<'_, ListStanding> {
+        self.list_standing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// This VM's right to send to cold endpoints; none while no endpoint is cold, and while others may not know of this
+    /// VM or it may not know of them.
+    pub(crate) fn cold_right(&self) -> Option<ColdRight> {
+        let now = self.now();
+        if !self.table().is_any_cold(now) {
+            return None;
+        }
+        let standing = *self.list_standing();
+        standing.holds(now).then(|| ColdRight {
+            own: VmKey::of(&self.settings.name),
+            others: self.peers().near_listed(),
+            terms: ColdTerms { overrun: self.settings.cold_overrun, slack: self.settings.cold_slack },
+        })
+    }
+
     pub(crate) fn count_request(&self, service: &str) {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner).count_request(service, self.now());
     }
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -167,14 +167,16 @@
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
         let now = gateway.now();
-        let (gone, doubted, evacuated) = {
+        let (gone, doubted, evacuated, cold) = {
             let mut table = gateway.table();
             let gone = table.sweep(now);
             let doubted = table.rows().filter(|(_, row)| row.is_doubted()).count();
-            (gone, doubted, table.evacuated(now).count())
+            (gone, doubted, table.evacuated(now).count(), table.cold_count(now))
         };
-        gateway.metrics.evacuated_data_centres.set(evacuated as i64);
-        gateway.metrics.doubted_endpoints.set(doubted as i64);
+        let gauges = &gateway.metrics.fleet;
+        gauges.cold_endpoints.set(cold as i64);
+        gauges.evacuated_data_centres.set(evacuated as i64);
+        gauges.doubted_endpoints.set(doubted as i64);
         for key in gone {
             gateway.pool.forget(key);
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -26,6 +26,34 @@
     }
 }
 
+/// How many endpoints get less work than others, and why.
+#[derive(Debug)]
+pub(crate) struct FleetGauges {
+    /// Endpoints that VMs could not reach, and that have answered none since.
+    pub doubted_endpoints: Gauge,
+    /// Data centres whose endpoints get no work because the operator asked for that.
+    pub evacuated_data_centres: Gauge,
+    /// Endpoints that are cold, and bear less than warm ones.
+    pub cold_endpoints: Gauge,
+}
+
+impl FleetGauges {
+    fn register(registry: &mut Registry) -> Self {
+        let gauges = Self {
+            doubted_endpoints: Gauge::default(),
+            evacuated_data_centres: Gauge::default(),
+            cold_endpoints: Gauge::default(),
+        };
+        let doubted = gauges.doubted_endpoints.clone();
+        registry.register("doubted_endpoints", "Endpoints that VMs could not reach", doubted);
+        let evacuated = gauges.evacuated_data_centres.clone();
+        registry.register("evacuated_data_centres", "Data centres that get no work, as asked", evacuated);
+        let cold = gauges.cold_endpoints.clone();
+        registry.register("cold_endpoints", "Endpoints that are cold and bear less", cold);
+        gauges
+    }
+}
+
 /// All metrics of one gateway.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -61,10 +89,8 @@
     pub turned_away: Counter,
     /// Requests that are held back now.
     pub held_requests: Gauge,
-    /// Endpoints that VMs could not reach, and that have answered none since.
-    pub doubted_endpoints: Gauge,
-    /// Data centres whose endpoints get no work because the operator asked for that.
-    pub evacuated_data_centres: Gauge,
+    /// Endpoints that get less work than others.
+    pub fleet: FleetGauges,
 }
 
 impl GatewayMetrics {
@@ -109,18 +135,6 @@
         registry.register("prompt_tokens", "Prompt tokens sent to engines", prompt_tokens.clone());
         registry.register("kept_tokens", "Of these, tokens believed kept there", kept_tokens.clone());
         registry.register("configuration_version", "Version in force", configuration_version.clone());
-        let doubted_endpoints = Gauge::default();
-        registry.register(
-            "doubted_endpoints",
-            "Endpoints that VMs could not reach",
-            doubted_endpoints.clone(),
-        );
-        let evacuated_data_centres = Gauge::default();
-        registry.register(
-            "evacuated_data_centres",
-            "Data centres whose endpoints get no work, as the operator asked",
-            evacuated_data_centres.clone(),
-        );
         let unreadable_entries = Family::<KindLabel, Counter>::default();
         registry.register(
             "unreadable_entries",
@@ -147,6 +161,7 @@
         );
         registry.register("held_requests", "Requests that are held back", held_requests.clone());
         registry.register("open_requests", "Requests in flight at this VM", open_requests.clone());
+        let fleet = FleetGauges::register(&mut registry);
         Self {
             registry,
             answers,
@@ -169,8 +184,7 @@
             quarantine_holds,
             turned_away,
             held_requests,
-            doubted_endpoints,
-            evacuated_data_centres,
+            fleet,
         }
     }
 
--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -133,6 +133,7 @@
                 Some(Err(StoreRefusal::LeaseGone)) => {
                     log::warn!(lease; "lease.lost");
                     self.lease = None;
+                    self.gateway.list_standing().listed_at = None;
                     self.right.send_replace(OrderRight::default());
                 }
                 _ => return self.failure_pause(),
@@ -149,6 +150,7 @@
         }
         self.lease = Some(grant.lease);
         self.safe_until = Moment(0);
+        self.gateway.list_standing().listed_at = Some(self.gateway.now());
         self.extend(asked_at, grant.ttl_millis);
         self.failures = 0;
         log::info!(lease = grant.lease, ttl_millis = grant.ttl_millis; "lease.taken");
@@ -165,6 +167,7 @@
     fn extend(&mut self, asked_at: Moment, ttl_millis: u64) {
         self.safe_until = asked_at.after_millis(ttl_millis.saturating_sub(SAFETY_MILLIS));
         let until = self.safe_until;
+        self.gateway.list_standing().lease_until = until;
         self.right.send_modify(|right| {
             if right.fencing != 0 {
                 right.until = until;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -60,16 +60,17 @@
 pub use gateway_daemon::{GatewayDaemon, GatewayError};
 pub use gateway_metrics::KindLabel;
 pub use spanfold_decide::{
-    AccountRow, DeploymentConfig, EndpointEntry, EndpointKey, EngineReport, EngineSpec, KeptChange, KeptNews,
-    PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreEvent, StoreItem,
-    StoreSpec, WeightTarget, salt_text,
+    AccountRow, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EngineReport, EngineSpec, KeptChange,
+    KeptNews, PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreEvent,
+    StoreItem, StoreSpec, WeightTarget, salt_text,
 };
 pub(crate) use spanfold_decide::{
-    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, DeskStep, EndingReport,
-    EndpointEnding, EndpointRow, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase, HolderRecord,
-    HolderStanding, IdentityKey, KeptRow, LEADS, LinkMoves, LoadCount, LoadSource, NamedVersion,
-    NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES,
-    PeerBook, PlacementAsk, PlacementChoice, QuarantineChange, QuarantineNote, RequestIdentity, RequestKey,
-    RequestQuarantine, RetryBudget, RouteTable, SendOutcome, SendReport, VmEntry, VmKey, WantedWeights,
-    WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, ColdRight, ColdTerms, DeskStep,
+    EndingReport, EndpointEnding, EndpointRow, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase,
+    HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LinkMoves, ListStanding, LoadCount,
+    LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress,
+    NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, QuarantineChange, QuarantineNote,
+    RequestIdentity, RequestKey, RequestQuarantine, RetryBudget, RouteTable, SendOutcome, SendReport,
+    VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key,
+    short_digest, take_part,
 };
