--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -349,6 +349,16 @@
         self.evacuated.remove(data_centre).is_some()
     }
 
+    /// Ends evacuations whose time is over, and names them.
+    pub fn end_lapsed_evacuations(&mut self, now: Moment) -> Vec<String> {
+        let over: Vec<_> =
+            self.evacuated.iter().filter(|(_, until)| now >= **until).map(|(name, _)| name.clone()).collect();
+        for data_centre in &over {
+            self.end_evacuation(data_centre);
+        }
+        over
+    }
+
     /// Data centres that are evacuated.
     pub fn evacuated(&self, now: Moment) -> impl Iterator<Item = &str> {
         let rows = self.evacuated.iter().filter(move |(_, until)| now < **until);
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod route_table;
 mod send_report;
 mod store_event;
+mod store_position;
 pub(crate) mod told_health;
 
 pub use deployment::{
@@ -24,3 +25,4 @@
 pub use route_table::{RouteTable, pick_target};
 pub use send_report::SendReport;
 pub use store_event::{StoreEvent, StoreItem};
+pub use store_position::StorePosition;
--- a/crates/decide/src/fleet/news_history.rs
+++ b/crates/decide/src/fleet/news_history.rs
@@ -1,8 +1,8 @@
 //! The store's changes of the last seconds, for VMs that missed some.
 //!
-//! Invariant: what is handed out is whole from the revision asked for to the newest one known here.
+//! Invariant: what is handed out is whole from the position asked for to the newest one known here.
 
-use crate::StoreEvent;
+use crate::{StoreEvent, StorePosition};
 use spanfold_entity::Moment;
 use std::collections::VecDeque;
 
@@ -13,11 +13,11 @@
 /// Bytes kept at most: a few values of the largest size that a store takes.
 const BYTES_LIMIT: usize = 4 << 20;
 
-/// One step from one revision to another.
+/// One step from one position to another.
 #[derive(Debug)]
 struct HistoryStep {
-    from: u64,
-    to: u64,
+    from: StorePosition,
+    to: StorePosition,
     at: Moment,
     events: Vec<StoreEvent>,
 }
@@ -28,7 +28,7 @@
 
 impl NewsHistory {
     /// Adds a step. One that does not follow the last one begins the history anew.
-    pub fn push(&mut self, from: u64, to: u64, events: &[StoreEvent], now: Moment) {
+    pub fn push(&mut self, from: StorePosition, to: StorePosition, events: &[StoreEvent], now: Moment) {
         if from >= to {
             return;
         }
@@ -48,23 +48,24 @@
         self.0.iter().flat_map(|step| &step.events).map(StoreEvent::size).sum()
     }
 
-    /// All changes after `revision`, and the revision that they lead to; none if some are not known.
+    /// All changes after `position`, and the position that they lead to; none if some are not known.
     ///
     /// # Examples
     /// ```
     /// use spanfold_entity::Moment;
-    /// use spanfold_decide::NewsHistory;
+    /// use spanfold_decide::{NewsHistory, StorePosition};
+    /// let at = |revision| StorePosition { era: 1, revision };
     /// let mut history = NewsHistory::default();
-    /// history.push(4, 7, &[], Moment(0));
-    /// assert_eq!(history.since(4), Some((7, vec![])));
-    /// assert_eq!(history.since(3), None);
+    /// history.push(at(4), at(7), &[], Moment(0));
+    /// assert_eq!(history.since(at(4)), Some((at(7), vec![])));
+    /// assert_eq!(history.since(at(3)), None);
     /// ```
-    pub fn since(&self, revision: u64) -> Option<(u64, Vec<StoreEvent>)> {
+    pub fn since(&self, position: StorePosition) -> Option<(StorePosition, Vec<StoreEvent>)> {
         let (first, last) = (self.0.front()?, self.0.back()?);
-        if revision < first.from || revision >= last.to {
+        if position < first.from || position >= last.to {
             return None;
         }
-        let steps = self.0.iter().filter(|step| step.to > revision);
+        let steps = self.0.iter().filter(|step| step.to > position);
         Some((last.to, steps.flat_map(|step| step.events.iter().cloned()).collect()))
     }
 }
--- a/crates/decide/src/fleet/news_pieces.rs
+++ b/crates/decide/src/fleet/news_pieces.rs
@@ -4,7 +4,7 @@
 //! They are compressed: a configuration of thousands of routes repeats itself, and VMs with narrow links
 //! would otherwise need most of a second of their links for it, in which callers wait.
 
-use crate::{StoreEvent, VmKey};
+use crate::{StoreEvent, StorePosition, VmKey};
 use flate2::Compression;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -49,12 +49,13 @@
 ///
 /// # Examples
 /// ```
-/// use spanfold_decide::{NewsAssembly, NewsProgress, StoreEvent, VmKey, cut_news};
-/// let events = vec![StoreEvent::Removed { key: "a".into(), revision: 7 }];
+/// use spanfold_decide::{NewsAssembly, NewsProgress, StoreEvent, StorePosition, VmKey, cut_news};
+/// let at = |revision| StorePosition { era: 1, revision };
+/// let events = vec![StoreEvent::Removed { key: "a".into(), position: at(7) }];
 /// let pieces = cut_news(&events).unwrap();
 /// assert_eq!(pieces.len(), 1);
 /// let mut assembly = NewsAssembly::default();
-/// let progress = assembly.take(VmKey::of("vm-1"), 6, 7, &pieces[0]);
+/// let progress = assembly.take(VmKey::of("vm-1"), at(6), at(7), &pieces[0]);
 /// assert_eq!(progress, NewsProgress::Whole(events));
 /// ```
 pub fn cut_news(events: &[StoreEvent]) -> Option<Vec<NewsPiece>> {
@@ -87,13 +88,13 @@
 #[derive(Debug)]
 struct OpenNews {
     teller: VmKey,
-    from: u64,
-    to: u64,
+    from: StorePosition,
+    to: StorePosition,
     pieces: Vec<Option<Vec<u8>>>,
 }
 
 impl OpenNews {
-    fn is_of(&self, teller: VmKey, from: u64, to: u64, count: u32) -> bool {
+    fn is_of(&self, teller: VmKey, from: StorePosition, to: StorePosition, count: u32) -> bool {
         (self.teller, self.from, self.to, self.pieces.len()) == (teller, from, to, count as usize)
     }
 }
@@ -103,8 +104,14 @@
 pub struct NewsAssembly(VecDeque<OpenNews>);
 
 impl NewsAssembly {
-    /// Takes a piece of the changes between two revisions; tells what has come of them.
-    pub fn take(&mut self, teller: VmKey, from: u64, to: u64, piece: &NewsPiece) -> NewsProgress {
+    /// Takes a piece of the changes between two positions; tells what has come of them.
+    pub fn take(
+        &mut self,
+        teller: VmKey,
+        from: StorePosition,
+        to: StorePosition,
+        piece: &NewsPiece,
+    ) -> NewsProgress {
         let (place, count) = (piece.place as usize, piece.count as usize);
         if place >= count || count > PIECES_LIMIT || piece.content.len() > PIECE_BYTES {
             return NewsProgress::Unreadable;
@@ -119,13 +126,13 @@
         unpack(&packed).map_or(NewsProgress::Unreadable, NewsProgress::Whole)
     }
 
-    /// Forgets pieces of changes up to `revision`: they are known.
-    pub fn forget_until(&mut self, revision: u64) {
-        self.0.retain(|news| news.to > revision);
+    /// Forgets pieces of changes up to `position`: they are known.
+    pub fn forget_until(&mut self, position: StorePosition) {
+        self.0.retain(|news| news.to > position);
     }
 
     /// Where the pieces of these news are collected; the oldest others make room.
-    fn open(&mut self, teller: VmKey, from: u64, to: u64, count: u32) -> usize {
+    fn open(&mut self, teller: VmKey, from: StorePosition, to: StorePosition, count: u32) -> usize {
         if let Some(place) = self.0.iter().position(|news| news.is_of(teller, from, to, count)) {
             return place;
         }
--- a/crates/decide/src/fleet/store_event.rs
+++ b/crates/decide/src/fleet/store_event.rs
@@ -1,5 +1,6 @@
 //! Items of the platform's store and their changes, as values.
 
+use crate::StorePosition;
 use serde::{Deserialize, Serialize};
 
 /// One item of the store.
@@ -9,8 +10,8 @@
     pub key: String,
     /// Its value.
     pub value: Vec<u8>,
-    /// Revision of its last change.
-    pub revision: u64,
+    /// When it changed last.
+    pub position: StorePosition,
 }
 
 /// One change in the store.
@@ -22,8 +23,8 @@
     Removed {
         /// The key.
         key: String,
-        /// Revision of the removal.
-        revision: u64,
+        /// When it was removed.
+        position: StorePosition,
     },
 }
 
@@ -36,11 +37,11 @@
         }
     }
 
-    /// The revision of the change.
-    pub const fn revision(&self) -> u64 {
+    /// When it changed.
+    pub const fn position(&self) -> StorePosition {
         match self {
-            Self::Written(item) => item.revision,
-            Self::Removed { revision, .. } => *revision,
+            Self::Written(item) => item.position,
+            Self::Removed { position, .. } => *position,
         }
     }
 
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -27,8 +27,8 @@
     EngineReport, EngineSpec, FleetTable, HeardVm, KeptChange, KeptNews, LEADS, LinkMoves, LoadCount,
     LoadSource, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook,
     PromptPart, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendReport, ServiceRow,
-    ServiceWeight, StoreEvent, StoreItem, StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target,
-    short_digest,
+    ServiceWeight, StoreEvent, StoreItem, StorePosition, StoreSpec, VmEntry, VmKey, WeightTarget, cut_news,
+    pick_target, short_digest,
 };
 pub use kept::{
     BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
--- a/crates/decide/src/quarantine/held_book.rs
+++ b/crates/decide/src/quarantine/held_book.rs
@@ -199,6 +199,13 @@
         due.next().map(|(request, row)| (*request, *row))
     }
 
+    /// Has all holds written anew: the store may have lost them.
+    pub fn write_all_again(&mut self) {
+        for row in self.rows.values_mut().filter(|row| row.phase == HoldPhase::Held) {
+            row.write_at = Moment(0);
+        }
+    }
+
     /// Notes what came of writing `written` into the store, or of removing it: it is done again after `write_at`. What
     /// became of the row meanwhile is written anew.
     pub fn note_written(&mut self, request: RequestKey, written: &HeldRequest, write_at: Moment) {
--- a/crates/decide/src/quarantine/request_quarantine.rs
+++ b/crates/decide/src/quarantine/request_quarantine.rs
@@ -213,6 +213,11 @@
         self.book.due_write(now)
     }
 
+    /// Has all holds written anew: the store may have lost them.
+    pub fn write_all_again(&mut self) {
+        self.book.write_all_again();
+    }
+
     /// Notes when a row is to be written or removed again: never if that is done.
     pub fn note_written(&mut self, request: RequestKey, written: &HeldRequest, write_at: Moment) {
         self.book.note_written(request, written, write_at);
--- a/crates/decide/tests/news_history.rs
+++ b/crates/decide/tests/news_history.rs
@@ -1,10 +1,14 @@
 //! Which changes of the store a VM can hand to one that missed some.
 
-use spanfold_decide::{NewsHistory, StoreEvent, StoreItem};
+use spanfold_decide::{NewsHistory, StoreEvent, StoreItem, StorePosition};
 use spanfold_entity::Moment;
 
+const fn rev(revision: u64) -> StorePosition {
+    StorePosition { era: 1, revision }
+}
+
 fn removed(revision: u64) -> StoreEvent {
-    StoreEvent::Removed { key: format!("key-{revision}"), revision }
+    StoreEvent::Removed { key: format!("key-{revision}"), position: rev(revision) }
 }
 
 fn at(seconds: u64) -> Moment {
@@ -14,37 +18,52 @@
 #[test]
 fn all_changes_after_a_revision_are_told_or_none() {
     let mut history = NewsHistory::default();
-    history.push(2, 5, &[removed(4), removed(5)], at(0));
-    history.push(5, 5, &[], at(0));
-    history.push(5, 9, &[removed(8)], at(1));
-    assert_eq!(history.since(2), Some((9, vec![removed(4), removed(5), removed(8)])));
+    history.push(rev(2), rev(5), &[removed(4), removed(5)], at(0));
+    history.push(rev(5), rev(5), &[], at(0));
+    history.push(rev(5), rev(9), &[removed(8)], at(1));
+    assert_eq!(history.since(rev(2)), Some((rev(9), vec![removed(4), removed(5), removed(8)])));
     // Told from the middle of a step: what is told twice does no harm.
-    assert_eq!(history.since(4), Some((9, vec![removed(4), removed(5), removed(8)])));
-    assert_eq!(history.since(5), Some((9, vec![removed(8)])));
-    assert_eq!((history.since(1), history.since(9), history.since(12)), (None, None, None));
+    assert_eq!(history.since(rev(4)), Some((rev(9), vec![removed(4), removed(5), removed(8)])));
+    assert_eq!(history.since(rev(5)), Some((rev(9), vec![removed(8)])));
+    assert_eq!((history.since(rev(1)), history.since(rev(9)), history.since(rev(12))), (None, None, None));
 }
 
 #[test]
 fn a_gap_and_age_end_what_can_be_told() {
     let mut history = NewsHistory::default();
-    history.push(2, 5, &[removed(4)], at(0));
-    history.push(7, 9, &[removed(8)], at(1));
-    assert_eq!(history.since(2), None);
-    assert_eq!(history.since(7), Some((9, vec![removed(8)])));
-    history.push(9, 10, &[removed(10)], at(30));
-    assert_eq!(history.since(7), None);
-    assert_eq!(history.since(9), Some((10, vec![removed(10)])));
+    history.push(rev(2), rev(5), &[removed(4)], at(0));
+    history.push(rev(7), rev(9), &[removed(8)], at(1));
+    assert_eq!(history.since(rev(2)), None);
+    assert_eq!(history.since(rev(7)), Some((rev(9), vec![removed(8)])));
+    history.push(rev(9), rev(10), &[removed(10)], at(30));
+    assert_eq!(history.since(rev(7)), None);
+    assert_eq!(history.since(rev(9)), Some((rev(10), vec![removed(10)])));
 }
 
 #[test]
 fn large_changes_push_older_ones_out() {
     let large = |revision: u64| {
-        StoreEvent::Written(StoreItem { key: "key".to_owned(), value: vec![0; 1 << 20], revision })
+        StoreEvent::Written(StoreItem {
+            key: "key".to_owned(),
+            value: vec![0; 1 << 20],
+            position: rev(revision),
+        })
     };
     let mut history = NewsHistory::default();
     for revision in 1..20 {
-        history.push(revision - 1, revision, &[large(revision)], at(0));
+        history.push(rev(revision - 1), rev(revision), &[large(revision)], at(0));
     }
-    assert_eq!(history.since(10), None);
-    assert_eq!(history.since(17), Some((19, vec![large(18), large(19)])));
+    assert_eq!(history.since(rev(10)), None);
+    assert_eq!(history.since(rev(17)), Some((rev(19), vec![large(18), large(19)])));
+}
+
+#[test]
+fn changes_before_a_restore_are_not_told_to_those_behind_it() {
+    let mut history = NewsHistory::default();
+    history.push(rev(2), rev(9), &[removed(8)], at(0));
+    let restored = |revision| StorePosition { era: 2, revision };
+    // Listed anew at 2:6; then changes follow.
+    history.push(restored(6), restored(7), &[], at(1));
+    assert_eq!((history.since(rev(2)), history.since(rev(9))), (None, None));
+    assert_eq!(history.since(restored(6)), Some((restored(7), vec![])));
 }
--- a/crates/decide/tests/news_pieces.rs
+++ b/crates/decide/tests/news_pieces.rs
@@ -1,17 +1,25 @@
 //! Changes in pieces: whole or not at all.
 
-use spanfold_decide::{NewsAssembly, NewsProgress, StoreEvent, StoreItem, VmKey, cut_news};
+use spanfold_decide::{NewsAssembly, NewsProgress, StoreEvent, StoreItem, StorePosition, VmKey, cut_news};
 
 const TELLER: VmKey = VmKey(1);
 
 /// A change whose value does not compress, so that it needs several pieces.
+const fn rev(revision: u64) -> StorePosition {
+    StorePosition { era: 1, revision }
+}
+
 fn large_change(revision: u64) -> Vec<StoreEvent> {
     let mut state = revision;
     let value = (0..100_000).map(|_| {
         state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (state >> 56) as u8
     });
-    vec![StoreEvent::Written(StoreItem { key: "key".to_owned(), value: value.collect(), revision })]
+    vec![StoreEvent::Written(StoreItem {
+        key: "key".to_owned(),
+        value: value.collect(),
+        position: rev(revision),
+    })]
 }
 
 #[test]
@@ -24,9 +32,9 @@
     let last = pieces.pop().unwrap();
     let mut assembly = NewsAssembly::default();
     for piece in pieces.iter().chain([&again]) {
-        assert_eq!(assembly.take(TELLER, 6, 7, piece), NewsProgress::Partial);
+        assert_eq!(assembly.take(TELLER, rev(6), rev(7), piece), NewsProgress::Partial);
     }
-    assert_eq!(assembly.take(TELLER, 6, 7, &last), NewsProgress::Whole(events));
+    assert_eq!(assembly.take(TELLER, rev(6), rev(7), &last), NewsProgress::Whole(events));
 }
 
 #[test]
@@ -35,14 +43,14 @@
     let (one_pieces, other_pieces) = (cut_news(&one).unwrap(), cut_news(&other).unwrap());
     let mut assembly = NewsAssembly::default();
     for (mine, theirs) in one_pieces.iter().zip(&other_pieces).skip(1) {
-        assert_eq!(assembly.take(TELLER, 6, 7, mine), NewsProgress::Partial);
-        assert_eq!(assembly.take(TELLER, 7, 8, theirs), NewsProgress::Partial);
-        assert_eq!(assembly.take(VmKey(2), 6, 7, mine), NewsProgress::Partial);
+        assert_eq!(assembly.take(TELLER, rev(6), rev(7), mine), NewsProgress::Partial);
+        assert_eq!(assembly.take(TELLER, rev(7), rev(8), theirs), NewsProgress::Partial);
+        assert_eq!(assembly.take(VmKey(2), rev(6), rev(7), mine), NewsProgress::Partial);
     }
-    assert_eq!(assembly.take(TELLER, 7, 8, &other_pieces[0]), NewsProgress::Whole(other));
-    assembly.forget_until(7);
+    assert_eq!(assembly.take(TELLER, rev(7), rev(8), &other_pieces[0]), NewsProgress::Whole(other));
+    assembly.forget_until(rev(7));
     // The other pieces are gone: this one is a first one again.
-    assert_eq!(assembly.take(TELLER, 6, 7, &one_pieces[0]), NewsProgress::Partial);
+    assert_eq!(assembly.take(TELLER, rev(6), rev(7), &one_pieces[0]), NewsProgress::Partial);
 }
 
 #[test]
@@ -54,7 +62,7 @@
         })
         .collect();
     let size = value.len();
-    let events = vec![StoreEvent::Written(StoreItem { key: "key".to_owned(), value, revision: 3 })];
+    let events = vec![StoreEvent::Written(StoreItem { key: "key".to_owned(), value, position: rev(3) })];
     let told: usize = cut_news(&events).unwrap().iter().map(|piece| piece.content.len()).sum();
     assert!(told * 4 < size, "{told} bytes for {size}");
 }
@@ -65,10 +73,10 @@
     let mut assembly = NewsAssembly::default();
     for (place, count) in [(0, 0), (3, 3), (0, u32::MAX)] {
         (piece.place, piece.count) = (place, count);
-        assert_eq!(assembly.take(TELLER, 6, 7, &piece), NewsProgress::Unreadable);
+        assert_eq!(assembly.take(TELLER, rev(6), rev(7), &piece), NewsProgress::Unreadable);
     }
     (piece.place, piece.count) = (0, 1);
-    assert_eq!(assembly.take(TELLER, 6, 7, &piece), NewsProgress::Unreadable);
+    assert_eq!(assembly.take(TELLER, rev(6), rev(7), &piece), NewsProgress::Unreadable);
 }
 
 #[test]
@@ -79,7 +87,10 @@
     let mut whole = 0;
     for piece in &pieces {
         for teller in 0..9 {
-            whole += usize::from(matches!(assembly.take(VmKey(teller), 6, 7, piece), NewsProgress::Whole(_)));
+            whole += usize::from(matches!(
+                assembly.take(VmKey(teller), rev(6), rev(7), piece),
+                NewsProgress::Whole(_)
+            ));
         }
     }
     assert_eq!(whole, 9);
--- a/crates/gateway/src/call_link.rs
+++ b/crates/gateway/src/call_link.rs
@@ -13,6 +13,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
@@ -39,8 +40,16 @@
     }
 }
 
-/// A call's answer: its status and body.
-pub(crate) type CallAnswer = Result<(u16, Bytes), LinkError>;
+/// An answer.
+#[derive(Debug)]
+pub(crate) struct CallReply {
+    pub status: u16,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// What a call brought.
+pub(crate) type CallAnswer = Result<CallReply, LinkError>;
 
 /// One caller's connection to one place.
 #[derive(Debug)]
@@ -66,7 +75,7 @@
         Self { address, open: None }
     }
 
-    /// Makes one call whose whole answer comes before `deadline`; gives the answer's status and body.
+    /// Makes one call whose whole answer comes before `deadline`; gives the answer.
     pub(crate) async fn call(&mut self, call: &WireCall, deadline: Instant) -> CallAnswer {
         self.exchange(call, deadline, |_| deadline).await
     }
@@ -90,10 +99,10 @@
         let kept = self.open.take();
         let sent = tokio::time::timeout_at(deadline, send(self.address, kept, call)).await;
         let (response, link) = sent.map_err(|_elapsed| LinkError("no answer in time".to_owned()))??;
-        let status = response.status().as_u16();
-        let body = read_body(response.into_body(), frame_deadline).await?;
+        let (head, body) = response.into_parts();
+        let body = read_body(body, frame_deadline).await?;
         self.open = Some(link);
-        Ok((status, body))
+        Ok(CallReply { status: head.status.as_u16(), headers: head.headers, body })
     }
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,7 +4,8 @@
 //! function is pure, so that a stand-in and the real platform meet the same code.
 
 use crate::{
-    DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, StoreEvent, StoreItem, WeightTarget,
+    DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, StoreEvent, StoreItem,
+    StorePosition, WeightTarget,
 };
 use hyper::Method;
 use hyper::header::HeaderName;
@@ -62,6 +63,8 @@
     pub fetch_until: HeaderName,
     /// Proof that an answer is the endpoint's own; never on answers made here.
     pub seal: HeaderName,
+    /// On answers of the store: how often it has been restored from a copy.
+    pub store_era: HeaderName,
     /// Headers that only this system sets towards endpoints: removed from callers' requests.
     pub system_only: Vec<HeaderName>,
 }
@@ -99,8 +102,8 @@
     pub items: Vec<StoreItem>,
     /// Whether more follow.
     pub more: bool,
-    /// The store's revision.
-    pub revision: u64,
+    /// How far the store has come.
+    pub position: StorePosition,
 }
 
 /// What a watch brought.
@@ -108,15 +111,15 @@
 pub struct WatchPage {
     /// Changes in order; none if the time was up.
     pub events: Vec<StoreEvent>,
-    /// The revision to go on from.
-    pub revision: u64,
+    /// Where to go on from.
+    pub position: StorePosition,
 }
 
 /// Writes that take place together if every condition holds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoreTransaction {
-    /// Keys with the revision of their last change; zero means that the key is absent.
-    pub conditions: Vec<(String, u64)>,
+    /// Keys with their last change; none means that the key is absent.
+    pub conditions: Vec<(String, Option<StorePosition>)>,
     /// Keys with the values to write and the lease that they live under (zero: none).
     pub writes: Vec<(String, Vec<u8>, u64)>,
     /// Keys to remove.
@@ -138,6 +141,9 @@
     /// Nothing was done; the status tells why.
     #[error("the store answered {0}")]
     NotDone(u16),
+    /// The store has been restored from a copy since the call was made, which may have been done there.
+    #[error("the store has been restored from a copy")]
+    Restored,
     /// The answer cannot be read; the call may have been done.
     #[error("the store's answer cannot be read: {0}")]
     Malformed(String),
@@ -152,8 +158,19 @@
     pub ttl_millis: u64,
 }
 
-/// Reads an answer of the store: its status and body.
-pub type StoreDecoder<T> = fn(u16, &[u8]) -> Result<T, StoreRefusal>;
+/// An answer of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StoreReply<'a> {
+    /// Its status.
+    pub status: u16,
+    /// How often the store has been restored from a copy.
+    pub era: u64,
+    /// Its body.
+    pub body: &'a [u8],
+}
+
+/// Reads an answer of the store.
+pub type StoreDecoder<T> = fn(&StoreReply<'_>) -> Result<T, StoreRefusal>;
 
 /// Calls to the store and what their answers mean.
 #[derive(Clone, Copy, Debug)]
@@ -162,14 +179,14 @@
     pub range: fn(&str, Option<&str>) -> WireCall,
     /// Reads a listing.
     pub read_range: StoreDecoder<RangePage>,
-    /// Waits for changes under a prefix after a revision, for so many milliseconds at most.
-    pub watch: fn(&str, u64, u64) -> WireCall,
+    /// Waits for changes under a prefix after a position, for so many milliseconds at most.
+    pub watch: fn(&str, StorePosition, u64) -> WireCall,
     /// Reads what a watch brought.
     pub read_watch: StoreDecoder<WatchPage>,
     /// Runs a transaction.
     pub transact: fn(&StoreTransaction) -> WireCall,
-    /// Reads a transaction's revision.
-    pub read_transact: StoreDecoder<u64>,
+    /// Reads where a transaction stands.
+    pub read_transact: StoreDecoder<StorePosition>,
     /// Asks for a lease of so many milliseconds.
     pub grant: fn(u64) -> WireCall,
     /// Renews a lease.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,13 +1,13 @@
 //! Follows the platform's store.
 //!
-//! Invariant: what a VM has applied is whole up to one revision of the store.
+//! Invariant: what a VM has applied is whole up to one position in the store's history.
 //!
 //! Calls to the store are priced, so one VM of a data centre watches it and tells the others. Nobody is
 //! elected: each VM waits for news for a time that grows with its place among the leads, and asks
 //! the store itself when that is over. The lead's time is zero; if it falls silent or is cut off from
 //! the store, the next one's time runs out first, and its answers are news for those behind it.
 
-use crate::call_link::{CallAnswer, CallLink};
+use crate::call_link::{CallAnswer, CallLink, CallReply};
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::news_teller::{NewsTeller, ToldChanges};
@@ -15,7 +15,8 @@
 use crate::store_news::{NewsBody, StoreNews};
 use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreView};
 use crate::{
-    NewsAssembly, NewsHistory, NewsProgress, StoreEvent, StoreRefusal, StoreTransaction, VmKey, WireCall,
+    NewsAssembly, NewsHistory, NewsProgress, StoreEvent, StorePosition, StoreRefusal, StoreReply,
+    StoreTransaction, VmKey, WireCall,
 };
 use spanfold_entity::Moment;
 use std::pin::pin;
@@ -63,8 +64,8 @@
 pub(crate) enum StoreWord {
     /// Changes.
     News(StoreNews),
-    /// It asks for the changes after this revision.
-    Ask(u64),
+    /// It asks for the changes after this position.
+    Ask(StorePosition),
 }
 
 /// What another VM says of the store, and which one.
@@ -83,12 +84,12 @@
         teller: NewsTeller::new(Arc::clone(&gateway), socket),
         gateway,
         view,
-        revision: 0,
+        position: StorePosition::default(),
         news_at: Moment(0),
         rest_until: Moment(0),
         behind_since: None,
         lacking_since: None,
-        told_revision: 0,
+        told_position: StorePosition::default(),
         history: NewsHistory::default(),
         assembly: NewsAssembly::default(),
         is_asking: false,
@@ -109,18 +110,18 @@
     teller: NewsTeller,
     link: CallLink,
     view: StoreView,
-    /// All changes up to this revision are applied.
-    revision: u64,
-    /// When the store last told that `revision` stands, directly or through another VM.
+    /// All changes up to here are applied.
+    position: StorePosition,
+    /// When the store last told that `position` stands, directly or through another VM.
     news_at: Moment,
     /// No call before then.
     rest_until: Moment,
-    /// Since when other VMs tell of a revision whose changes this one lacks.
+    /// Since when other VMs tell of a position whose changes this one lacks.
     behind_since: Option<Moment>,
     /// Since when changes are lacking that others tell of; [`Moment::NEVER`] once that was logged.
     lacking_since: Option<Moment>,
-    /// Newest revision that another VM or the store told of.
-    told_revision: u64,
+    /// Newest position that another VM or the store told of.
+    told_position: StorePosition,
     /// Changes that were applied a short while ago.
     history: NewsHistory,
     /// Pieces of changes that other VMs are telling.
@@ -136,6 +137,10 @@
     /// Takes news or, when its turn has come, asks the store once; false if all must be listed anew.
     async fn step(&mut self, told: &mut mpsc::Receiver<ToldNews>) -> bool {
         let now = self.gateway.now();
+        if self.gateway.era.known().is_some_and(|era| era > self.position.era) {
+            log::warn!(position:% = self.position; "watch.relist");
+            return false;
+        }
         self.note_lacking(now);
         let turn = self.turn(now);
         tokio::select! {
@@ -154,7 +159,7 @@
     async fn take_word(&mut self, (vm, word): ToldNews) {
         match word {
             StoreWord::News(news) => self.take_news(vm, &news).await,
-            StoreWord::Ask(revision) => self.answer_ask(vm, revision),
+            StoreWord::Ask(position) => self.answer_ask(vm, position),
         }
     }
 
@@ -173,26 +178,31 @@
     /// Takes what another VM of this data centre heard from the store.
     async fn take_news(&mut self, vm: VmKey, news: &StoreNews) {
         let now = self.gateway.now();
+        if news.to.era != self.position.era {
+            // Of an era that is over it changes nothing; of a new one, all is listed anew.
+            self.gateway.note_era(news.to.era, "peer");
+            return;
+        }
         if let Some(micros) = news.trouble_micros {
             self.gateway.note_store_trouble(Moment(now.0.saturating_sub(micros)));
         }
         self.note_told(news.to);
-        if news.to > self.revision && !self.take_changes(vm, news, now).await {
+        if news.to > self.position && !self.take_changes(vm, news, now).await {
             return;
         }
         self.news_at = self.news_at.max(Moment(now.0.saturating_sub(news.age_micros)));
         self.gateway.list_standing().news_at = self.news_at;
         if self.is_asking && self.gateway.peers().leads_before(vm) {
             self.is_asking = false;
-            log::info!(teller = vm.0, revision = self.revision; "watch.ceased");
+            log::info!(teller = vm.0, position:% = self.position; "watch.ceased");
         }
     }
 
     /// Applies changes that another VM tells; false if some are lacking and it is not about to tell them.
     async fn take_changes(&mut self, vm: VmKey, news: &StoreNews, now: Moment) -> bool {
-        if news.from > self.revision {
+        if news.from > self.position {
             if self.behind_since.is_none_or(|since| now >= since.after_millis(ASK_AGAIN_MILLIS)) {
-                self.teller.ask(vm, self.revision).await;
+                self.teller.ask(vm, self.position).await;
             }
             self.behind_since.get_or_insert(now);
             return false;
@@ -205,8 +215,8 @@
         match progress {
             NewsProgress::Whole(events) => {
                 self.view.apply_all(&events, "peer");
-                self.history.push(self.revision, news.to, &events, now);
-                self.set_revision(news.to);
+                self.history.push(self.position, news.to, &events, now);
+                self.set_position(news.to);
                 self.behind_since = None;
                 true
             }
@@ -224,7 +234,7 @@
     }
 
     /// Tells another VM the changes that it lacks, if they are known here.
-    fn answer_ask(&mut self, vm: VmKey, from: u64) {
+    fn answer_ask(&mut self, vm: VmKey, from: StorePosition) {
         let Some((to, mut events)) = self.history.since(from) else { return };
         events.retain(|event| !self.view.is_superseded(event));
         if !self.teller.may_answer(vm, events.iter().map(StoreEvent::size).sum()) {
@@ -239,13 +249,13 @@
         if !self.is_asking {
             self.is_asking = true;
             let place = self.gateway.peers().expected_place(self.gateway.now());
-            log::info!(place, revision = self.revision; "watch.begun");
+            log::info!(place, position:% = self.position; "watch.begun");
         }
     }
 
-    /// Lists everything; false if a call failed.
+    /// Lists everything; false if a call failed, or the store was restored meanwhile.
     async fn list_all(&mut self) -> bool {
-        let mut lowest = u64::MAX;
+        let mut lowest: Option<StorePosition> = None;
         let mut listed = Vec::new();
         let mut after: Option<String> = None;
         loop {
@@ -254,17 +264,19 @@
             let Some(Ok(page)) = self.call("list", &call, Instant::now() + LIST_TIMEOUT, read).await else {
                 return false;
             };
-            lowest = lowest.min(page.revision);
+            if lowest.is_some_and(|lowest| lowest.era != page.position.era) {
+                return false;
+            }
+            lowest = Some(lowest.map_or(page.position, |lowest| lowest.min(page.position)));
             after = page.items.last().map(|item| item.key.clone());
             listed.extend(page.items);
             if !page.more {
                 break;
             }
         }
+        let lowest = lowest.unwrap_or_default();
         let events = self.view.changes_to(listed, lowest);
         self.view.apply_all(&events, "list");
-        // The store may have begun anew, with lower revisions than those that were told.
-        self.told_revision = lowest;
         self.answered(lowest);
         true
     }
@@ -276,7 +288,7 @@
             self.gateway.peers().expected_place(self.gateway.now()) == 0 || self.behind_since.is_none();
         // Nor does one that was suspended: requests wait for the answer.
         let wait_millis = if waits && !self.gateway.is_stale() { WATCH_MILLIS } else { 0 };
-        let from = self.revision;
+        let from = self.position;
         let call = (self.gateway.dialect.store.watch)("", from, wait_millis);
         let deadline = Instant::now() + Duration::from_millis(wait_millis) + WATCH_MARGIN;
         let read = self.gateway.dialect.store.read_watch;
@@ -286,25 +298,29 @@
         let Some(answer) = self.call_beside_news(&call, deadline, told).await else { return true };
         let page = match self.judge("watch", answer, read) {
             None => return true,
+            Some(Ok(page)) if page.position.era != self.position.era => {
+                log::warn!(cause = "the store was restored from a copy", position:% = from; "watch.relist");
+                return false;
+            }
             Some(Ok(page)) => page,
             Some(Err(error)) => {
-                log::warn!(cause:% = error, revision = from; "watch.relist");
+                log::warn!(cause:% = error, position:% = from; "watch.relist");
                 return false;
             }
         };
         // Other VMs may have told of as much or more meanwhile.
-        let from = self.revision;
-        let mut events: Vec<_> = page.events.into_iter().filter(|event| event.revision() > from).collect();
+        let from = self.position;
+        let mut events: Vec<_> = page.events.into_iter().filter(|event| event.position() > from).collect();
         self.view.apply_all(&events, "watch");
-        self.answered(page.revision.max(from));
-        self.history.push(from, self.revision, &events, self.news_at);
+        self.answered(page.position.max(from));
+        self.history.push(from, self.position, &events, self.news_at);
         if !events.is_empty() {
             self.rest_until = self.gateway.now().after_millis(GATHER_MILLIS);
         }
         // Who only caught up, or heard meanwhile from a VM that goes before it, tells nothing again.
         if waits && self.is_asking {
             events.retain(|event| !self.view.is_superseded(event));
-            let changes = ToldChanges { from, to: self.revision, events, age_micros: 0 };
+            let changes = ToldChanges { from, to: self.position, events, age_micros: 0 };
             self.teller.tell_near(&changes).await;
         }
         self.offer_peer_key().await;
@@ -342,59 +358,60 @@
         Some(answer)
     }
 
-    /// Notes that all changes up to `revision` are applied, as the store has just said.
-    fn answered(&mut self, revision: u64) {
-        self.set_revision(revision);
-        self.note_told(revision);
+    /// Notes that all changes up to `position` are applied, as the store has just said.
+    fn answered(&mut self, position: StorePosition) {
+        self.set_position(position);
+        self.note_told(position);
         self.news_at = self.gateway.now();
         self.gateway.list_standing().news_at = self.news_at;
         self.behind_since = None;
         self.gateway.note_fresh();
     }
 
-    fn set_revision(&mut self, revision: u64) {
-        self.revision = revision;
-        self.assembly.forget_until(revision);
-        self.gateway.metrics.store_revision.set(revision as i64);
+    fn set_position(&mut self, position: StorePosition) {
+        self.position = position;
+        self.assembly.forget_until(position);
+        self.gateway.metrics.store_revision.set(position.revision as i64);
     }
 
-    /// Notes that the store has come to `revision`.
-    fn note_told(&mut self, revision: u64) {
-        self.told_revision = self.told_revision.max(revision);
-        self.gateway.metrics.told_revision.set(self.told_revision as i64);
+    /// Notes that the store has come to `position`.
+    fn note_told(&mut self, position: StorePosition) {
+        self.told_position = self.told_position.max(position);
+        self.gateway.metrics.told_revision.set(self.told_position.revision as i64);
     }
 
     /// Logs once that changes have been lacking for long.
     fn note_lacking(&mut self, now: Moment) {
-        if self.told_revision <= self.revision {
+        if self.told_position <= self.position {
             self.lacking_since = None;
             return;
         }
         let since = *self.lacking_since.get_or_insert(now);
         if now >= since.after_millis(LACKING_MILLIS) {
-            let (revision, told) = (self.revision, self.told_revision);
-            log::warn!(revision, told, failures = self.failures; "changes.lacking");
+            let (position, told) = (self.position, self.told_position);
+            log::warn!(position:%, told:%, failures = self.failures; "changes.lacking");
             self.lacking_since = Some(Moment::NEVER);
         }
     }
 
     /// Writes a peer key if the store holds none: the first VMs of a deployment do, and the first
-    /// of their writes stands.
+    /// of their writes stands. After the store was restored from a copy without it, it is the one that VMs know.
     ///
     /// One VM after the other does so, in the order of their names, for as long as none is told.
     async fn offer_peer_key(&mut self) {
         if self.view.holds(PEER_KEY_KEY) || self.gateway.peers().own_rank() > self.watches {
             return;
         }
+        let key = self.gateway.peer_key().unwrap_or_else(rand::random::<PeerKey>);
         let offer = StoreTransaction {
-            conditions: vec![(PEER_KEY_KEY.to_owned(), 0)],
-            writes: vec![(PEER_KEY_KEY.to_owned(), rand::random::<PeerKey>().to_vec(), 0)],
+            conditions: vec![(PEER_KEY_KEY.to_owned(), None)],
+            writes: vec![(PEER_KEY_KEY.to_owned(), key.to_vec(), 0)],
             removals: Vec::new(),
         };
         let dialect = self.gateway.dialect.store;
         let deadline = Instant::now() + LIST_TIMEOUT;
         match self.call("write", &(dialect.transact)(&offer), deadline, dialect.read_transact).await {
-            Some(Ok(revision)) => log::info!(revision; "peer_key.offered"),
+            Some(Ok(position)) => log::info!(position:%; "peer_key.offered"),
             // Another VM was first, or nothing was done: the watch tells, or it is offered again.
             Some(Err(error)) => log::info!(cause:% = error; "peer_key.not_taken"),
             None => {}
@@ -422,10 +439,11 @@
         read: crate::StoreDecoder<T>,
     ) -> Option<Result<T, StoreRefusal>> {
         let cause = match answer {
-            Ok((status, body)) => match read(status, &body) {
-                Err(StoreRefusal::NotDone(status)) => format!("status {status}"),
-                Err(error) => return Some(Err(error)),
-                Ok(value) => {
+            Ok(reply) => match self.read(&reply, read) {
+                None => "an answer of an era that is over".to_owned(),
+                Some(Err(StoreRefusal::NotDone(status))) => format!("status {status}"),
+                Some(Err(error)) => return Some(Err(error)),
+                Some(Ok(value)) => {
                     self.note_answer();
                     return Some(Ok(value));
                 }
@@ -443,6 +461,12 @@
         None
     }
 
+    /// What an answer says; none if its era is over.
+    fn read<T>(&self, reply: &CallReply, read: crate::StoreDecoder<T>) -> Option<Result<T, StoreRefusal>> {
+        let era = self.gateway.era_of(&reply.headers)?;
+        Some(read(&StoreReply { status: reply.status, era, body: &reply.body }))
+    }
+
     fn note_answer(&mut self) {
         if self.failures >= AWAY_FAILURES {
             self.gateway.note_store_trouble(self.gateway.now());
--- a/crates/gateway/src/free_task.rs
+++ b/crates/gateway/src/free_task.rs
@@ -6,7 +6,7 @@
 //! that ran ended before their engine changed: no move can be under way from a part that is freed.
 //! Which parts those are is decided by [`old_parts`].
 
-use crate::call_link::CallLink;
+use crate::call_link::{CallLink, CallReply};
 use crate::gateway::Gateway;
 use crate::lease_keeper::OrderRight;
 use crate::old_parts;
@@ -99,14 +99,14 @@
     let kept = gateway.dialect.kept;
     let deadline = Instant::now() + CALL_TIMEOUT;
     let news = match link.call_large(&(kept.list)(), deadline).await {
-        Ok((200, body)) => match (kept.read_list)(&body) {
+        Ok(CallReply { status: 200, body, .. }) => match (kept.read_list)(&body) {
             Ok(news) => news,
             Err(cause) => {
                 log::warn!(store = key.0, cause = cause.as_str(); "store.unreadable");
                 return false;
             }
         },
-        Ok((status, _)) => {
+        Ok(CallReply { status, .. }) => {
             log::warn!(store = key.0, status; "store.unfreed");
             return false;
         }
@@ -120,8 +120,8 @@
     for some in parts.chunks(PARTS_MOST) {
         let call = (kept.free)(some, news.incarnation);
         let answer = link.call(&call, Instant::now() + CALL_TIMEOUT).await;
-        is_done &= matches!(answer, Ok((200, _)));
-        let outcome = answer.map_or_else(|cause| cause.to_string(), |(status, _)| status.to_string());
+        is_done &= matches!(answer, Ok(CallReply { status: 200, .. }));
+        let outcome = answer.map_or_else(|cause| cause.to_string(), |reply| reply.status.to_string());
         log::info!(store = key.0, model, below = version, parts = some.len(), outcome = outcome.as_str();
             "store.freed");
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::placed_note::PlacedNote;
 use crate::quarantine_desk::QuarantineDesk;
+use crate::store_era::StoreEra;
 use crate::waiting_notes::WaitingNotes;
 use crate::{
     BudgetTerms, ColdRight, ColdTerms, EndpointRow, FleetTable, IdentityKey, ListStanding, NamedVersion,
@@ -96,6 +97,8 @@
     pub passed_cases: WaitingNotes<QuarantineNote>,
     /// Sends that broke, until it is known whether their endpoints ended.
     pub ends: EndWatch,
+    /// Which era of the store is known.
+    pub era: StoreEra,
     /// Authenticates what VMs tell one another; none until the store told it.
     peer_key: RwLock<Option<PeerKey>>,
     /// Counts the messages to other VMs.
@@ -158,6 +161,7 @@
             far_cases: WaitingNotes::default(),
             passed_cases: WaitingNotes::default(),
             ends: EndWatch::default(),
+            era: StoreEra::default(),
             peer_key: RwLock::default(),
             sequence: AtomicU64::new(0),
             stopping: watch::channel(false).0,
@@ -281,22 +285,24 @@
         *self.peer_key.write().unwrap_or_else(PoisonError::into_inner) = Some(key);
     }
 
+    /// The key that authenticates what VMs tell one another, if it is known.
+    pub(crate) fn peer_key(&self) -> Option<PeerKey> {
+        *self.peer_key.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// The key under which requests are told apart; none until the deployment's secret is known.
     pub(crate) fn identity_key(&self) -> Option<IdentityKey> {
-        let key = *self.peer_key.read().unwrap_or_else(PoisonError::into_inner);
-        key.as_ref().map(IdentityKey::derive)
+        self.peer_key().as_ref().map(IdentityKey::derive)
     }
 
     /// A message to other VMs in its form on the wire; none while the key is not known.
     pub(crate) fn seal(&self, message: &PeerMessage) -> Option<Vec<u8>> {
-        let key = *self.peer_key.read().unwrap_or_else(PoisonError::into_inner);
-        message.seal(&key?)
+        message.seal(&self.peer_key()?)
     }
 
     /// Reads a message of another VM; none if it is not authentic.
     pub(crate) fn unseal(&self, bytes: &[u8]) -> Option<PeerMessage> {
-        let key = *self.peer_key.read().unwrap_or_else(PoisonError::into_inner);
-        PeerMessage::unseal(&key?, bytes)
+        PeerMessage::unseal(&self.peer_key()?, bytes)
     }
 
     /// Who sends a message, and which of its messages it is.
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -169,6 +169,9 @@
         let now = gateway.now();
         let (gone, doubted, evacuated, cold) = {
             let mut table = gateway.table();
+            for data_centre in table.end_lapsed_evacuations(now) {
+                log::warn!(data_centre = data_centre.as_str(), source = "a restored store"; "evacuation.ended");
+            }
             let gone = table.sweep(now);
             let doubted = table.rows().filter(|(_, row)| row.is_doubted()).count();
             (gone, doubted, table.evacuated(now).count(), table.cold_count(now))
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -68,6 +68,10 @@
     pub configuration_version: Gauge,
     /// Revision of the store up to which all changes are applied.
     pub store_revision: Gauge,
+    /// How often the store has been restored from a copy.
+    pub store_era: Gauge,
+    /// Answers of the store whose era was no number, or over.
+    pub odd_eras: Family<KindLabel, Counter>,
     /// Newest revision of the store that this VM was told of; beyond `store_revision` it lacks changes.
     pub told_revision: Gauge,
     /// Messages of other VMs, by kind.
@@ -123,6 +127,13 @@
         let (store_revision, told_revision) = (Gauge::default(), Gauge::default());
         registry.register("store_revision", "Revision of the store that is applied", store_revision.clone());
         registry.register("told_revision", "Newest revision that this VM was told of", told_revision.clone());
+        let (store_era, odd_eras) = (Gauge::default(), Family::<KindLabel, Counter>::default());
+        registry.register("store_era", "How often the store was restored from a copy", store_era.clone());
+        registry.register(
+            "odd_eras",
+            "Answers of the store of no era, or of one that is over",
+            odd_eras.clone(),
+        );
         registry.register("answers", "Ended requests, by outcome", answers.clone());
         registry.register("sends", "Sends to endpoints, by outcome", sends.clone());
         registry.register("store_calls", "Calls to the platform's store, by kind", store_calls.clone());
@@ -173,6 +184,8 @@
             kept_tokens,
             configuration_version,
             store_revision,
+            store_era,
+            odd_eras,
             told_revision,
             peer_messages,
             peer_bytes,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -152,7 +152,7 @@
         match message {
             // A follower that is so far behind notices the gap and asks the store itself.
             PeerMessage::Store(_, told) => drop(news.try_send((stamp.vm, StoreWord::News(told)))),
-            PeerMessage::StoreAsk(_, revision) => drop(news.try_send((stamp.vm, StoreWord::Ask(revision)))),
+            PeerMessage::StoreAsk(_, position) => drop(news.try_send((stamp.vm, StoreWord::Ask(position)))),
             PeerMessage::Kept(_, digest) => digest.apply(&gateway),
             PeerMessage::Load(_, digest) => take_digest(&gateway, stamp, &digest),
             PeerMessage::Batch(_, digests) => take_batch(&gateway, stamp, &digests),
--- a/crates/gateway/src/kept_task.rs
+++ b/crates/gateway/src/kept_task.rs
@@ -5,7 +5,7 @@
 //! Invariant: after a gap, a new incarnation or a silence the whole listing is read before changes
 //! are followed again, so the book never claims a part that the store has not told.
 
-use crate::call_link::CallLink;
+use crate::call_link::{CallLink, CallReply};
 use crate::gateway::Gateway;
 use crate::kept_digest::{askers, asks_stores};
 use crate::{EndpointKey, KeptNews, NewsRhythm, StoreSpec, WireCall};
@@ -150,12 +150,12 @@
     read: fn(&[u8]) -> Result<KeptNews, String>,
 ) -> Result<KeptNews, AskFailure> {
     let cause = match link.call_large(call, Instant::now() + timeout).await {
-        Ok((200, body)) => match read(&body) {
+        Ok(CallReply { status: 200, body, .. }) => match read(&body) {
             Ok(news) => return Ok(news),
             Err(cause) => cause,
         },
-        Ok((BUSY_STATUS, _)) => return Err(AskFailure::Busy),
-        Ok((status, _)) => format!("status {status}"),
+        Ok(CallReply { status: BUSY_STATUS, .. }) => return Err(AskFailure::Busy),
+        Ok(CallReply { status, .. }) => format!("status {status}"),
         Err(error) => error.to_string(),
     };
     let was_heard = {
--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -8,7 +8,7 @@
 use crate::store_link::StoreLink;
 use crate::store_view::OrdersView;
 use crate::{HolderRecord, HolderStanding};
-use crate::{StoreDecoder, StoreRefusal, StoreTransaction, WireCall};
+use crate::{StoreDecoder, StorePosition, StoreRefusal, StoreTransaction, WireCall};
 use spanfold_entity::Moment;
 use std::sync::Arc;
 use std::time::Duration;
@@ -64,7 +64,7 @@
 /// The right to order engines, as this VM has it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct OrderRight {
-    /// Fencing token: the revision at which the right was taken; zero if it is not held.
+    /// Fencing token: where in the store's history the right was taken; zero if it is not held.
     pub fencing: u64,
     /// No order before this moment.
     pub from: Moment,
@@ -90,6 +90,9 @@
     };
     let mut renew_at = Instant::now();
     while !keeper.gateway.is_stopping() {
+        if keeper.lose_old_lease() {
+            renew_at = Instant::now();
+        }
         if Instant::now() >= renew_at {
             renew_at = Instant::now() + keeper.renew().await;
         }
@@ -104,10 +107,17 @@
     keeper.give_up().await;
 }
 
+/// A lease, and the era of the store that granted it: ids of leases are given out again in the next one.
+#[derive(Clone, Copy, Debug)]
+struct HeldLease {
+    id: u64,
+    era: Option<u64>,
+}
+
 struct LeaseKeeper {
     gateway: Arc<Gateway>,
     link: StoreLink,
-    lease: Option<u64>,
+    lease: Option<HeldLease>,
     /// The lease is safe until then, by this VM's clock.
     safe_until: Moment,
     free_since: Option<Moment>,
@@ -119,23 +129,37 @@
 }
 
 impl LeaseKeeper {
+    /// Drops a lease of an era that is over, and all that rests on it; whether there was one.
+    fn lose_old_lease(&mut self) -> bool {
+        let era = self.gateway.era.known();
+        let is_old = self.lease.is_some_and(|lease| lease.era != era);
+        if is_old {
+            self.lose_lease("the store was restored from a copy");
+        }
+        is_old
+    }
+
+    fn lose_lease(&mut self, reason: &str) {
+        if let Some(lease) = self.lease.take() {
+            log::warn!(lease = lease.id, reason; "lease.lost");
+        }
+        self.gateway.list_standing().listed_at = None;
+        self.right.send_replace(OrderRight::default());
+    }
+
     /// Renews the lease or takes a new one; gives the pause until the next renewal.
     async fn renew(&mut self) -> Duration {
         let asked_at = self.gateway.now();
         let dialect = self.gateway.dialect.store;
         if let Some(lease) = self.lease {
-            match self.call("renew", &(dialect.renew)(lease), dialect.read_renew).await {
+            match self.call("renew", &(dialect.renew)(lease.id), dialect.read_renew).await {
                 Some(Ok(ttl_millis)) => {
                     self.failures = 0;
                     self.extend(asked_at, ttl_millis);
                     return self.terms.renew_pause;
                 }
-                Some(Err(StoreRefusal::LeaseGone)) => {
-                    log::warn!(lease; "lease.lost");
-                    self.lease = None;
-                    self.gateway.list_standing().listed_at = None;
-                    self.right.send_replace(OrderRight::default());
-                }
+                Some(Err(StoreRefusal::LeaseGone)) => self.lose_lease("it has ended"),
+                Some(Err(StoreRefusal::Restored)) => self.lose_lease("the store was restored from a copy"),
                 _ => return self.failure_pause(),
             }
         }
@@ -148,7 +172,7 @@
         if !self.enter(grant.lease).await {
             return self.failure_pause();
         }
-        self.lease = Some(grant.lease);
+        self.lease = Some(HeldLease { id: grant.lease, era: self.gateway.era.known() });
         self.safe_until = Moment(0);
         self.gateway.list_standing().listed_at = Some(self.gateway.now());
         self.extend(asked_at, grant.ttl_millis);
@@ -192,16 +216,16 @@
         if now >= self.safe_until {
             return;
         }
-        let own = self.own_record(lease);
-        let holder = view.holder.as_ref();
-        let standing = holder.map(|(record, revision)| (record.standing(&own), *revision));
+        let own = self.own_record(lease.id);
+        let holder = view.holder.as_ref().filter(|(_, position)| Some(position.era) == lease.era);
+        let standing = holder.map(|(record, position)| (record.standing(&own), *position));
         let settled = self.settle_millis();
-        let (revision, settle) = match standing {
-            Some((HolderStanding::Own, revision)) => {
-                self.hold(revision);
+        let (position, settle) = match standing {
+            Some((HolderStanding::Own, position)) => {
+                self.hold(position);
                 return;
             }
-            Some((HolderStanding::EarlierSelf, revision)) => (revision, 0),
+            Some((HolderStanding::EarlierSelf, position)) => (Some(position), 0),
             // The record goes with its lease; the watch will tell.
             Some((HolderStanding::Lapsed, _)) => return,
             Some((HolderStanding::Other, _)) => {
@@ -220,10 +244,10 @@
                 if now < since.after_millis(RANK_PAUSE_MILLIS * rank) {
                     return;
                 }
-                (0, settled)
+                (None, settled)
             }
         };
-        self.take_right(lease, revision, settle).await;
+        self.take_right(lease.id, position, settle).await;
     }
 
     /// How long a new holder waits before its first order, in milliseconds.
@@ -236,16 +260,17 @@
         HolderRecord { name, incarnation: self.gateway.incarnation, lease }
     }
 
-    async fn take_right(&mut self, lease: u64, revision: u64, settle_millis: u64) {
+    async fn take_right(&mut self, lease: u64, standing_at: Option<StorePosition>, settle_millis: u64) {
         let record = self.own_record(lease);
         let take = StoreTransaction {
-            conditions: vec![(ORDERS_KEY.to_owned(), revision)],
+            conditions: vec![(ORDERS_KEY.to_owned(), standing_at)],
             writes: vec![(ORDERS_KEY.to_owned(), json(&record), lease)],
             removals: Vec::new(),
         };
         let dialect = self.gateway.dialect.store;
-        if let Some(Ok(fencing)) = self.call("write", &(dialect.transact)(&take), dialect.read_transact).await
-        {
+        let taken = self.call("write", &(dialect.transact)(&take), dialect.read_transact).await;
+        if let Some(Ok(position)) = taken {
+            let fencing = position.fencing();
             let from = self.gateway.now().after_millis(settle_millis);
             self.right.send_replace(OrderRight { fencing, from, until: self.safe_until });
             log::info!(fencing, settle_millis; "orders.right_taken");
@@ -254,23 +279,25 @@
     }
 
     /// Learns from the store that the right is held by this process, if the answer was lost.
-    fn hold(&mut self, revision: u64) {
+    fn hold(&mut self, position: StorePosition) {
         self.free_since = None;
-        if self.right.borrow().fencing == revision || self.gateway.now() >= self.safe_until {
+        let fencing = position.fencing();
+        if self.right.borrow().fencing == fencing || self.gateway.now() >= self.safe_until {
             return;
         }
         let settle = self.settle_millis();
         let from = self.gateway.now().after_millis(settle);
-        self.right.send_replace(OrderRight { fencing: revision, from, until: self.safe_until });
-        log::info!(fencing = revision, reason = "found in the store"; "orders.right_taken");
+        self.right.send_replace(OrderRight { fencing, from, until: self.safe_until });
+        log::info!(fencing, reason = "found in the store"; "orders.right_taken");
     }
 
     /// Ends the lease at a planned stop, so that others need not wait for it to lapse.
     async fn give_up(&mut self) {
         self.right.send_replace(OrderRight::default());
+        self.lose_old_lease();
         if let Some(lease) = self.lease.take() {
-            let call = (self.gateway.dialect.store.end)(lease);
-            let done: StoreDecoder<()> = |_, _| Ok(());
+            let call = (self.gateway.dialect.store.end)(lease.id);
+            let done: StoreDecoder<()> = |_| Ok(());
             let _ = self.call("end", &call, done).await;
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,6 +44,7 @@
 mod relay;
 mod request_run;
 mod request_ticket;
+mod store_era;
 mod store_link;
 mod store_news;
 mod store_view;
@@ -53,8 +54,8 @@
 pub use clock::GatewayClock;
 pub use dialect::{
     EngineDialect, EntryError, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder,
-    StoreDialect, StoreKeys, StoreRefusal, StoreTransaction, ValueDialect, WatchPage, WeightOrder, WireCall,
-    WireDialect,
+    StoreDialect, StoreKeys, StoreRefusal, StoreReply, StoreTransaction, ValueDialect, WatchPage,
+    WeightOrder, WireCall, WireDialect,
 };
 pub use event_reader::{EventError, EventReader};
 pub use gateway_daemon::{GatewayDaemon, GatewayError};
@@ -62,7 +63,7 @@
 pub use spanfold_decide::{
     AccountRow, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EngineReport, EngineSpec, KeptChange,
     KeptNews, PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreEvent,
-    StoreItem, StoreSpec, WeightTarget, salt_text,
+    StoreItem, StorePosition, StoreSpec, WeightTarget, salt_text,
 };
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, ColdRight, ColdTerms, DeskStep,
--- a/crates/gateway/src/naming_task.rs
+++ b/crates/gateway/src/naming_task.rs
@@ -10,7 +10,7 @@
 use crate::lease_keeper::OrderRight;
 use crate::order_task::read_report;
 use crate::store_link::StoreLink;
-use crate::{EndpointKey, NamingRecord, StoreItem, StoreTransaction};
+use crate::{EndpointKey, NamingRecord, StoreItem, StorePosition, StoreTransaction};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,12 +28,13 @@
 #[derive(Debug)]
 struct HeldRecord {
     record: NamingRecord,
-    revision: u64,
+    position: StorePosition,
 }
 
 /// Keeps the records until the process ends.
 pub(crate) async fn keep_namings(gateway: Arc<Gateway>, right: watch::Receiver<OrderRight>) {
-    let mut keeper = NamingKeeper { link: StoreLink::new(&gateway, "namings"), gateway, held: None };
+    let mut keeper =
+        NamingKeeper { link: StoreLink::new(&gateway, "namings"), gateway, era: None, held: None };
     loop {
         let holds = right.borrow().fencing != 0 && !keeper.gateway.is_stopping();
         let pause = if holds {
@@ -49,6 +50,8 @@
 struct NamingKeeper {
     gateway: Arc<Gateway>,
     link: StoreLink,
+    /// The era of the store that they were read in.
+    era: Option<u64>,
     /// The records by model; none until they have been read, or if a write may not have been done.
     held: Option<BTreeMap<u64, HeldRecord>>,
 }
@@ -56,6 +59,11 @@
 impl NamingKeeper {
     /// Reads the records if that is due, and writes what they lack; gives the pause until the next look.
     async fn look(&mut self) -> Duration {
+        // Records of an era that is over may be gone, or hold less than they did.
+        let era = self.gateway.era.known();
+        if self.era != era {
+            (self.era, self.held) = (era, None);
+        }
         if self.gateway.weights().is_empty() {
             return LOOK_PAUSE;
         }
@@ -111,8 +119,8 @@
             let known = NamingRecord::new(model, &weights, clock, now);
             let held = self.held.as_ref().and_then(|held| held.get(&model));
             if !held.is_some_and(|held| held.record.covers(&known)) {
-                let revision = held.map_or(0, |held| held.revision);
-                if !self.write(known, revision).await {
+                let position = held.map(|held| held.position);
+                if !self.write(known, position).await {
                     // Another holder may have written meanwhile: what it knew is read first.
                     self.held = None;
                     return false;
@@ -122,24 +130,24 @@
         true
     }
 
-    async fn write(&mut self, record: NamingRecord, revision: u64) -> bool {
+    async fn write(&mut self, record: NamingRecord, position: Option<StorePosition>) -> bool {
         let key = format!("{NAMED_PREFIX}{:016x}", record.model);
         // Plain structs of numbers always have a JSON form.
         let value = serde_json::to_vec(&record).unwrap_or_default();
         let write = StoreTransaction {
-            conditions: vec![(key.clone(), revision)],
+            conditions: vec![(key.clone(), position)],
             writes: vec![(key, value, 0)],
             removals: Vec::new(),
         };
         let dialect = self.gateway.dialect.store;
         let call = (dialect.transact)(&write);
-        let Some(Ok(revision)) = self.link.call("write", &call, dialect.read_transact).await else {
+        let Some(Ok(position)) = self.link.call("write", &call, dialect.read_transact).await else {
             return false;
         };
         let newest = record.namings.last().map_or(0, |row| row.version);
-        log::info!(model = record.model, version = newest, revision; "namings.written");
+        log::info!(model = record.model, version = newest, position:%; "namings.written");
         if let Some(held) = &mut self.held {
-            held.insert(record.model, HeldRecord { record, revision });
+            held.insert(record.model, HeldRecord { record, position });
         }
         true
     }
@@ -147,7 +155,7 @@
 
 fn read_record(item: &StoreItem) -> Option<(u64, HeldRecord)> {
     match serde_json::from_slice::<NamingRecord>(&item.value) {
-        Ok(record) => Some((record.model, HeldRecord { record, revision: item.revision })),
+        Ok(record) => Some((record.model, HeldRecord { record, position: item.position })),
         Err(error) => {
             log::error!(key = item.key.as_str(), cause:% = error; "namings.unreadable");
             None
--- a/crates/gateway/src/news_teller.rs
+++ b/crates/gateway/src/news_teller.rs
@@ -6,7 +6,7 @@
 use crate::gossip;
 use crate::peer_message::PeerMessage;
 use crate::store_news::{NewsPlan, StoreNews};
-use crate::{StoreEvent, VmKey};
+use crate::{StoreEvent, StorePosition, VmKey};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,14 +16,14 @@
 /// VMs that are answered large changes at once: who asks beyond them asks the store, which has the wider link.
 const ANSWERS_LIMIT: usize = 4;
 /// Changes of at most so many bytes are answered to all that ask: right after a start each VM of a data centre has
-/// listed another revision, and those that get no answer here ask the store, where each call has its price.
+/// listed at another position, and those that get no answer here ask the store, where each call has its price.
 const SMALL_BYTES: usize = 32 * 1_024;
 
-/// What is told: changes between two revisions.
+/// What is told: changes between two positions.
 #[derive(Clone, Debug)]
 pub(crate) struct ToldChanges {
-    pub from: u64,
-    pub to: u64,
+    pub from: StorePosition,
+    pub to: StorePosition,
     pub events: Vec<StoreEvent>,
     /// How long ago the store told them, in microseconds.
     pub age_micros: u64,
@@ -49,9 +49,9 @@
         tell(&self.gateway, &self.socket, changes, &targets).await;
     }
 
-    /// Asks another VM for the changes after `revision`: that costs nothing, and the store may be out of reach.
-    pub(crate) async fn ask(&self, vm: VmKey, revision: u64) {
-        let message = PeerMessage::StoreAsk(self.gateway.next_stamp(), revision);
+    /// Asks another VM for the changes after `position`: that costs nothing, and the store may be out of reach.
+    pub(crate) async fn ask(&self, vm: VmKey, position: StorePosition) {
+        let message = PeerMessage::StoreAsk(self.gateway.next_stamp(), position);
         let target = self.gateway.peers().address_of(vm);
         gossip::tell(&self.gateway, &self.socket, &message, target.as_slice()).await;
     }
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -272,7 +272,7 @@
     let mut call = call.clone();
     call.headers.push((gateway.dialect.headers.expect_endpoint.clone(), id.clone()));
     match CallLink::new(address).call(&call, deadline).await {
-        Ok((status, body)) => Some((status, body)),
+        Ok(reply) => Some((reply.status, reply.body)),
         Err(error) => {
             log::warn!(endpoint = id.as_str(), path = call.path.as_str(), cause:% = error; "engine.unanswered");
             None
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -5,14 +5,14 @@
 //! the whole deployment: VMs trust one another, and what they say is no secret from the network.
 //! UDP and not QUIC: a message replaces the one before, or its loss is noticed by what it builds on.
 
-use crate::VmKey;
 use crate::kept_digest::KeptDigest;
 use crate::load_digest::LoadDigest;
 use crate::store_news::StoreNews;
+use crate::{StorePosition, VmKey};
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages' form; others are ignored.
-const FORM: u8 = 12;
+const FORM: u8 = 13;
 /// Bytes of the authentication code at the end of a datagram.
 const CODE_BYTES: usize = 16;
 
@@ -36,8 +36,8 @@
     Batch(PeerStamp, Vec<(PeerStamp, LoadDigest)>),
     /// Changes in the platform's store.
     Store(PeerStamp, StoreNews),
-    /// Asks for the changes in the platform's store after this revision.
-    StoreAsk(PeerStamp, u64),
+    /// Asks for the changes in the platform's store after this position.
+    StoreAsk(PeerStamp, StorePosition),
     /// What stores of kept cache hold.
     Kept(PeerStamp, KeptDigest),
 }
--- a/crates/gateway/src/quarantine_task.rs
+++ b/crates/gateway/src/quarantine_task.rs
@@ -98,16 +98,16 @@
         // Plain structs of numbers and texts always have a JSON form.
         let value = serde_json::to_vec(&hold).unwrap_or_default();
         let key = format!("{HOLD_PREFIX}{request}");
-        let mut revision = 0;
+        let mut standing_at = None;
         for _ in 0..2 {
             let write = StoreTransaction {
-                conditions: vec![(key.clone(), revision)],
+                conditions: vec![(key.clone(), standing_at)],
                 writes: vec![(key.clone(), value.clone(), grant.lease)],
                 removals: Vec::new(),
             };
             match self.link.call("write", &(dialect.transact)(&write), dialect.read_transact).await {
-                Some(Ok(revision)) => {
-                    log::info!(digest:% = request, round = row.round, revision; "quarantine.written");
+                Some(Ok(position)) => {
+                    log::info!(digest:% = request, round = row.round, position:%; "quarantine.written");
                     return true;
                 }
                 Some(Err(StoreRefusal::Conflict(items))) => {
@@ -116,7 +116,7 @@
                     if standing.is_ok_and(|standing| standing.round >= row.round) {
                         return true;
                     }
-                    revision = item.revision;
+                    standing_at = Some(item.position);
                 }
                 _ => return false,
             }
--- a/crates/gateway/src/store_link.rs
+++ b/crates/gateway/src/store_link.rs
@@ -3,7 +3,7 @@
 use crate::call_link::CallLink;
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
-use crate::{StoreDecoder, StoreRefusal, WireCall};
+use crate::{StoreDecoder, StoreRefusal, StoreReply, WireCall};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -26,6 +26,9 @@
     }
 
     /// Makes a call of `kind`; none if it was not answered, and then it may have been done.
+    ///
+    /// What a call rests on, a lease or a condition, is of the era known when it is made: if the answer is of a new one, the
+    /// call met another content, and it may have been done all the same.
     pub(crate) async fn call<T>(
         &mut self,
         kind: &str,
@@ -34,9 +37,13 @@
     ) -> Option<Result<T, StoreRefusal>> {
         self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
         let purpose = self.purpose;
+        let era_before = self.gateway.era.known();
         match self.link.call(call, Instant::now() + CALL_TIMEOUT).await {
-            Ok((status, body)) => {
-                let result = read(status, &body);
+            Ok(reply) => {
+                let era = self.gateway.era_of(&reply.headers)?;
+                let is_restored = era_before.is_some_and(|before| before != era);
+                let reply = StoreReply { status: reply.status, era, body: &reply.body };
+                let result = if is_restored { Err(StoreRefusal::Restored) } else { read(&reply) };
                 if let Err(error) = &result {
                     log::warn!(call = kind, purpose, cause:% = error; "store.refused");
                 }
--- a/crates/gateway/src/store_news.rs
+++ b/crates/gateway/src/store_news.rs
@@ -1,10 +1,10 @@
 //! What one VM of a data centre tells the others of the platform's store.
 //!
-//! Invariant: news say which revision they build on. A VM that has not come that far, or that misses a
+//! Invariant: news say which position they build on. A VM that has not come that far, or that misses a
 //! piece, does not take them; it asks, in the end the store itself, which loses nothing. So a lost
 //! datagram costs one call.
 
-use crate::{NewsPiece, PIECE_BYTES, StoreEvent, cut_news};
+use crate::{NewsPiece, PIECE_BYTES, StoreEvent, StorePosition, cut_news};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -19,10 +19,10 @@
 /// Changes in the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct StoreNews {
-    /// The revision that they build on.
-    pub from: u64,
-    /// The revision that stands with them.
-    pub to: u64,
+    /// What they build on.
+    pub from: StorePosition,
+    /// What stands with them.
+    pub to: StorePosition,
     /// The changes.
     pub body: NewsBody,
     /// When the next piece follows if there is one, in microseconds.
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -1,6 +1,7 @@
 //! What the store's items mean: configuration, endpoints, weight targets, VMs, the holder of orders.
 //!
-//! Invariant: no key's older revision replaces a newer one, so a change told twice or late does no harm.
+//! Invariant: no key's older change replaces a newer one, so a change told twice or late does no harm. In what order
+//! changes came is told by era and revision: a store restored from a copy gives out revisions again.
 
 use crate::HolderRecord;
 use crate::gateway::Gateway;
@@ -9,8 +10,8 @@
 use crate::quarantine_desk::StoredHold;
 use crate::quarantine_task::HOLD_PREFIX;
 use crate::{
-    EndpointEnding, EndpointEntry, EntryError, RequestKey, RouteTable, StoreEvent, StoreItem, VmEntry,
-    short_digest,
+    EndpointEnding, EndpointEntry, EntryError, RequestKey, RouteTable, StoreEvent, StoreItem, StorePosition,
+    VmEntry, short_digest,
 };
 use spanfold_entity::Moment;
 use std::collections::{HashMap, HashSet};
@@ -24,6 +25,10 @@
 /// An endpoint's entry goes so long after its end, in microseconds: three heartbeats of 1.2 s.
 const LAPSE_MICROS: u64 = 3_400_000;
 
+/// An evacuation that a store restored from a copy lacks goes on for so long, in milliseconds: the operator writes it again,
+/// as endpoints write their entries within some two seconds.
+const RESTORED_MILLIS: u64 = 5_000;
+
 /// A start may lie so far ahead of this VM's time of day, in milliseconds: clocks step by seconds. One beyond it would
 /// pass for the newest as long as the deployment lives.
 const FUTURE_MILLIS: u64 = 60_000;
@@ -31,8 +36,8 @@
 /// What the tasks that order engines need to know of the store.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct OrdersView {
-    /// The holder's record and its revision; none if the key is absent.
-    pub holder: Option<(HolderRecord, u64)>,
+    /// The holder's record and when it was written; none if the key is absent.
+    pub holder: Option<(HolderRecord, StorePosition)>,
 }
 
 /// The store's items as far as this VM knows them.
@@ -41,33 +46,32 @@
     gateway: Arc<Gateway>,
     orders: watch::Sender<OrdersView>,
     /// Each known key's last change.
-    revisions: HashMap<String, u64>,
-    /// Revision of the configuration in force.
-    configuration_revision: u64,
+    positions: HashMap<String, StorePosition>,
+    /// When the configuration in force was written.
+    configuration_at: StorePosition,
 }
 
 impl StoreView {
     pub(crate) fn new(gateway: Arc<Gateway>, orders: watch::Sender<OrdersView>) -> Self {
-        Self { gateway, orders, revisions: HashMap::new(), configuration_revision: 0 }
+        Self { gateway, orders, positions: HashMap::new(), configuration_at: StorePosition::default() }
     }
 
     pub(crate) fn holds(&self, key: &str) -> bool {
-        self.revisions.contains_key(key)
+        self.positions.contains_key(key)
     }
 
     /// Whether other VMs need not be told of a change: a configuration that came later is in force.
     ///
     /// A later one that was refused supersedes nothing.
     pub(crate) fn is_superseded(&self, event: &StoreEvent) -> bool {
-        event.key() == self.gateway.dialect.keys.configuration
-            && event.revision() < self.configuration_revision
+        event.key() == self.gateway.dialect.keys.configuration && event.position() < self.configuration_at
     }
 
-    /// The changes that lead from what is known to a whole listing at `revision`.
-    pub(crate) fn changes_to(&self, listed: Vec<StoreItem>, revision: u64) -> Vec<StoreEvent> {
+    /// The changes that lead from what is known to a whole listing at `position`.
+    pub(crate) fn changes_to(&self, listed: Vec<StoreItem>, position: StorePosition) -> Vec<StoreEvent> {
         let present: HashSet<&str> = listed.iter().map(|item| item.key.as_str()).collect();
-        let gone = self.revisions.keys().filter(|key| !present.contains(key.as_str()));
-        let gone = gone.map(|key| StoreEvent::Removed { key: key.clone(), revision });
+        let gone = self.positions.keys().filter(|key| !present.contains(key.as_str()));
+        let gone = gone.map(|key| StoreEvent::Removed { key: key.clone(), position });
         let mut events: Vec<_> = gone.collect();
         events.extend(listed.into_iter().map(StoreEvent::Written));
         events
@@ -78,16 +82,16 @@
         for event in events {
             match event {
                 StoreEvent::Written(item) => self.written(item),
-                StoreEvent::Removed { key, revision } => self.removed(key, *revision, source),
+                StoreEvent::Removed { key, position } => self.removed(key, *position, source),
             }
         }
     }
 
     fn written(&mut self, item: &StoreItem) {
-        if self.revisions.get(&item.key).is_some_and(|known| *known >= item.revision) {
+        if self.positions.get(&item.key).is_some_and(|known| *known >= item.position) {
             return;
         }
-        self.revisions.insert(item.key.clone(), item.revision);
+        self.positions.insert(item.key.clone(), item.position);
         let keys = self.gateway.dialect.keys;
         if item.key == keys.configuration {
             self.configuration_written(item);
@@ -96,7 +100,7 @@
         } else if item.key.starts_with(keys.weights) {
             self.weights_written(item);
         } else if let Some(data_centre) = item.key.strip_prefix(keys.evacuations) {
-            self.evacuation_written(data_centre, item.revision);
+            self.evacuation_written(data_centre, item.position);
         } else if item.key.starts_with(VM_PREFIX) {
             match serde_json::from_slice::<VmEntry>(&item.value) {
                 Ok(entry) => self.gateway.peers().list_at(entry, self.gateway.now()),
@@ -112,7 +116,7 @@
         } else if item.key == ORDERS_KEY {
             match serde_json::from_slice(&item.value) {
                 Ok(record) => {
-                    self.orders.send_replace(OrdersView { holder: Some((record, item.revision)) });
+                    self.orders.send_replace(OrdersView { holder: Some((record, item.position)) });
                 }
                 Err(error) => log::error!(key = item.key.as_str(), cause:% = error; "holder.unreadable"),
             }
@@ -125,14 +129,14 @@
                 let version = config.version;
                 let (routes, accounts) = (config.routes.len(), config.accounts.len());
                 if self.gateway.set_routes(RouteTable::new(config)) {
-                    self.configuration_revision = item.revision;
+                    self.configuration_at = item.position;
                     self.gateway.metrics.configuration_version.set(version as i64);
-                    log::info!(version, routes, accounts, revision = item.revision; "configuration.in_force");
+                    log::info!(version, routes, accounts, position:% = item.position; "configuration.in_force");
                 }
             }
             Err(faults) => {
                 let faults = faults.join("; ");
-                log::error!(revision = item.revision, faults = faults.as_str(); "configuration.rejected");
+                log::error!(position:% = item.position, faults = faults.as_str(); "configuration.rejected");
             }
         }
     }
@@ -149,12 +153,12 @@
             (table.clear_unreadable(id), table.apply_entry(entry, self.gateway.now()))
         };
         if is_readable_again {
-            log::info!(endpoint = id, revision = item.revision; "endpoint.readable");
+            log::info!(endpoint = id, position:% = item.position; "endpoint.readable");
         }
         if is_changed {
             let (service, address) = (service.as_str(), at.to_string());
             let address = address.as_str();
-            log::info!(endpoint = id, service, address, draining, revision = item.revision; "endpoint.entry");
+            log::info!(endpoint = id, service, address, draining, position:% = item.position; "endpoint.entry");
             self.gateway.note_started_at(at, key);
         }
     }
@@ -180,12 +184,12 @@
     }
 
     /// What the operator writes beside the data centre's name does not matter.
-    fn evacuation_written(&self, data_centre: &str, revision: u64) {
+    fn evacuation_written(&self, data_centre: &str, position: StorePosition) {
         let now = self.gateway.now();
         let mut table = self.gateway.table();
         if table.evacuate(data_centre, Moment::NEVER, now) {
             let endpoints = table.rows().filter(|(_, row)| row.entry.data_centre == data_centre).count();
-            log::warn!(data_centre, endpoints, revision; "evacuation.begun");
+            log::warn!(data_centre, endpoints, position:%; "evacuation.begun");
         }
     }
 
@@ -234,11 +238,12 @@
         }
     }
 
-    fn removed(&mut self, key: &str, revision: u64, source: &str) {
-        if self.revisions.get(key).is_some_and(|known| *known >= revision) {
+    fn removed(&mut self, key: &str, position: StorePosition, source: &str) {
+        if self.positions.get(key).is_some_and(|known| *known >= position) {
             return;
         }
-        self.revisions.remove(key);
+        // What a copy lacks was not taken away: it is written again.
+        let is_lost = self.positions.remove(key).is_some_and(|known| known.era < position.era);
         let now = self.gateway.now();
         if let Some(id) = key.strip_prefix(self.gateway.dialect.keys.endpoints) {
             let held_until = self.gateway.hold_until();
@@ -249,8 +254,11 @@
             }
             log::info!(endpoint = id, source, held_until:% = held_until; "endpoint.missing");
         } else if let Some(data_centre) = key.strip_prefix(self.gateway.dialect.keys.evacuations) {
-            if self.gateway.table().end_evacuation(data_centre) {
-                log::warn!(data_centre, revision; "evacuation.ended");
+            if is_lost {
+                let until = now.after_millis(RESTORED_MILLIS);
+                self.gateway.table().evacuate(data_centre, until, now);
+            } else if self.gateway.table().end_evacuation(data_centre) {
+                log::warn!(data_centre, source; "evacuation.ended");
             }
         } else if let Some(name) = key.strip_prefix(VM_PREFIX) {
             self.gateway.peers().unlist(name, now);
