Requests stay in the regions that their route and account name; spanfold status of gateways

Cause: the regions were not decoded. Each choice asks the configuration in force, so that a change binds what waits, too; saves of kept parts go to homes only; nobody left is a 503 at once. The regions of data centres are a setting, filled in by the platform. status tells evacuations, cold endpoints, era and revision.

--- a/crates/decide/examples/placement_cost.rs
+++ b/crates/decide/examples/placement_cost.rs
@@ -3,8 +3,8 @@
 //! Prints a table; the figures of `docs/CAPACITY.md` come from it.
 
 use spanfold_decide::{
-    DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, KeptChange, KeptNews, LoadCount,
-    LoadSource, PlacementAsk, PromptPart, ServiceRow, StoreSpec, VmKey, place, salt_text,
+    DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, HomeRegions, KeptChange, KeptNews,
+    LoadCount, LoadSource, PlacementAsk, PromptPart, ServiceRow, StoreSpec, VmKey, place, salt_text,
 };
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -92,6 +92,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        homes: HomeRegions::default(),
         cold: None,
         draw: rand::random,
     };
--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -4,15 +4,17 @@
 //! wait there, parts that must be moved there, the rest that must be read, memory that must come
 //! free first), and on top the price of crossing data centres, of failing answers and of old
 //! weights, all in microseconds. Invariant: an endpoint that leaves, that has failed this request,
-//! whose data centre is evacuated or whose weights are overdue is never chosen; one that is ejected only if all are. Each VM
+//! whose data centre is evacuated or outside the request's homes, or whose weights are overdue is never chosen; one that is ejected only if all are. Each VM
 //! decides by itself on loads that peers told it some milliseconds ago: asking a home VM would cost
 //! more time than its exactness saves.
 
 use crate::kept::{
-    KeptPlan, MoveTerms, PartHolders, PartMoves, REREAD_MICROS, plan_fetches, plan_kept, plan_saves,
+    KeptPlan, MoveTerms, PartHolders, PartMoves, REREAD_MICROS, SavePlace, plan_fetches, plan_kept,
+    plan_saves,
 };
 use crate::{
-    ColdRight, EndpointKey, EndpointRow, FleetTable, LoadCount, PromptPart, WantedWeights, short_digest,
+    ColdRight, EndpointKey, EndpointRow, FleetTable, HomeRegions, LoadCount, PromptPart, WantedWeights,
+    short_digest,
 };
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
@@ -73,6 +75,8 @@
     pub wanted: Option<&'a WantedWeights>,
     /// Part of an engine's memory that the request may fill up.
     pub memory_part: f64,
+    /// Regions that the request may be served in.
+    pub homes: HomeRegions<'a>,
     /// Who may share cached parts: all accounts, or one alone.
     pub wall: &'a str,
     /// Endpoints that this request was sent to already.
@@ -128,6 +132,7 @@
     let usable: Vec<_> = table
         .rows_of(ask.service)
         .filter(|(key, row)| row.takes_work(now) && !ask.exclude.contains(key))
+        .filter(|(_, row)| table.is_home(ask.homes, &row.entry.data_centre))
         .filter(|(key, row)| bears_more(table, *key, row, ask, now))
         .collect();
     let sound = |row: &EndpointRow| !row.is_ejected(now) && !row.is_closing(now);
@@ -172,7 +177,8 @@
         let kept_count = row.kept.leading(ask.parts, choice.salt);
         choice.kept.fetches = plan_fetches(moves, ask.parts, kept_count, move_terms(row, ask));
         if choice.version.is_some() {
-            choice.kept.saves = plan_saves(table, &row.entry.data_centre, ask.parts, choice.salt, now);
+            let place = SavePlace { data_centre: &row.entry.data_centre, homes: ask.homes };
+            choice.kept.saves = plan_saves(table, place, ask.parts, choice.salt, now);
         }
     }
     Some(choice)
--- a/crates/decide/src/fleet/deployment.rs
+++ b/crates/decide/src/fleet/deployment.rs
@@ -65,6 +65,8 @@
     pub public: bool,
     /// Whether a stream may go on at another engine.
     pub resumable: bool,
+    /// Regions that its requests may be served in; empty means anywhere.
+    pub homes: Vec<String>,
 }
 
 impl RouteRow {
@@ -163,6 +165,8 @@
     pub priority: Option<u8>,
     /// Whether no cached part may be shared with other accounts.
     pub isolated: bool,
+    /// Regions that its requests may be served in; empty means anywhere.
+    pub homes: Vec<String>,
 }
 
 impl fmt::Debug for AccountRow {
@@ -174,6 +178,7 @@
             .field("keys", &self.keys.len())
             .field("priority", &self.priority)
             .field("isolated", &self.isolated)
+            .field("homes", &self.homes)
             .finish()
     }
 }
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -7,8 +7,8 @@
 
 use crate::CloseTeller;
 use crate::{
-    ColdRight, ColdSpec, DeploymentConfig, EndpointEntry, EndpointRow, LoadCount, PromptPart, SendOutcome,
-    SendReport, ServiceRow, StoreRow, StoreSpec,
+    ColdRight, ColdSpec, DeploymentConfig, EndpointEntry, EndpointRow, HomeRegions, LoadCount, PromptPart,
+    SendOutcome, SendReport, ServiceRow, StoreRow, StoreSpec,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -121,6 +121,8 @@
     told: HashMap<LoadSource, ToldRows>,
     /// Evacuated data centres, and until when.
     evacuated: BTreeMap<String, Moment>,
+    /// The region of each data centre.
+    regions: BTreeMap<String, String>,
     /// No endpoint is cold from then on, as far as is known.
     cold_until: Moment,
 }
@@ -158,6 +160,16 @@
 }
 
 impl FleetTable {
+    /// Takes the region of each data centre.
+    pub fn set_regions(&mut self, regions: BTreeMap<String, String>) {
+        self.regions = regions;
+    }
+
+    /// Whether a request with these homes may be served in a data centre, or anything kept of it there.
+    pub fn is_home(&self, homes: HomeRegions<'_>, data_centre: &str) -> bool {
+        homes.is_anywhere() || homes.allow(self.regions.get(data_centre).map(String::as_str))
+    }
+
     /// Takes the services of a new configuration.
     pub fn set_services(&mut self, config: &DeploymentConfig) {
         self.services.clone_from(&config.services);
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod deployment;
 mod endpoint_row;
 mod fleet_table;
+mod home_regions;
 mod news_history;
 mod news_pieces;
 mod peer_book;
@@ -19,6 +20,7 @@
 };
 pub use endpoint_row::{CloseTeller, EndpointRow, LoadCount, SendOutcome};
 pub use fleet_table::{EndpointKey, FleetTable, LinkMoves, LoadSource, VmKey, short_digest};
+pub use home_regions::HomeRegions;
 pub use news_history::NewsHistory;
 pub use news_pieces::{NewsAssembly, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, cut_news};
 pub use peer_book::{HeardVm, LEADS, PeerBook, VmEntry};
--- a/crates/decide/src/fleet/route_table.rs
+++ b/crates/decide/src/fleet/route_table.rs
@@ -4,7 +4,7 @@
 //! falling length, so the first hit is the answer; a trie would save time only with far more
 //! routes for one host than a deployment has.
 
-use crate::{AccountRow, DeploymentConfig, RouteRow, ServiceWeight};
+use crate::{AccountRow, DeploymentConfig, HomeRegions, RouteRow, ServiceWeight};
 use std::collections::HashMap;
 
 /// The configuration in force, indexed for look-up.
@@ -13,6 +13,8 @@
     config: DeploymentConfig,
     routes_by_host: HashMap<String, Vec<usize>>,
     account_by_key: HashMap<String, usize>,
+    /// Whether any route or account names regions.
+    has_homes: bool,
 }
 
 impl RouteTable {
@@ -31,7 +33,10 @@
             .enumerate()
             .flat_map(|(row, account)| account.keys.iter().map(move |key| (key.clone(), row)))
             .collect();
-        Self { config, routes_by_host, account_by_key }
+        let mut homes =
+            config.routes.iter().map(|row| &row.homes).chain(config.accounts.iter().map(|row| &row.homes));
+        let has_homes = homes.any(|homes| !homes.is_empty());
+        Self { config, routes_by_host, account_by_key, has_homes }
     }
 
     /// The configuration.
@@ -58,6 +63,16 @@
         self.account_by_key.get(key).map(|row| &self.config.accounts[*row])
     }
 
+    /// The regions that requests to `path` at `host` of the account called `account` may be served in.
+    pub fn homes(&self, host: &str, path: &str, account: Option<&str>) -> HomeRegions<'_> {
+        if !self.has_homes {
+            return HomeRegions::default();
+        }
+        let route = self.route(host, path).map_or(&[][..], |route| &route.homes);
+        let row = account.and_then(|name| self.config.accounts.iter().find(|row| row.name == name));
+        HomeRegions { route, account: row.map_or(&[][..], |row| &row.homes) }
+    }
+
     /// Whether callers of routes that are not public need a key.
     pub fn asks_for_keys(&self) -> bool {
         !self.config.accounts.is_empty()
--- a/crates/decide/src/kept/kept_plan.rs
+++ b/crates/decide/src/kept/kept_plan.rs
@@ -3,10 +3,11 @@
 //! Invariant: a part is taken only from a store that has told it whole, and only if moving it is
 //! expected to take less time than reading it. A part is saved by one request only: it goes to the
 //! fastest store with room, unless a store has it or waits for it. The last part belongs to one
-//! request and is not saved.
+//! request and is not saved. Nothing is saved outside the prompt's homes; taking a part from there moves it
+//! to an engine, which stands in one.
 
 use crate::salted_key;
-use crate::{EndpointKey, FleetTable, PromptPart, StoreRow};
+use crate::{EndpointKey, FleetTable, HomeRegions, PromptPart, StoreRow};
 use spanfold_entity::Moment;
 
 /// Cost of reading a token again that could have been taken from elsewhere, in microseconds: such
@@ -157,10 +158,19 @@
     move_micros < reading || move_micros < with_price.min(terms.objective_micros * LONG_MOVE_PART)
 }
 
-/// Plans where an engine in `data_centre` saves the parts that no store has.
+/// Where parts are saved from, and where they may be.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SavePlace<'a> {
+    /// The engine's data centre.
+    pub data_centre: &'a str,
+    /// Regions that the prompt may be kept in.
+    pub homes: HomeRegions<'a>,
+}
+
+/// Plans where an engine saves the parts that no store has.
 pub(crate) fn plan_saves(
     table: &FleetTable,
-    data_centre: &str,
+    place: SavePlace<'_>,
     parts: &[PromptPart],
     salt: u64,
     now: Moment,
@@ -171,7 +181,7 @@
         if table.stores().any(|(_, row)| row.has_or_awaits(key, now)) {
             return None;
         }
-        save_target(table, key, part.tokens, data_centre, now)
+        save_target(table, key, part.tokens, place, now)
     };
     parts.iter().enumerate().map(|(row, part)| if row < shared { target(part) } else { None }).collect()
 }
@@ -180,16 +190,20 @@
     table: &FleetTable,
     key: u64,
     tokens: u32,
-    data_centre: &str,
+    place: SavePlace<'_>,
     now: Moment,
 ) -> Option<EndpointKey> {
     let speed = |row: &StoreRow| {
         row.spec.first_millis * 1_000.0
             + f64::from(tokens) * row.spec.token_bytes as f64 * 8.0 / row.spec.link_mbps.max(1.0)
     };
-    let open: Vec<_> = table.stores().filter(|(_, row)| row.is_heard(now) && row.has_room(tokens)).collect();
+    let open: Vec<_> = table
+        .stores()
+        .filter(|(_, row)| row.is_heard(now) && row.has_room(tokens))
+        .filter(|(_, row)| table.is_home(place.homes, &row.spec.data_centre))
+        .collect();
     let fastest = open.iter().map(|(_, row)| speed(row)).min_by(f64::total_cmp)?;
-    let near = |row: &StoreRow| row.spec.data_centre == data_centre;
+    let near = |row: &StoreRow| row.spec.data_centre == place.data_centre;
     // Among equally fast stores one nearby, else one by the part's own digest.
     open.into_iter()
         .filter(|(_, row)| speed(row) <= fastest * SAME_SPEED)
--- a/crates/decide/src/kept/mod.rs
+++ b/crates/decide/src/kept/mod.rs
@@ -12,7 +12,7 @@
 pub use kept_parts::KeptParts;
 pub use kept_plan::KeptPlan;
 pub(crate) use kept_plan::{
-    MoveTerms, PartHolders, PartMoves, REREAD_MICROS, plan_fetches, plan_kept, plan_saves,
+    MoveTerms, PartHolders, PartMoves, REREAD_MICROS, SavePlace, plan_fetches, plan_kept, plan_saves,
 };
 pub use kept_row::KeptRow;
 pub use news_rhythm::NewsRhythm;
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -7,7 +7,7 @@
 
 use spanfold_decide::{
     AdmissionVerdict, AdmissionView, DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable,
-    LoadCount, PlacementAsk, PlacementChoice, PromptPart, ServiceRow, place, take_part,
+    HomeRegions, LoadCount, PlacementAsk, PlacementChoice, PromptPart, ServiceRow, place, take_part,
 };
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, VecDeque};
@@ -78,6 +78,7 @@
         memory_part,
         wall: "shared",
         exclude: &[],
+        homes: HomeRegions::default(),
         cold: None,
         draw: || 0.0,
     };
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -1,9 +1,9 @@
 //! Where requests go.
 
 use spanfold_decide::{
-    DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, KeptChange, KeptNews, LoadCount,
-    LoadSource, PlacementAsk, PlacementChoice, PromptPart, SendOutcome, ServiceRow, StoreSpec, VmKey,
-    WantedWeights, place,
+    DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, HomeRegions, KeptChange, KeptNews,
+    LoadCount, LoadSource, PlacementAsk, PlacementChoice, PromptPart, SendOutcome, ServiceRow, StoreSpec,
+    VmKey, WantedWeights, place,
 };
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -74,6 +74,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        homes: HomeRegions::default(),
         cold: None,
         draw: || 0.0,
     }
@@ -270,3 +271,44 @@
     let only = [key("i-1")];
     assert_eq!(chosen(&table, &PlacementAsk { silent: &["dc-b"], exclude: &only, ..ask() }).key, key("i-2"));
 }
+
+fn regions(table: &mut FleetTable) {
+    let rows = [("dc-a", "north"), ("dc-b", "south")];
+    table.set_regions(rows.into_iter().map(|(name, region)| (name.to_owned(), region.to_owned())).collect());
+}
+
+#[test]
+fn a_request_goes_to_its_homes_only() {
+    let mut table = table(&[entry("i-1", "dc-a", 1), entry("i-2", "dc-b", 1), entry("i-3", "dc-c", 1)]);
+    regions(&mut table);
+    let homes = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+    let (north, south, both) = (homes(&["north"]), homes(&["south"]), homes(&["north", "south"]));
+    let place_with = |route: &[String], account: &[String]| {
+        let homes = HomeRegions { route, account };
+        place(&table, &PlacementAsk { homes, ..ask() }, NOW).map(|choice| choice.key)
+    };
+    assert_eq!(place_with(&south, &[]), Some(key("i-2")));
+    assert_eq!(place_with(&[], &south), Some(key("i-2")));
+    assert_eq!(place_with(&both, &north), Some(key("i-1")));
+    // Both bind; nobody is left, nor in a data centre of no known region.
+    assert_eq!(place_with(&north, &south), None);
+    assert_eq!(place_with(&homes(&["east"]), &[]), None);
+}
+
+#[test]
+fn nothing_is_saved_outside_the_homes_of_a_prompt() {
+    let mut table = table(&[entry("i-1", "dc-a", 1), entry("i-2", "dc-b", 1)]);
+    regions(&mut table);
+    for (_, row) in table.stores_mut() {
+        row.replace(&KeptNews::default(), Moment::NEVER);
+    }
+    // The only store stands in dc-a, in the north.
+    let saves = |home: &str| {
+        let route = [home.to_owned()];
+        let homes = HomeRegions { route: &route, account: &[] };
+        let choice = chosen(&table, &PlacementAsk { homes, ..ask() });
+        choice.kept.saves.iter().flatten().count()
+    };
+    assert!(saves("north") > 0);
+    assert_eq!(saves("south"), 0);
+}
--- a/crates/decide/tests/routes_and_budget.rs
+++ b/crates/decide/tests/routes_and_budget.rs
@@ -20,6 +20,7 @@
         attempts: 1,
         public: false,
         resumable: false,
+        homes: Vec::new(),
     }
 }
 
@@ -82,3 +83,25 @@
     assert!(budget.try_spend("s", 1, Moment(1_000_000)));
     assert!(budget.try_spend("other", 1, Moment(0)));
 }
+
+#[test]
+fn homes_of_a_route_and_of_an_account_are_found() {
+    let regions = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+    let bound = RouteRow { homes: regions(&["north", "south"]), ..route("a.example", "/b/") };
+    let account = AccountRow { name: "one".to_owned(), homes: regions(&["south"]), ..AccountRow::default() };
+    let config = DeploymentConfig {
+        routes: vec![bound, route("a.example", "/c/")],
+        accounts: vec![account],
+        ..DeploymentConfig::default()
+    };
+    let table = RouteTable::new(config);
+    let allowed = |path: &str, account: Option<&str>| {
+        let homes = table.homes("A.example:80", path, account);
+        ["north", "south", "east"].map(|region| homes.allow(Some(region)))
+    };
+    assert_eq!(allowed("/b/x", None), [true, true, false]);
+    assert_eq!(allowed("/b/x", Some("one")), [false, true, false]);
+    assert_eq!(allowed("/c/x", Some("one")), [false, true, false]);
+    assert_eq!(allowed("/c/x", Some("two")), [true, true, true]);
+    assert!(table.homes("a.example", "/c/x", None).is_anywhere());
+}
--- a/crates/decide/tests/told_health.rs
+++ b/crates/decide/tests/told_health.rs
@@ -3,8 +3,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use spanfold_decide::{
-    DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, LoadCount, PlacementAsk,
-    PromptPart, SendOutcome, SendReport, ServiceRow, VmKey, place,
+    DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, HomeRegions, LoadCount,
+    PlacementAsk, PromptPart, SendOutcome, SendReport, ServiceRow, VmKey, place,
 };
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -139,6 +139,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        homes: HomeRegions::default(),
         cold: None,
         draw: || 0.0,
     };
--- a/crates/declare/src/gateway_settings.rs
+++ b/crates/declare/src/gateway_settings.rs
@@ -5,6 +5,7 @@
 use crate::reader::SectionReader;
 use crate::settings::{SettingsRow, address, enter_missing_sections, read_sections, rows, word};
 use crate::{Document, Findings};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// The reference of the gateway's settings.
@@ -18,6 +19,7 @@
     rows! {
         "vm" "name" "" "this VM's name, unique in the deployment; required";
         "vm" "data_centre" "" "the data centre that this VM stands in; required";
+        "vm" "regions" "" "region of each data centre, as NAME:REGION, separated by commas; needed where homes are named";
         "vm" "link_mbps" "1000" "this VM's link in megabits a second; VMs with wide links pass on what others ask";
         "listen" "callers" "" "address for callers; required";
         "listen" "readiness" "" "address where the balancer asks for readiness; required";
@@ -42,6 +44,7 @@
 pub struct GatewaySettings {
     pub name: String,
     pub data_centre: String,
+    pub regions: BTreeMap<String, String>,
     pub link_mbps: f64,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
@@ -65,6 +68,7 @@
         Self {
             name: String::new(),
             data_centre: String::new(),
+            regions: BTreeMap::new(),
             link_mbps: 1_000.0,
             callers: unset,
             readiness: unset,
@@ -118,6 +122,7 @@
             "vm" => {
                 reader.required("name").clone_into(&mut self.name);
                 reader.required("data_centre").clone_into(&mut self.data_centre);
+                self.regions = reader.with("regions", read_regions);
                 self.link_mbps = reader.number("link_mbps", self.link_mbps);
             }
             "listen" => {
@@ -146,6 +151,17 @@
     }
 }
 
+/// Reads the region of each data centre.
+fn read_regions(text: &str) -> Result<BTreeMap<String, String>, String> {
+    let rows = text.split(',').map(str::trim).filter(|row| !row.is_empty());
+    rows.map(|row| {
+        let pair = row.split_once(':').filter(|(name, region)| !name.is_empty() && !region.is_empty());
+        let (name, region) = pair.ok_or_else(|| format!("`{row}` is not NAME:REGION"))?;
+        Ok((name.trim().to_owned(), region.trim().to_owned()))
+    })
+    .collect()
+}
+
 fn needed_address(reader: &mut SectionReader<'_>, key: &'static str) -> SocketAddr {
     if reader.required(key).is_empty() {
         return SocketAddr::from(([127, 0, 0, 1], 0));
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -137,6 +137,8 @@
         let wanted = model.and_then(|model| gateway.wanted_weights(model));
         let silent = gateway.cut_data_centres();
         let silent: Vec<&str> = silent.iter().map(String::as_str).collect();
+        // A change of homes holds for what waits, too.
+        let routes = gateway.routes()?;
         let cold = gateway.cold_right();
         let ask = PlacementAsk {
             service: &ticket.service,
@@ -150,6 +152,7 @@
             model,
             wanted: wanted.as_ref(),
             memory_part: admission.map_or(1.0, |view| view.memory_part(gateway.now())),
+            homes: routes.homes(&ticket.host, &ticket.path, ticket.account.as_deref()),
             wall: &ticket.wall,
             exclude: &self.tried,
             cold: cold.as_ref(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -129,6 +129,8 @@
             incarnation,
             link_mbps: settings.link_mbps as u32,
         });
+        let mut table = FleetTable::default();
+        table.set_regions(settings.regions.clone());
         Self {
             settings,
             dialect,
@@ -138,7 +140,7 @@
             list_standing: Mutex::default(),
             stale_until: watch::channel(Moment(0)).0,
             routes: RwLock::default(),
-            table: Mutex::default(),
+            table: Mutex::new(table),
             budget: Mutex::new(RetryBudget::new(terms)),
             weights: RwLock::default(),
             peers: Mutex::new(peers),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod gateway;
 mod gateway_daemon;
 mod gateway_metrics;
+mod gateway_status;
 mod gossip;
 mod kept_digest;
 mod kept_task;
--- a/crates/gateway/src/operator_port.rs
+++ b/crates/gateway/src/operator_port.rs
@@ -5,6 +5,7 @@
 use crate::RequestKey;
 use crate::front_door::ACCEPT_PAUSE;
 use crate::gateway::Gateway;
+use crate::gateway_status::GatewayStatus;
 use crate::own_answer::{AnswerBody, full_body};
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -13,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::Serialize;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -20,6 +22,8 @@
 
 /// Path of the list of held requests.
 const HELD_PATH: &str = "/held";
+/// Path of what this VM tells of itself.
+const STATUS_PATH: &str = "/status";
 /// What follows the path and a request's digest in a call that lifts its hold.
 const LIFT_WORD: &str = "lift";
 
@@ -63,8 +67,11 @@
     }
 }
 
-/// The same, and lists and lifts holds.
+/// The same, tells of this VM, and lists and lifts holds.
 pub(crate) fn answer_management(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() == STATUS_PATH {
+        return json_of(&GatewayStatus::of(gateway));
+    }
     match (request.method(), request.uri().path().strip_prefix(HELD_PATH)) {
         (&Method::GET, Some("")) => list_held(gateway),
         (&Method::POST, Some(rest)) => lift_held(gateway, rest),
@@ -73,9 +80,7 @@
 }
 
 fn list_held(gateway: &Gateway) -> Response<AnswerBody> {
-    // Plain structs of numbers and texts always have a JSON form.
-    let rows = serde_json::to_string(&gateway.quarantine_rows()).unwrap_or_default();
-    json(rows)
+    json_of(&gateway.quarantine_rows())
 }
 
 /// Lifts the hold that `rest` of a path names, `/DIGEST/lift`.
@@ -90,6 +95,11 @@
     }
 }
 
+fn json_of(value: &impl Serialize) -> Response<AnswerBody> {
+    // Plain structs of numbers and texts always have a JSON form.
+    json(serde_json::to_string(value).unwrap_or_default())
+}
+
 fn json(value: impl Into<Bytes>) -> Response<AnswerBody> {
     let mut response = text(StatusCode::OK, value);
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/spanfold/src/status_report.rs
+++ b/crates/spanfold/src/status_report.rs
@@ -16,6 +16,8 @@
     let mut text = String::new();
     for (vm, answer) in &answers {
         match answer {
+            // Only a gateway follows a platform's store.
+            Ok(status) if status["store"].is_object() => write_gateway(&mut text, *vm, status),
             Ok(status) => write_status(&mut text, *vm, status),
             Err(error) => {
                 let _ = writeln!(text, "{vm}: {error}");
@@ -25,6 +27,26 @@
     Outcome { text, code }
 }
 
+fn write_gateway(text: &mut String, vm: SocketAddr, status: &Value) {
+    let word = |key: &str| status[key].as_str().unwrap_or_default().to_owned();
+    let state = if status["stopping"] == true { " stopping" } else { "" };
+    let _ = writeln!(
+        text,
+        "{} ({vm}) in {}: configuration {}, store {}:{}, {} open, {} endpoints, {} cold{state}",
+        word("name"),
+        word("data_centre"),
+        status["configuration"],
+        status["store"]["era"],
+        status["store"]["revision"],
+        status["open_requests"],
+        status["endpoints"],
+        status["cold_endpoints"],
+    );
+    for data_centre in status["evacuated"].as_array().into_iter().flatten() {
+        let _ = writeln!(text, "  {} is evacuated", data_centre.as_str().unwrap_or_default());
+    }
+}
+
 fn write_status(text: &mut String, vm: SocketAddr, status: &Value) {
     let word = |key: &str| status[key].as_str().unwrap_or_default().to_owned();
     let number = |key: &str| status[key].as_u64().unwrap_or(0);
