House: what keeps work from endpoints has a file of its own; the store's era is out of the circle round gateway.rs

A VM that stops sends nothing to cold endpoints once it has given up its lease: others take its part.

--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod endpoint_row;
+mod fleet_limits;
 mod fleet_table;
 mod home_regions;
 mod news_history;
--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -295,6 +295,7 @@
     async fn give_up(&mut self) {
         self.right.send_replace(OrderRight::default());
         self.lose_old_lease();
+        self.gateway.list_standing().listed_at = None;
         if let Some(lease) = self.lease.take() {
             let call = (self.gateway.dialect.store.end)(lease.id);
             let done: StoreDecoder<()> = |_| Ok(());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod dispatch;
 mod end_watch;
 mod endpoint_pool;
+mod era_watch;
 mod event_reader;
 mod flight;
 mod follow;
