A holder's record that has lost its lease is written over by its own VM

Cause: the record of a lease that its VM no longer has was left to go with it. A store restored from a copy may hold the record without the lease: nobody would ever hold the right to order again, and weights would stay old. Its own VM now writes over the record as it stands and settles as any new holder; the condition fails if another VM was first. Test: no orders within 30 s before, passes after.

--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/lease_keeper.rs
@@ -225,9 +225,16 @@
                 self.hold(position);
                 return;
             }
+            // Taken a moment ago, and the watch has not told yet.
+            Some((HolderStanding::EarlierSelf | HolderStanding::Lapsed, _)) | None
+                if self.right.borrow().fencing != 0 =>
+            {
+                return;
+            }
             Some((HolderStanding::EarlierSelf, position)) => (Some(position), 0),
-            // The record goes with its lease; the watch will tell.
-            Some((HolderStanding::Lapsed, _)) => return,
+            // The record goes with its lease, unless the store was restored from a copy that holds it without one. It is
+            // written over as it stands: if another VM has taken the right meanwhile, the condition fails.
+            Some((HolderStanding::Lapsed, position)) => (Some(position), settled),
             Some((HolderStanding::Other, _)) => {
                 self.free_since = None;
                 if self.right.borrow().fencing != 0 {
@@ -236,8 +243,6 @@
                 }
                 return;
             }
-            // Taken a moment ago, and the watch has not told yet.
-            None if self.right.borrow().fencing != 0 => return,
             None => {
                 let since = *self.free_since.get_or_insert(now);
                 let rank = self.gateway.peers().own_rank() as u64;
