Sight: limits that endpoints name are read, logged and counted

No log line or metric told whether an answer named a limit, so that the hypotheses of the incident could not be told apart. Answers' heads are read for it and what an endpoint said is kept with it (decide/fleet/named_limit: of words that cross, the lower stands). Nothing is decided on it yet.

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::peer_loads::PeerLoads;
 use crate::fleet::told_health::ToldHealth;
-use crate::{ColdSends, EndpointEntry, KeptParts, SendReport, VmKey};
+use crate::{ColdSends, EndpointEntry, KeptParts, NamedLimit, SendReport, VmKey};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -96,6 +96,10 @@
     pub evacuated_until: Moment,
     /// Until when it is cold, and bears a few requests a second only.
     pub cold_until: Moment,
+    /// What it says of how many requests it takes from all VMs together.
+    pub limit: NamedLimit,
+    /// What it said last of that could not be read, or named several limits.
+    pub has_odd_limit: bool,
     /// What this VM has sent there while it was cold.
     pub(crate) cold_sends: ColdSends,
     /// What this VM has in flight there.
@@ -131,6 +135,8 @@
             is_unreadable: false,
             evacuated_until: Moment(0),
             cold_until: Moment(0),
+            limit: NamedLimit::default(),
+            has_odd_limit: false,
             cold_sends: ColdSends::default(),
             own: LoadCount::default(),
             peers: PeerLoads::default(),
--- a/crates/decide/src/fleet/fleet_limits.rs
+++ b/crates/decide/src/fleet/fleet_limits.rs
@@ -2,7 +2,9 @@
 //!
 //! Invariant: an endpoint that is listed in an evacuated data centre is marked as such, whichever of both was told first.
 
-use crate::{ColdRight, ColdSpec, EndpointEntry, EndpointKey, EndpointRow, FleetTable};
+use crate::{
+    ColdRight, ColdSpec, EndpointEntry, EndpointKey, EndpointRow, FleetTable, LimitChange, LimitWord,
+};
 use spanfold_entity::Moment;
 
 /// An endpoint is taken for cold for this long at most, in milliseconds, whatever its entry says.
@@ -52,6 +54,24 @@
         takes
     }
 
+    /// Takes what an endpoint says of its limit, to this VM or as another one told.
+    pub fn hear_limit(&mut self, key: EndpointKey, word: LimitWord) -> LimitChange {
+        self.rows.get_mut(&key).map_or(LimitChange::None, |row| row.limit.hear(word))
+    }
+
+    /// Notes whether an endpoint's last word of its limit was odd; whether that is new.
+    pub fn note_odd_limit(&mut self, key: EndpointKey, is_odd: bool) -> bool {
+        let Some(row) = self.rows.get_mut(&key) else { return false };
+        let is_new = is_odd && !row.has_odd_limit;
+        row.has_odd_limit = is_odd;
+        is_new
+    }
+
+    /// Endpoints that name a limit.
+    pub fn limited_count(&self) -> usize {
+        self.rows.values().filter(|row| row.limit.per_s().is_some()).count()
+    }
+
     /// Notes that a data centre is evacuated until `until`, [`Moment::NEVER`] while the operator asks for it; whether it
     /// was not before.
     pub fn evacuate(&mut self, data_centre: &str, until: Moment, now: Moment) -> bool {
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -430,6 +430,7 @@
         for row in self.rows.values_mut() {
             row.relax();
             row.peers.sweep(now);
+            row.limit.sweep(now);
         }
         for row in self.stores.values_mut() {
             row.sweep(now);
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod fleet_limits;
 mod fleet_table;
 mod home_regions;
+mod named_limit;
 mod news_history;
 mod news_pieces;
 mod peer_book;
@@ -22,6 +23,7 @@
 pub use endpoint_row::{CloseTeller, EndpointRow, LoadCount, SendOutcome};
 pub use fleet_table::{EndpointKey, FleetTable, LinkMoves, LoadSource, VmKey, short_digest};
 pub use home_regions::HomeRegions;
+pub use named_limit::{LimitChange, LimitWord, NamedLimit};
 pub use news_history::NewsHistory;
 pub use news_pieces::{NewsAssembly, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, cut_news};
 pub use peer_book::{HeardVm, LEADS, PeerBook, VmEntry};
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,11 +24,11 @@
 };
 pub use fleet::{
     AccountRow, CloseTeller, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow,
-    EngineReport, EngineSpec, FleetTable, HeardVm, HomeRegions, KeptChange, KeptNews, LEADS, LinkMoves,
-    LoadCount, LoadSource, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT,
-    PeerBook, PromptPart, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendReport,
-    ServiceRow, ServiceWeight, StoreEvent, StoreItem, StorePosition, StoreSpec, VmEntry, VmKey, WeightTarget,
-    cut_news, pick_target, short_digest,
+    EngineReport, EngineSpec, FleetTable, HeardVm, HomeRegions, KeptChange, KeptNews, LEADS, LimitChange,
+    LimitWord, LinkMoves, LoadCount, LoadSource, NamedLimit, NewsAssembly, NewsHistory, NewsPiece,
+    NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook, PromptPart, RequestLimits, RouteKind, RouteRow,
+    RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight, StoreEvent, StoreItem, StorePosition,
+    StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target, short_digest,
 };
 pub use kept::{
     BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::flight::SendFlight;
 use crate::gateway::CountGuard;
 use crate::gateway_metrics::KindLabel;
+use crate::limit_desk::LimitSource;
 use crate::outgoing_body::OutgoingBody;
 use crate::placed_note::PlacedNote;
 use crate::request_run::RequestRun;
@@ -18,7 +19,7 @@
 };
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderName, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -375,6 +376,12 @@
         self.gateway.table().miss_key(flight.key, Moment(0));
     }
 
+    /// Takes what the answer's head says of its endpoint's limit.
+    fn hear_limit(&self, flight: &SendFlight, headers: &HeaderMap) {
+        let source = LimitSource { key: flight.key, request: self.ticket.id_text(), sent_at: flight.sent_at };
+        self.gateway.hear_limit(&source, headers);
+    }
+
     /// Judges an answer's head: is it this request's, and did the endpoint run it?
     fn judge(&mut self, answer: Response<Incoming>, flight: SendFlight) -> SendResult {
         let names = &self.gateway.dialect.headers;
@@ -389,6 +396,7 @@
                 self.learn_ended(&flight);
                 return SendResult::Ended;
             }
+            self.hear_limit(&flight, &head.headers);
             flight.learn(SendOutcome::Refused);
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 // Its weights are not what was believed.
@@ -405,6 +413,7 @@
             flight.learn(SendOutcome::Failed);
             return SendResult::Lost("an answer to another request");
         }
+        self.hear_limit(&flight, &head.headers);
         SendResult::Answer(Box::new(ReceivedHead { head, body, flight }))
     }
 }
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -167,17 +167,18 @@
     loop {
         tokio::time::sleep(SWEEP_PAUSE).await;
         let now = gateway.now();
-        let (gone, doubted, evacuated, cold) = {
+        let (gone, doubted, evacuated, cold, limited) = {
             let mut table = gateway.table();
             for data_centre in table.end_lapsed_evacuations(now) {
                 log::warn!(data_centre = data_centre.as_str(), source = "a restored store"; "evacuation.ended");
             }
             let gone = table.sweep(now);
             let doubted = table.rows().filter(|(_, row)| row.is_doubted()).count();
-            (gone, doubted, table.evacuated(now).count(), table.cold_count(now))
+            (gone, doubted, table.evacuated(now).count(), table.cold_count(now), table.limited_count())
         };
         let gauges = &gateway.metrics.fleet;
         gauges.cold_endpoints.set(cold as i64);
+        gauges.limited_endpoints.set(limited as i64);
         gauges.evacuated_data_centres.set(evacuated as i64);
         gauges.doubted_endpoints.set(doubted as i64);
         for key in gone {
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -35,6 +35,8 @@
     pub evacuated_data_centres: Gauge,
     /// Endpoints that are cold, and bear less than warm ones.
     pub cold_endpoints: Gauge,
+    /// Endpoints that name a limit.
+    pub limited_endpoints: Gauge,
 }
 
 impl FleetGauges {
@@ -43,6 +45,7 @@
             doubted_endpoints: Gauge::default(),
             evacuated_data_centres: Gauge::default(),
             cold_endpoints: Gauge::default(),
+            limited_endpoints: Gauge::default(),
         };
         let doubted = gauges.doubted_endpoints.clone();
         registry.register("doubted_endpoints", "Endpoints that VMs could not reach", doubted);
@@ -50,6 +53,8 @@
         registry.register("evacuated_data_centres", "Data centres that get no work, as asked", evacuated);
         let cold = gauges.cold_endpoints.clone();
         registry.register("cold_endpoints", "Endpoints that are cold and bear less", cold);
+        let limited = gauges.limited_endpoints.clone();
+        registry.register("limited_endpoints", "Endpoints that name a limit", limited);
         gauges
     }
 }
@@ -93,6 +98,8 @@
     pub turned_away: Counter,
     /// Requests that are held back now.
     pub held_requests: Gauge,
+    /// Limits that endpoints named in answers to this VM, by what was said.
+    pub limit_words: Family<KindLabel, Counter>,
     /// Endpoints that get less work than others.
     pub fleet: FleetGauges,
 }
@@ -172,6 +179,12 @@
         );
         registry.register("held_requests", "Requests that are held back", held_requests.clone());
         registry.register("open_requests", "Requests in flight at this VM", open_requests.clone());
+        let limit_words = Family::<KindLabel, Counter>::default();
+        registry.register(
+            "limit_words",
+            "Limits that endpoints named, by what was said",
+            limit_words.clone(),
+        );
         let fleet = FleetGauges::register(&mut registry);
         Self {
             registry,
@@ -197,6 +210,7 @@
             quarantine_holds,
             turned_away,
             held_requests,
+            limit_words,
             fleet,
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod kept_digest;
 mod kept_task;
 mod lease_keeper;
+mod limit_desk;
 mod load_digest;
 mod long_answer;
 mod naming_task;
@@ -55,9 +56,9 @@
 
 pub use clock::GatewayClock;
 pub use dialect::{
-    EngineDialect, EntryError, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder,
-    StoreDialect, StoreKeys, StoreRefusal, StoreReply, StoreTransaction, ValueDialect, WatchPage,
-    WeightOrder, WireCall, WireDialect,
+    EngineDialect, EntryError, HeaderNames, KeptDialect, LeaseGrant, LimitFault, OrderOutcome, RangePage,
+    SaidLimit, StoreDecoder, StoreDialect, StoreKeys, StoreRefusal, StoreReply, StoreTransaction,
+    ValueDialect, WatchPage, WeightOrder, WireCall, WireDialect,
 };
 pub use event_reader::{EventError, EventReader};
 pub use gateway_daemon::{GatewayDaemon, GatewayError};
@@ -70,10 +71,10 @@
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, ColdRight, ColdTerms, DeskStep,
     EndingReport, EndpointEnding, EndpointRow, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase,
-    HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LinkMoves, ListStanding, LoadCount,
-    LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress,
-    NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, QuarantineChange, QuarantineNote,
-    RequestIdentity, RequestKey, RequestQuarantine, RetryBudget, RouteTable, SendOutcome, SendReport,
-    VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key,
-    short_digest, take_part,
+    HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LimitChange, LimitWord, LinkMoves,
+    ListStanding, LoadCount, LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory,
+    NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice,
+    QuarantineChange, QuarantineNote, RequestIdentity, RequestKey, RequestQuarantine, RetryBudget,
+    RouteTable, SendOutcome, SendReport, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts,
+    pick_target, place, salted_key, short_digest, take_part,
 };
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -8,6 +8,7 @@
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::lease_keeper::OrderRight;
+use crate::limit_desk::LimitSource;
 use crate::{DeskStep, EngineState, WeightDesk};
 use crate::{EndpointKey, EngineReport, short_digest};
 use spanfold_entity::Moment;
@@ -267,12 +268,19 @@
         let row = table.row(key)?;
         (row.entry.id.clone(), row.entry.address)
     };
+    let sent_at = gateway.now();
     let deadline = Instant::now() + CALL_TIMEOUT;
     let deadline = if until == Moment::NEVER { deadline } else { deadline.min(gateway.instant(until)) };
     let mut call = call.clone();
     call.headers.push((gateway.dialect.headers.expect_endpoint.clone(), id.clone()));
     match CallLink::new(address).call(&call, deadline).await {
-        Ok(reply) => Some((reply.status, reply.body)),
+        Ok(reply) => {
+            if (200..300).contains(&reply.status) {
+                // One that refuses may be another endpoint at the same address.
+                gateway.hear_limit(&LimitSource { key, request: &call.path, sent_at }, &reply.headers);
+            }
+            Some((reply.status, reply.body))
+        }
         Err(error) => {
             log::warn!(endpoint = id.as_str(), path = call.path.as_str(), cause:% = error; "engine.unanswered");
             None
