--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -59,6 +59,37 @@
     }
 }
 
+/// Messages between VMs, by kind.
+#[derive(Debug)]
+pub(crate) struct PeerCounters {
+    /// Messages of other VMs.
+    pub messages: Family<KindLabel, Counter>,
+    /// Their bytes.
+    pub bytes: Family<KindLabel, Counter>,
+    /// Bytes of messages to other VMs.
+    pub bytes_sent: Family<KindLabel, Counter>,
+    /// Messages to other VMs that the system did not take: too large, or no way there.
+    pub unsent: Family<KindLabel, Counter>,
+}
+
+impl PeerCounters {
+    fn register(registry: &mut Registry) -> Self {
+        let counters = Self {
+            messages: Family::default(),
+            bytes: Family::default(),
+            bytes_sent: Family::default(),
+            unsent: Family::default(),
+        };
+        registry.register("peer_messages", "Messages of other VMs, by kind", counters.messages.clone());
+        registry.register("peer_bytes", "Bytes of messages of other VMs, by kind", counters.bytes.clone());
+        let bytes_sent = counters.bytes_sent.clone();
+        registry.register("peer_bytes_sent", "Bytes of messages to other VMs, by kind", bytes_sent);
+        let unsent = counters.unsent.clone();
+        registry.register("peer_unsent", "Messages that the system did not take, by kind", unsent);
+        counters
+    }
+}
+
 /// All metrics of one gateway.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -79,14 +110,8 @@
     pub odd_eras: Family<KindLabel, Counter>,
     /// Newest revision of the store that this VM was told of; beyond `store_revision` it lacks changes.
     pub told_revision: Gauge,
-    /// Messages of other VMs, by kind.
-    pub peer_messages: Family<KindLabel, Counter>,
-    /// Their bytes, by kind.
-    pub peer_bytes: Family<KindLabel, Counter>,
-    /// Bytes of messages to other VMs, by kind.
-    pub peer_bytes_sent: Family<KindLabel, Counter>,
-    /// Messages to other VMs that the system did not take, by kind: too large, or no way there.
-    pub peer_unsent: Family<KindLabel, Counter>,
+    /// Messages between VMs.
+    pub peers: PeerCounters,
     pub open_requests: Gauge,
     /// Entries of endpoints that could not be read, by cause.
     pub unreadable_entries: Family<KindLabel, Counter>,
@@ -114,22 +139,7 @@
         // From 2 ms, doubling, to about 8 s: from a plain answer to a late first event.
         let first_event_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 13));
         let (prompt_tokens, kept_tokens) = (Counter::default(), Counter::default());
-        let peer_messages = Family::<KindLabel, Counter>::default();
-        registry.register("peer_messages", "Messages of other VMs, by kind", peer_messages.clone());
-        let peer_bytes = Family::<KindLabel, Counter>::default();
-        registry.register("peer_bytes", "Bytes of messages of other VMs, by kind", peer_bytes.clone());
-        let peer_bytes_sent = Family::<KindLabel, Counter>::default();
-        registry.register(
-            "peer_bytes_sent",
-            "Bytes of messages to other VMs, by kind",
-            peer_bytes_sent.clone(),
-        );
-        let peer_unsent = Family::<KindLabel, Counter>::default();
-        registry.register(
-            "peer_unsent",
-            "Messages that the system did not take, by kind",
-            peer_unsent.clone(),
-        );
+        let peers = PeerCounters::register(&mut registry);
         let (configuration_version, open_requests) = (Gauge::default(), Gauge::default());
         let (store_revision, told_revision) = (Gauge::default(), Gauge::default());
         registry.register("store_revision", "Revision of the store that is applied", store_revision.clone());
@@ -200,10 +210,7 @@
             store_era,
             odd_eras,
             told_revision,
-            peer_messages,
-            peer_bytes,
-            peer_bytes_sent,
-            peer_unsent,
+            peers,
             open_requests,
             unreadable_entries,
             quarantine_reports,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -53,9 +53,9 @@
         unsent += u64::from(socket.send_to(&bytes, address).await.is_err());
     }
     let sent = bytes.len() as u64 * (to.len() as u64 - unsent);
-    gateway.metrics.peer_bytes_sent.get_or_create(&kind).inc_by(sent);
+    gateway.metrics.peers.bytes_sent.get_or_create(&kind).inc_by(sent);
     if unsent > 0 {
-        gateway.metrics.peer_unsent.get_or_create(&kind).inc_by(unsent);
+        gateway.metrics.peers.unsent.get_or_create(&kind).inc_by(unsent);
     }
     bytes.len()
 }
@@ -145,8 +145,8 @@
         let message = gateway.unseal(bytes);
         let kind = message.as_ref().map_or("rejected", PeerMessage::kind);
         let kind = KindLabel::new(kind);
-        gateway.metrics.peer_messages.get_or_create(&kind).inc();
-        gateway.metrics.peer_bytes.get_or_create(&kind).inc_by(length as u64);
+        gateway.metrics.peers.messages.get_or_create(&kind).inc();
+        gateway.metrics.peers.bytes.get_or_create(&kind).inc_by(length as u64);
         let Some(message) = message else { continue };
         let stamp = message.stamp();
         match message {
