--- a/crates/decide/src/admit/admission.rs
+++ b/crates/decide/src/admit/admission.rs
@@ -4,8 +4,7 @@
 //! engines are gone. An engine takes in what it is sent, and when its memory runs out it throws away the newest run,
 //! which is then read again from its start: each such run makes the next one more likely, and an overload outlasts
 //! its cause. So a prompt that no engine has room for waits here, where it costs nothing and can still go to
-//! whichever engine gets room first. Under two bursts of twice the traffic runs thrown away fell from 163 to 5 a
-//! day, and long prompts that failed from 5 in 100 to 0.2 in 100 (four seeds).
+//! whichever engine gets room first.
 //!
 //! Invariants: a prompt that can be in time goes before one that cannot, because it may fill more of an engine's
 //! memory; the first to be refused is the one whose caller would leave before its first event. That answer goes out as
@@ -15,8 +14,7 @@
 use spanfold_entity::Moment;
 
 /// Part of an engine's memory that prompts of the highest rank may take while they can be in time. It is above one,
-/// because shared parts are counted for each prompt but kept once: with 0.95 and with 1.3 more answers were late
-/// (quiet days 0.01 of worth less, days with faults 0.02 less).
+/// because shared parts are counted for each prompt but kept once.
 const MEMORY_PART: f64 = 1.15;
 /// Each lower rank may take so much less, so that the last room is left to more urgent prompts.
 const RANK_PART: f64 = 0.05;
@@ -41,9 +39,7 @@
 /// Part of the looks at which a waiting prompt takes room that it sees, in a deployment of `vms` VMs.
 ///
 /// Pattern: many VMs with waiting prompts hear of one engine's room at once, and all send there. Each draws a lot
-/// instead. With 82 VMs and a quarter of 60 engines gone, a day's worth rose from 0.20 to 0.27 with one look in six, and
-/// to 0.48 with one in seventeen and a lower cost of missing memory (one play each); with 9 VMs, where it is one in
-/// three, days with faults kept theirs.
+/// instead.
 ///
 /// # Examples
 /// ```
--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -19,7 +19,7 @@
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
 /// Time in which an engine reads one prompt token, in microseconds, until its pace is learned;
-/// measured on a quiet day, steps included.
+/// steps included.
 const READ_MICROS: f64 = 21.0;
 /// Time from the request to the first event beside reading, in microseconds.
 const FIRST_MICROS: f64 = 20_000.0;
@@ -28,8 +28,7 @@
 /// Memory that is out is waited for at this multiple of the time to read as much.
 const MEMORY_FACTOR: f64 = 1.5;
 /// Cost of a token beyond the memory that the request may fill, in microseconds: about the time to read one, so that an
-/// engine with room goes before one whose queue is shorter, but not before one that keeps the prompt. With 60 in its
-/// place, engines read 14 in 100 more shared tokens again with 9 VMs (three seeds; lots were won more often then).
+/// engine with room goes before one whose queue is shorter, but not before one that keeps the prompt.
 const OVER_TOKEN_MICROS: f64 = 20.0;
 /// Cost of one request byte that crosses data centres, in microseconds; such bytes are priced.
 const CROSS_BYTE_MICROS: f64 = 3.0;
--- a/crates/decide/src/kept/kept_plan.rs
+++ b/crates/decide/src/kept/kept_plan.rs
@@ -13,10 +13,8 @@
 /// Cost of reading a token again that could have been taken from elsewhere, in microseconds: such
 /// reading is priced, and keeps the engine from others' prompts.
 pub(crate) const REREAD_MICROS: f64 = 100.0;
-/// A move that takes longer than reading is made up to this part of the latency objective: beyond it, answers are late.
-/// It saves engines the reading of shared parts: with an objective of 1.2 s, where this is 540 ms in place of a fixed
-/// 220, tokens read again fell by 28 in 100 on quiet days, by 9 on days with faults, by 12 under bursts of twice the
-/// traffic (three seeds each); with one of 500 ms it is what it was.
+/// A move that takes longer than reading is made up to this part of the latency objective: it saves engines the reading
+/// of shared parts, and beyond it answers are late.
 const LONG_MOVE_PART: f64 = 0.45;
 
 /// Stores whose moves take up to this many times the fastest one's time count as equally fast.
--- a/crates/gateway/src/digest_relay.rs
+++ b/crates/gateway/src/digest_relay.rs
@@ -1,8 +1,8 @@
 //! Passes on to the VMs of a large data centre what each of them says of its loads.
 //!
-//! Pattern: where each VM tells each other, a data centre of n VMs sends n times n messages for every change; with 59
-//! VMs of 0.12 core at 6 requests a second, messages took most of the processor time that the VMs used. So VMs
-//! tell the two leads, and these tell all, several digests in one message.
+//! Pattern: where each VM tells each other, a data centre of n VMs sends n times n messages for every change, and small VMs
+//! spend most of their processor time on them. So VMs tell the two leads, and these tell all, several digests in one
+//! message.
 //!
 //! Invariant: a digest keeps the stamp of the VM that made it, so it counts once whoever passes it on, and an older one
 //! never replaces a newer one. The second lead passes on only while the first one does not.
@@ -22,10 +22,7 @@
 
 /// A VM's changes within this time go out together to the leads: two messages cost little.
 pub(crate) const TELL_PAUSE: Duration = Duration::from_millis(4);
-/// Digests within this time go out together to all. By count it is not this pause that binds with 59 VMs: what they
-/// tell, 110 kB a second, times 58 hearers fills the share of a link of 200 Mbit/s, so that a batch follows the one before
-/// it after some 70 ms. Freshness decides how many prompts meet at one engine: in a trial with queues of 51 engines
-/// that read for 0.56 (0.75) of their time, 0.5 (3) in 100 were late at 20 ms, 2 (9) at 45 and 4 (15) at 70.
+/// Digests within this time go out together to all. The older they are, the more prompts meet at one engine.
 const GATHER_PAUSE: Duration = Duration::from_millis(8);
 /// A lead is silent if it has passed on nothing for this long, in milliseconds: VMs tell of themselves each 300 at
 /// least, some fifty of them all the time.
