Limits: told again in turn, shown to operators; refusals written down

VMs tell one limit again each half second, so that a VM that starts learns of them before an endpoint with a low limit answers it; repeated words go on to other data centres only if an answer repeated them. spanfold status lists each limit with what was named, what is kept to and this VM's part; spanfold explain shows a refusal's reason (request.limited) and the limits learned before.

--- a/crates/decide/src/admit/share_queue.rs
+++ b/crates/decide/src/admit/share_queue.rs
@@ -70,6 +70,8 @@
     rows: Vec<WaitingRow>,
     /// What accounts were served lately, oldest first.
     served: VecDeque<(Moment, String)>,
+    /// How often each account stands there.
+    counts: BTreeMap<String, usize>,
     /// When the last one of those that were refused may return.
     returns_until: Moment,
 }
@@ -86,19 +88,27 @@
 type TurnKey = (u8, usize, Moment, u64);
 
 impl ServiceQueue {
-    fn key(&self, order: &QueueOrder, now: Moment) -> TurnKey {
-        let served = self
-            .served
-            .iter()
-            .filter(|(at, account)| now < at.after_millis(SERVED_MILLIS) && *account == order.account);
-        (order.rank, served.count(), order.received, order.number)
+    fn key(&self, order: &QueueOrder) -> TurnKey {
+        let served = self.counts.get(&order.account).copied().unwrap_or_default();
+        (order.rank, served, order.received, order.number)
     }
 
     /// Others that wait, go before `order`, and may go at `at`.
-    fn ahead(&self, order: &QueueOrder, at: Moment, now: Moment) -> usize {
-        let own = self.key(order, now);
+    fn ahead(&self, order: &QueueOrder, at: Moment) -> usize {
+        let own = self.key(order);
         let others = self.rows.iter().filter(|row| row.order.number != order.number && row.next_at <= at);
-        others.filter(|row| self.key(&row.order, now) < own).count()
+        others.filter(|row| self.key(&row.order) < own).count()
+    }
+
+    /// Forgets what was served too long ago.
+    fn forget_served(&mut self, now: Moment) {
+        while self.served.front().is_some_and(|(at, _)| now >= at.after_millis(SERVED_MILLIS)) {
+            let Some((_, account)) = self.served.pop_front() else { return };
+            match self.counts.get_mut(&account) {
+                Some(count) if *count > 1 => *count -= 1,
+                _ => drop(self.counts.remove(&account)),
+            }
+        }
     }
 
     fn leave(&mut self, number: u64) {
@@ -120,7 +130,7 @@
 impl ShareQueue {
     /// Whether a request that an endpoint takes now may go, or others that wait go before it.
     pub fn is_turn(&self, service: &str, order: &QueueOrder, now: Moment) -> bool {
-        self.services.get(service).is_none_or(|queue| queue.ahead(order, now, now) == 0)
+        self.services.get(service).is_none_or(|queue| queue.ahead(order, now) == 0)
     }
 
     /// Decides on a request that no endpoint takes now, or that others go before.
@@ -149,7 +159,7 @@
         let wait_until =
             order.received.after_micros((order.objective_millis as f64 * 1_000.0 * WAIT_PART) as u64);
         let turn_at = outlook.next_at.map(|next_at| {
-            let ahead = queue.ahead(order, next_at.max(now), now);
+            let ahead = queue.ahead(order, next_at.max(now));
             next_at
                 .max(now)
                 .after_micros((ahead as f64 / outlook.own_per_s * MICROS_PER_SECOND as f64) as u64)
@@ -168,9 +178,8 @@
     pub fn note_served(&mut self, service: &str, order: &QueueOrder, now: Moment) {
         let queue = self.services.entry(service.to_owned()).or_default();
         queue.leave(order.number);
-        while queue.served.front().is_some_and(|(at, _)| now >= at.after_millis(SERVED_MILLIS)) {
-            queue.served.pop_front();
-        }
+        queue.forget_served(now);
+        *queue.counts.entry(order.account.clone()).or_default() += 1;
         queue.served.push_back((now, order.account.clone()));
     }
 
@@ -189,8 +198,8 @@
     /// Forgets services where nobody waits and nothing was served or refused lately.
     pub fn sweep(&mut self, now: Moment) {
         self.services.retain(|_, queue| {
-            let is_served = queue.served.back().is_some_and(|(at, _)| now < at.after_millis(SERVED_MILLIS));
-            !queue.rows.is_empty() || is_served || now < queue.returns_until
+            queue.forget_served(now);
+            !queue.rows.is_empty() || !queue.served.is_empty() || now < queue.returns_until
         });
     }
 }
--- a/crates/decide/src/fleet/fleet_limits.rs
+++ b/crates/decide/src/fleet/fleet_limits.rs
@@ -127,6 +127,17 @@
         self.rows.get_mut(&key)?.limit.take_due(change, now)
     }
 
+    /// Words of limits that stand, `most` of them from the `turn`th on: VMs that have just started know none.
+    pub fn limits_in_turn(&self, turn: usize, most: usize) -> Vec<(EndpointKey, LimitWord)> {
+        if !self.has_limits {
+            return Vec::new();
+        }
+        let words = self.rows.iter().filter_map(|(key, row)| Some((*key, *row.limit.word()?)));
+        let words: Vec<_> = words.filter(|(_, word)| word.per_s.is_some()).collect();
+        let places = (0..words.len().min(most)).map(|place| (turn + place) % words.len());
+        places.map(|place| words[place]).collect()
+    }
+
     /// Ends limits that no answer has repeated for long, and names their endpoints.
     pub fn end_lapsed_limits(&mut self, now: Moment) -> Vec<String> {
         let mut lapsed = Vec::new();
--- a/crates/decide/src/fleet/named_limit.rs
+++ b/crates/decide/src/fleet/named_limit.rs
@@ -59,6 +59,8 @@
     word: Option<LimitWord>,
     /// When the other VMs are to be told of what it repeats.
     retell_at: Moment,
+    /// When the answer came that they were told of last.
+    told_heard_at: Moment,
 }
 
 impl LimitWord {
@@ -125,6 +127,11 @@
         self.word.and_then(|word| word.per_s)
     }
 
+    /// The word that stands, a limit or the end of one.
+    pub const fn word(&self) -> Option<&LimitWord> {
+        self.word.as_ref()
+    }
+
     /// The limit that VMs keep to, in requests a second: the one that was named, or more when it has lapsed.
     pub fn rate(&self, now: Moment) -> Option<f64> {
         let word = self.word?;
@@ -143,10 +150,12 @@
     /// The word that other VMs are to be told now, if any: one that changed something, or repeats what they know for so long.
     pub(crate) fn take_due(&mut self, change: LimitChange, now: Moment) -> Option<LimitWord> {
         let word = self.word?;
-        if change == LimitChange::None && now < self.retell_at {
+        let is_repeated = now >= self.retell_at && word.heard_at > self.told_heard_at;
+        if change == LimitChange::None && !is_repeated {
             return None;
         }
         self.retell_at = now.after_millis(RETELL_MILLIS);
+        self.told_heard_at = word.heard_at;
         Some(word)
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -245,7 +245,12 @@
         let verdict = gateway.shares.queue().admit(ask.service, &self.queue_order, &outlook, now);
         Some(match verdict {
             ShareVerdict::Wait(until) => PlaceResult::WaitForShare(until),
-            ShareVerdict::Refuse(back_millis) => PlaceResult::Limited(back_millis),
+            ShareVerdict::Refuse(back_millis) => {
+                log::info!(request = self.ticket.id_text(), service = ask.service,
+                    own_per_s = outlook.own_per_s, all_per_s = outlook.all_per_s, back_ms = back_millis;
+                    "request.limited");
+                PlaceResult::Limited(back_millis)
+            }
         })
     }
 
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -164,9 +164,10 @@
 }
 
 async fn sweep(gateway: Arc<Gateway>) {
-    loop {
+    for turn in 0.. {
         tokio::time::sleep(SWEEP_PAUSE).await;
         let now = gateway.now();
+        gateway.retell_limits(turn);
         let (gone, doubted, evacuated, cold, limited) = {
             let mut table = gateway.table();
             for data_centre in table.end_lapsed_evacuations(now) {
--- a/crates/gateway/src/gateway_status.rs
+++ b/crates/gateway/src/gateway_status.rs
@@ -1,8 +1,9 @@
 //! What a gateway tells operators of itself and of what it believes.
 
-use crate::StorePosition;
 use crate::gateway::Gateway;
+use crate::{EndpointKey, EndpointRow, RateTerms, ShareRight, StorePosition};
 use serde::Serialize;
+use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::sync::atomic::Ordering;
 
 /// The state of one gateway.
@@ -19,15 +20,51 @@
     endpoints: usize,
     /// Those that are cold and bear less than warm ones.
     cold_endpoints: usize,
+    /// Those that name a limit.
+    limits: Vec<LimitStatus>,
     /// Data centres whose endpoints get no work because the operator asked for that.
     evacuated: Vec<String>,
 }
 
+/// An endpoint that names a limit.
+#[derive(Debug, Serialize)]
+struct LimitStatus {
+    endpoint: String,
+    service: String,
+    /// Requests a second that it named.
+    named_per_s: f64,
+    /// Requests a second that all VMs together send it: more than it named once nobody has heard it for long.
+    kept_per_s: f64,
+    /// This VM's part of them.
+    own_per_s: f64,
+    /// How long ago an answer named it, in milliseconds.
+    heard_ago_ms: u64,
+}
+
+impl LimitStatus {
+    fn of(key: EndpointKey, row: &EndpointRow, right: Option<&ShareRight>, now: Moment) -> Option<Self> {
+        let word = row.limit.word()?;
+        let kept_per_s = row.limit.rate(now)?;
+        let terms = RateTerms::of_limit(kept_per_s);
+        let part = right.map_or(0, |right| right.part(key, &row.entry.data_centre, &terms));
+        Some(Self {
+            endpoint: row.entry.id.clone(),
+            service: row.entry.service.clone(),
+            named_per_s: word.per_s?,
+            kept_per_s,
+            own_per_s: terms.per_s(part),
+            heard_ago_ms: now.micros_since(word.heard_at) / MICROS_PER_MILLI,
+        })
+    }
+}
+
 impl GatewayStatus {
     pub(crate) fn of(gateway: &Gateway) -> Self {
         let now = gateway.now();
         let configuration = gateway.routes().map(|table| table.config().version);
+        let right = gateway.share_right();
         let table = gateway.table();
+        let limits = table.rows().filter_map(|(key, row)| LimitStatus::of(key, row, right.as_deref(), now));
         Self {
             name: gateway.settings.name.clone(),
             data_centre: gateway.settings.data_centre.clone(),
@@ -40,6 +77,7 @@
             },
             endpoints: table.rows().count(),
             cold_endpoints: table.cold_count(now),
+            limits: limits.collect(),
             evacuated: table.evacuated(now).map(str::to_owned).collect(),
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -75,7 +75,7 @@
     HolderStanding, IdentityKey, KeptRow, LEADS, LimitChange, LimitWord, LinkMoves, ListStanding, LoadCount,
     LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress,
     NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, QuarantineChange, QuarantineNote,
-    QueueOrder, RequestIdentity, RequestKey, RequestQuarantine, RetryBudget, RouteTable, SendOutcome,
-    SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView, VmEntry, VmKey, WantedWeights, WeightDesk,
-    cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    QueueOrder, RateTerms, RequestIdentity, RequestKey, RequestQuarantine, RetryBudget, RouteTable,
+    SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView, VmEntry, VmKey, WantedWeights,
+    WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
 };
--- a/crates/gateway/src/limit_desk.rs
+++ b/crates/gateway/src/limit_desk.rs
@@ -12,6 +12,9 @@
 use serde::{Deserialize, Serialize};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
+/// Limits that a VM tells again at each turn, twice a second: a VM that starts learns of them from all others.
+const RETOLD_MOST: usize = 1;
+
 /// The answer that a limit was read from.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct LimitSource<'a> {
@@ -122,6 +125,14 @@
         due.map(|word| HeardLimit { key: source.key, word })
     }
 
+    /// Tells the VMs of this data centre again of limits that stand, some at each `turn`.
+    pub(crate) fn retell_limits(&self, turn: usize) {
+        let words = self.table().limits_in_turn(turn * RETOLD_MOST, RETOLD_MOST);
+        for (key, word) in words {
+            self.near_limits.push(HeardLimit { key, word });
+        }
+    }
+
     fn count_limit(&self, said: &SaidLimit) {
         let kind = match said {
             SaidLimit::Nothing => return,
--- a/crates/spanfold/src/explain.rs
+++ b/crates/spanfold/src/explain.rs
@@ -14,13 +14,16 @@
 /// What a VM came to believe up to this long before a request's last line belongs to its story.
 const BELIEF_MILLIS: u64 = 15_000;
 /// Events that tell what a VM believes of the whole deployment.
-const BELIEFS: [&str; 9] = [
+const BELIEFS: [&str; 12] = [
     "configuration.in_force",
     "configuration.rejected",
     "dependency.lost",
     "dependency.regained",
     "gateway.started",
     "gateway.stopping",
+    "limit.ended",
+    "limit.lapsed",
+    "limit.named",
     "store.relist",
     "watch.relist",
     "weights.named",
--- a/crates/spanfold/src/status_report.rs
+++ b/crates/spanfold/src/status_report.rs
@@ -42,6 +42,19 @@
         status["endpoints"],
         status["cold_endpoints"],
     );
+    for limit in status["limits"].as_array().into_iter().flatten() {
+        let name = |key: &str| limit[key].as_str().unwrap_or_default().to_owned();
+        let rate = |key: &str| limit[key].as_f64().unwrap_or_default();
+        let _ = writeln!(
+            text,
+            "  {} of {} takes {} a second of all VMs (named {} ms ago), {:.3} of this one",
+            name("endpoint"),
+            name("service"),
+            rate("named_per_s"),
+            limit["heard_ago_ms"],
+            rate("own_per_s"),
+        );
+    }
     for data_centre in status["evacuated"].as_array().into_iter().flatten() {
         let _ = writeln!(text, "  {} is evacuated", data_centre.as_str().unwrap_or_default());
     }
