--- a/crates/decide/tests/shared_fleet/mod.rs
+++ b/crates/decide/tests/shared_fleet/mod.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Trouble {
     None,
+    /// VMs are cut off from the store, many at once and for up to a minute, and go on serving.
+    Cuts,
     /// VMs are killed, cut off from the store, frozen, added and removed, many at once; the store is away.
     Any,
 }
@@ -222,6 +224,10 @@
         if trouble == Trouble::Any && random.random_bool(0.01) {
             strike(&mut fleet, &mut store, &mut random, now);
         }
+        if trouble == Trouble::Cuts && random.random_bool(0.001) {
+            let until = now.after_millis(random.random_range(500..60_000));
+            cut_some(&mut fleet, &mut random, until);
+        }
         for vm in fleet.vms.iter_mut().filter(|vm| vm.acts(now)) {
             vm.ask(&mut store, &mut random, &scene, now);
             let part = way(vm, &scene, now);
@@ -240,6 +246,16 @@
     EndpointLoad { most, most_in_touch, mean: f64::from(total) / seconds as f64 }
 }
 
+/// Cuts some of the VMs off from the store.
+fn cut_some(fleet: &mut Fleet, random: &mut SmallRng, until: Moment) {
+    let share = random.random_range(0.0..1.0);
+    for vm in &mut fleet.vms {
+        if random.random_bool(share) {
+            vm.cut_until = vm.cut_until.max(until);
+        }
+    }
+}
+
 /// Lets something befall some of the VMs, or the store.
 fn strike(fleet: &mut Fleet, store: &mut StoreList, random: &mut SmallRng, now: Moment) {
     let share = if random.random_bool(0.2) { 1.0 } else { random.random_range(0.0..0.6) };
--- a/crates/decide/tests/shared_rate.rs
+++ b/crates/decide/tests/shared_rate.rs
@@ -107,6 +107,17 @@
         let load = play(own_part, (vms, centres), &limit_scene(per_s, data_centre), Trouble::Any, (90, seed));
         prop_assert!(load.most_in_touch <= limit_allowed(per_s), "{} a second: {:?}", per_s, load);
     }
+
+    /// Those that are cut off keep their parts, and nobody else takes them meanwhile: also with them the sum holds.
+    #[test]
+    fn vms_that_are_cut_off_do_not_make_all_together_pass_what_an_endpoint_names(
+        vms in 1_usize..60,
+        per_s in prop_oneof![0.1..1.0, 1.0..3.0, 3.0..40.0],
+        seed in any::<u64>(),
+    ) {
+        let load = play(own_part, (vms, 1), &limit_scene(per_s, "dc-0"), Trouble::Cuts, (150, seed));
+        prop_assert!(load.most <= limit_allowed(per_s), "{} a second: {:?}", per_s, load);
+    }
 }
 
 #[test]
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -455,11 +455,12 @@
                 self.learn_ended(&flight);
                 return SendResult::Ended;
             }
-            self.hear_limit(&flight, &head.headers);
             flight.learn(SendOutcome::Refused);
             if head.status == StatusCode::MISDIRECTED_REQUEST {
-                // Its weights are not what was believed.
+                // Its weights are not what was believed, or another endpoint answers: the limit may be that one's.
                 self.gateway.table().doubt_weights(flight.key);
+            } else {
+                self.hear_limit(&flight, &head.headers);
             }
             log::info!(request = self.ticket.id_text(), endpoint = flight.endpoint.as_str(),
                 status = head.status.as_u16(); "endpoint.refused");
