A request that has gone elsewhere keeps nobody back in the share queue

What callers saw: where the limit of one endpoint ended while requests waited for the others, those that went there stayed first in the queue for as long as they ran, and requests behind them were sent elsewhere or refused although the limited endpoints took some. Cause: only a send to a limited endpoint left the queue.

--- a/crates/decide/src/admit/share_queue.rs
+++ b/crates/decide/src/admit/share_queue.rs
@@ -8,7 +8,8 @@
 //! time, and is refused as soon as those before it leave it no room. The refused may return one after the other, at all VMs
 //! together at the rate at which the endpoints take requests.
 //!
-//! Invariant: nobody who could go now is overtaken, and a request that cannot go now keeps back nobody who can.
+//! Invariant: nobody who could go now is overtaken, and a request that cannot go now, or has gone elsewhere, keeps back
+//! nobody who can.
 
 use spanfold_entity::{MICROS_PER_MILLI, MICROS_PER_SECOND, Moment};
 use std::collections::{BTreeMap, VecDeque};
@@ -17,6 +18,9 @@
 const WAIT_PART: f64 = 0.5;
 /// What an account was served counts for this long, in milliseconds: several of its requests, at small rates too.
 const SERVED_MILLIS: u64 = 10_000;
+/// A request that has not looked at the endpoints for this long, in milliseconds, does not wait any more: it has found
+/// another one. Those that wait look some ten times as often.
+const LOOKED_MILLIS: u64 = 250;
 /// The refused are told to return after this long at most, in milliseconds: nobody knows what endpoints take then.
 const BACK_MOST_MILLIS: u64 = 60_000;
 /// The shortest time after which the refused may return, in milliseconds.
@@ -82,6 +86,8 @@
     order: QueueOrder,
     /// When an endpoint takes it, as far as it saw.
     next_at: Moment,
+    /// When it looked last.
+    looked_at: Moment,
 }
 
 /// What requests are compared by: the lower goes first.
@@ -93,10 +99,12 @@
         (order.rank, served, order.received, order.number)
     }
 
-    /// Others that wait, go before `order`, and may go at `at`.
-    fn ahead(&self, order: &QueueOrder, at: Moment) -> usize {
+    /// Others that wait at `now`, go before `order`, and may go at `at`.
+    fn ahead(&self, order: &QueueOrder, at: Moment, now: Moment) -> usize {
         let own = self.key(order);
-        let others = self.rows.iter().filter(|row| row.order.number != order.number && row.next_at <= at);
+        let others = self.rows.iter().filter(|row| row.order.number != order.number);
+        let others =
+            others.filter(|row| row.next_at <= at && now < row.looked_at.after_millis(LOOKED_MILLIS));
         others.filter(|row| self.key(&row.order) < own).count()
     }
 
@@ -130,7 +138,7 @@
 impl ShareQueue {
     /// Whether a request that an endpoint takes now may go, or others that wait go before it.
     pub fn is_turn(&self, service: &str, order: &QueueOrder, now: Moment) -> bool {
-        self.services.get(service).is_none_or(|queue| queue.ahead(order, now) == 0)
+        self.services.get(service).is_none_or(|queue| queue.ahead(order, now, now) == 0)
     }
 
     /// Decides on a request that no endpoint takes now, or that others go before.
@@ -159,7 +167,7 @@
         let wait_until =
             order.received.after_micros((order.objective_millis as f64 * 1_000.0 * WAIT_PART) as u64);
         let turn_at = outlook.next_at.map(|next_at| {
-            let ahead = queue.ahead(order, next_at.max(now));
+            let ahead = queue.ahead(order, next_at.max(now), now);
             next_at
                 .max(now)
                 .after_micros((ahead as f64 / outlook.own_per_s * MICROS_PER_SECOND as f64) as u64)
@@ -167,7 +175,7 @@
         queue.leave(order.number);
         match (turn_at, outlook.next_at) {
             (Some(turn_at), Some(next_at)) if turn_at <= wait_until => {
-                queue.rows.push(WaitingRow { order: order.clone(), next_at });
+                queue.rows.push(WaitingRow { order: order.clone(), next_at, looked_at: now });
                 ShareVerdict::Wait(turn_at.max(now))
             }
             _ => ShareVerdict::Refuse(queue.back_millis(outlook, now)),
--- a/crates/decide/tests/share_queue.rs
+++ b/crates/decide/tests/share_queue.rs
@@ -77,6 +77,16 @@
     assert!(queue.is_turn(SERVICE, &order(2, 1, "b", 10), at(200)));
 }
 
+/// A request that had waited went to an endpoint whose limit ended, and stayed in the queue for as long as it ran there.
+#[test]
+fn one_that_has_gone_elsewhere_keeps_nobody_back() {
+    let mut queue = ShareQueue::default();
+    let waits = queue.admit(SERVICE, &order(1, 0, "a", 0), &outlook(2.0, 100), at(0));
+    assert_eq!(waits, ShareVerdict::Wait(at(100)));
+    assert!(!queue.is_turn(SERVICE, &order(2, 1, "b", 120), at(120)));
+    assert!(queue.is_turn(SERVICE, &order(2, 1, "b", 120), at(300)));
+}
+
 #[test]
 fn those_that_are_refused_together_return_one_after_the_other() {
     let mut queue = ShareQueue::default();
