House: limits observed in answers carry the field's terms

The metric limit_words is limit_reports, the status field heard_ago_ms is reported_ago_ms. No change of logic: the tests of decide, gateway and spanfold pass with the names alone changed in them.

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -1,4 +1,4 @@
-//! What this VM knows of one endpoint: its load, its pace, its health, what it keeps.
+//! State of one endpoint at this VM: load, pace, health, kept parts.
 
 use crate::fleet::peer_loads::PeerLoads;
 use crate::fleet::told_health::ToldHealth;
@@ -59,22 +59,22 @@
 const REFUSED_MILLIS: u64 = 150;
 /// Weight of the newest result in the failure ratio: ten results make the picture.
 const FAILURE_WEIGHT: f64 = 0.1;
-/// Weight of a sample of the pace that another VM reports: there are many more of them than of own ones.
-const TOLD_PACE_WEIGHT: f64 = 0.1;
+/// Weight of a pace sample from another VM; there are many more of them than own ones.
+const REPORTED_PACE_WEIGHT: f64 = 0.1;
 /// Weight of the newest sample of the pace.
 const PACE_WEIGHT: f64 = 0.2;
 /// Paces below this are outliers, in multiples of the expected one.
 const PACE_LEAST: f64 = 0.5;
 /// A pace that another VM reports counts as this multiple of the believed one at most: VMs that are slow themselves
 /// report all engines as slow, and 15 in 100 of them then raise paces by a sixth only.
-const TOLD_PACE_FACTOR: f64 = 2.0;
+const REPORTED_PACE_FACTOR: f64 = 2.0;
 /// From this failure ratio on, answers are worth reporting too: without them it would stay.
 const NOTABLE_RATIO: f64 = 0.05;
 /// Paces beyond this are outliers, in multiples of the expected one.
 const PACE_MOST: f64 = 20.0;
-/// Who said that an engine's weights are about to change.
+/// Source of the report that an engine's weights are about to change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CloseTeller {
+pub enum CloseReporter {
     /// This VM, which orders the change.
     Own,
     /// A VM of this data centre.
@@ -96,22 +96,22 @@
     pub evacuated_until: Moment,
     /// Until when it is cold, and bears a few requests a second only.
     pub cold_until: Moment,
-    /// What it says of how many requests it takes from all VMs together.
+    /// Requests a second that it takes from all VMs together.
     pub limit: NamedLimit,
-    /// What it said last of that could not be read, or named several limits.
+    /// Whether its last limit was invalid, or several.
     pub has_odd_limit: bool,
     /// What this VM has sent there while it took few requests.
     pub(crate) recent_sends: RecentSends,
     /// What this VM has in flight there.
     pub own: LoadCount,
-    /// What others have in flight there, as they told.
+    /// What other VMs have in flight there, as they reported.
     pub(crate) peers: PeerLoads,
     /// What it is believed to keep.
     pub kept: KeptParts,
     /// Until when it gets no new work, because its weights are about to change.
     pub closing_until: Moment,
-    /// Who said that the weights are about to change.
-    pub closed_by: CloseTeller,
+    /// Source of the report that its weights are about to change.
+    pub closed_by: CloseReporter,
     /// Weights as service discovery told them last; `entry` holds newer ones that were seen.
     pub listed_weights: BTreeMap<String, u64>,
     /// When this VM last saw newer weights itself, so that peers are told.
@@ -142,7 +142,7 @@
             peers: PeerLoads::default(),
             kept: KeptParts::default(),
             closing_until: Moment(0),
-            closed_by: CloseTeller::Own,
+            closed_by: CloseReporter::Own,
             listed_weights: entry.weights.clone(),
             weights_seen: None,
             weights_told: None,
@@ -180,7 +180,7 @@
         self.failure_ratio
     }
 
-    /// Whether it is passed over because of breaks; after a rest, one request at a time tries it.
+    /// Whether it is ejected after failed sends; afterwards one request at a time probes it.
     pub fn is_ejected(&self, now: Moment) -> bool {
         let is_tried = (self.breaks > 0 || self.told.is_doubted()) && self.own.running > 0;
         now < self.ejected_until || self.told.is_avoided(now) || is_tried
@@ -239,8 +239,8 @@
         }
     }
 
-    /// Learns from what another VM reports of a send.
-    pub(crate) fn learn_told(&mut self, teller: VmKey, report: &SendReport, turn: f64, now: Moment) {
+    /// Applies another VM's report of a send.
+    pub(crate) fn learn_reported(&mut self, teller: VmKey, report: &SendReport, turn: f64, now: Moment) {
         let failed = match report.outcome {
             SendOutcome::Answered => {
                 self.told.answered();
@@ -255,15 +255,15 @@
         };
         self.failure_ratio += FAILURE_WEIGHT * (failed - self.failure_ratio);
         if let Some(pace) = report.pace {
-            // The teller may be slow itself: its word moves the pace by a part of it only.
-            let most = self.pace * TOLD_PACE_FACTOR;
+            // The reporting VM may be slow itself: one sample moves the pace by a part only.
+            let most = self.pace * REPORTED_PACE_FACTOR;
             let sample =
-                f64::from(pace).clamp(self.pace / TOLD_PACE_FACTOR, most).clamp(PACE_LEAST, PACE_MOST);
-            self.pace += TOLD_PACE_WEIGHT * (sample - self.pace);
+                f64::from(pace).clamp(self.pace / REPORTED_PACE_FACTOR, most).clamp(PACE_LEAST, PACE_MOST);
+            self.pace += REPORTED_PACE_WEIGHT * (sample - self.pace);
         }
     }
 
-    /// Whether others must hear of a send to it: it failed, showed its pace, whatever it is, or tries it again.
+    /// Whether a send to it is reported to other VMs: it failed, measured the pace, or probed an endpoint in doubt.
     pub(crate) fn is_notable(&self, report: &SendReport) -> bool {
         report.outcome != SendOutcome::Answered
             || self.told.is_doubted()
--- a/crates/decide/src/fleet/fleet_limits.rs
+++ b/crates/decide/src/fleet/fleet_limits.rs
@@ -4,7 +4,7 @@
 
 use crate::admit::candidates;
 use crate::{
-    ColdSpec, ColdTerms, EndpointEntry, EndpointKey, EndpointRow, FleetTable, LimitChange, LimitWord,
+    ColdSpec, ColdTerms, EndpointEntry, EndpointKey, EndpointRow, FleetTable, LimitChange, LimitReport,
     PlacementAsk, RateTerms, ShareOutlook, ShareView,
 };
 use spanfold_entity::Moment;
@@ -111,31 +111,31 @@
     }
 
     /// Takes what an endpoint says of its limit, to this VM or as another one told.
-    pub fn hear_limit(&mut self, key: EndpointKey, word: LimitWord) -> LimitChange {
-        let change = self.rows.get_mut(&key).map_or(LimitChange::None, |row| row.limit.hear(word));
+    pub fn observe_limit(&mut self, key: EndpointKey, report: LimitReport) -> LimitChange {
+        let change = self.rows.get_mut(&key).map_or(LimitChange::None, |row| row.limit.observe(report));
         self.has_limits |= change == LimitChange::Begun;
         change
     }
 
-    /// The word of an endpoint's limit that other VMs are to be told now, if any, after one that changed `change`.
+    /// The report of an endpoint's limit that other VMs are to be told now, if any, after one that changed `change`.
     pub fn take_due_limit(
         &mut self,
         key: EndpointKey,
         change: LimitChange,
         now: Moment,
-    ) -> Option<LimitWord> {
+    ) -> Option<LimitReport> {
         self.rows.get_mut(&key)?.limit.take_due(change, now)
     }
 
     /// Words of limits that stand, `most` of them from the `turn`th on: VMs that have just started know none.
-    pub fn limits_in_turn(&self, turn: usize, most: usize) -> Vec<(EndpointKey, LimitWord)> {
+    pub fn limits_in_turn(&self, turn: usize, most: usize) -> Vec<(EndpointKey, LimitReport)> {
         if !self.has_limits {
             return Vec::new();
         }
-        let words = self.rows.iter().filter_map(|(key, row)| Some((*key, *row.limit.word()?)));
-        let words: Vec<_> = words.filter(|(_, word)| word.per_s.is_some()).collect();
-        let places = (0..words.len().min(most)).map(|place| (turn + place) % words.len());
-        places.map(|place| words[place]).collect()
+        let reports = self.rows.iter().filter_map(|(key, row)| Some((*key, *row.limit.report()?)));
+        let reports: Vec<_> = reports.filter(|(_, report)| report.per_s.is_some()).collect();
+        let places = (0..reports.len().min(most)).map(|place| (turn + place) % reports.len());
+        places.map(|place| reports[place]).collect()
     }
 
     /// Ends limits that no answer has repeated for long, and names their endpoints.
@@ -150,7 +150,7 @@
         lapsed
     }
 
-    /// Notes whether an endpoint's last word of its limit was odd; whether that is new.
+    /// Notes whether an endpoint's last report of its limit was odd; whether that is new.
     pub fn note_odd_limit(&mut self, key: EndpointKey, is_odd: bool) -> bool {
         let Some(row) = self.rows.get_mut(&key) else { return false };
         let is_new = is_odd && !row.has_odd_limit;
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -5,7 +5,7 @@
 //! earlier one holds for it. Rows are found by a short digest of id and start, which is the same on all VMs, so that
 //! digests of loads need no names.
 
-use crate::CloseTeller;
+use crate::CloseReporter;
 use crate::{
     DeploymentConfig, EndpointEntry, EndpointRow, HomeRegions, LoadCount, PromptPart, SendOutcome,
     SendReport, ServiceRow, StoreRow, StoreSpec,
@@ -516,7 +516,7 @@
     pub fn close_until(&mut self, key: EndpointKey, until: Moment) {
         if let Some(row) = self.rows.get_mut(&key) {
             row.closing_until = until;
-            row.closed_by = CloseTeller::Own;
+            row.closed_by = CloseReporter::Own;
         }
     }
 
@@ -524,7 +524,7 @@
     pub fn close_as_told(&mut self, key: EndpointKey, until: Moment, is_near: bool) {
         if let Some(row) = self.rows.get_mut(&key) {
             row.closing_until = until;
-            row.closed_by = if is_near { CloseTeller::Near } else { CloseTeller::Far };
+            row.closed_by = if is_near { CloseReporter::Near } else { CloseReporter::Far };
         }
     }
 
@@ -610,9 +610,9 @@
     }
 
     /// Learns from what another VM reports of a send; `turn` is this VM's place, drawn anew, among all VMs.
-    pub fn learn_told(&mut self, teller: VmKey, report: &SendReport, turn: f64, now: Moment) {
+    pub fn learn_reported(&mut self, teller: VmKey, report: &SendReport, turn: f64, now: Moment) {
         if let Some(row) = self.rows.get_mut(&report.key) {
-            row.learn_told(teller, report, turn, now);
+            row.learn_reported(teller, report, turn, now);
         }
     }
 }
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -20,10 +20,10 @@
     AccountRow, ColdSpec, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews,
     PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec, WeightTarget,
 };
-pub use endpoint_row::{CloseTeller, EndpointRow, LoadCount, SendOutcome};
+pub use endpoint_row::{CloseReporter, EndpointRow, LoadCount, SendOutcome};
 pub use fleet_table::{EndpointKey, FleetTable, LinkMoves, LoadSource, VmKey, short_digest};
 pub use home_regions::HomeRegions;
-pub use named_limit::{LimitChange, LimitWord, NamedLimit};
+pub use named_limit::{LimitChange, LimitReport, NamedLimit};
 pub use news_history::NewsHistory;
 pub use news_pieces::{NewsAssembly, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, cut_news};
 pub use peer_book::{HeardVm, LEADS, PeerBook, VmEntry};
--- a/crates/decide/src/fleet/named_limit.rs
+++ b/crates/decide/src/fleet/named_limit.rs
@@ -1,14 +1,14 @@
-//! What an endpoint says of how many requests a second it takes from all VMs together.
+//! The current limit of an endpoint: requests a second that it takes from all VMs together.
 //!
-//! Pattern: an endpoint in need names a limit in its answers, for as long as it holds: another value takes its place, and
-//! an answer without one ends it. Answers come over many connections to many VMs, which tell one another, so that they
-//! cross. When an answer was made is not told; it was made between its request's send and its arrival.
+//! An overloaded endpoint names a limit in each answer while the limit holds. Another value replaces it, and an answer
+//! without one ends it. Answers reach many VMs over many connections, so reports arrive out of order. An answer was made
+//! between the send of its request and its arrival.
 //!
-//! Invariant: of two words the later one stands. Where their times overlap, and either may be the later one, the lower limit
-//! stands: wrongly kept, it is corrected by the next answer; wrongly dropped, the endpoint would get too much.
+//! Invariant: of two reports the later one is kept. Where their intervals overlap, the lower limit is kept: the next answer
+//! corrects one that was kept wrongly, whereas one that was dropped wrongly overloads the endpoint.
 //!
-//! A limit that no answer repeats for a while ends by itself, not at once but by doubling: all VMs would send together to an
-//! endpoint that may still mean it, before the first answer says so.
+//! A limit that no answer repeats expires by doubling, since all VMs would otherwise send at once to an endpoint that may
+//! still need it.
 
 use crate::admit::{LEAST_PER_S, RateTerms};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -22,51 +22,50 @@
 const DOUBLE_MILLIS: f64 = 4_000.0;
 /// A limit that has risen to so many requests a second is over.
 const RISEN_PER_S: f64 = 1_000.0;
-/// VMs are told again of what an endpoint repeats after this long, in milliseconds.
-const RETELL_MILLIS: u64 = 1_000;
+/// Interval between repeated reports of one endpoint to other VMs, in milliseconds.
+const REPEAT_MILLIS: u64 = 1_000;
 
-/// A word that ended a limit is remembered for this long, in milliseconds, so that older words that come late do not bring
-/// the limit back, and so that other VMs are told.
+/// Time for which the end of a limit is kept, in milliseconds, so that late reports do not restore the limit.
 const ENDED_MILLIS: u64 = 10_000;
 
-/// What one answer says of its endpoint's limit.
+/// The limit in one answer.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitWord {
+pub struct LimitReport {
     /// Requests a second from all VMs together; none if the answer names no limit.
     pub per_s: Option<f64>,
-    /// When its request was sent: the word is not older.
+    /// When its request was sent; the answer is not older.
     pub sent_at: Moment,
-    /// When the answer came: the word is not newer.
-    pub heard_at: Moment,
+    /// When the answer arrived; the answer is not newer.
+    pub received_at: Moment,
 }
 
-/// What a word changed.
+/// Effect of a report on the current limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitChange {
-    /// Nothing: it repeats what stands, or is older.
+    /// None: it repeats the current limit, or is older.
     None,
-    /// A limit stands where there was none.
+    /// The endpoint had no limit before.
     Begun,
-    /// Another limit stands; the one before is given, in requests a second.
+    /// It replaced this limit, in requests a second.
     Changed(f64),
-    /// No limit stands any more; the one before is given, in requests a second.
+    /// It ended this limit, in requests a second.
     Ended(f64),
 }
 
-/// What stands of what an endpoint said.
+/// The newest report of an endpoint's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NamedLimit {
-    word: Option<LimitWord>,
-    /// When the other VMs are to be told of what it repeats.
-    retell_at: Moment,
-    /// When the answer came that they were told of last.
-    told_heard_at: Moment,
+    report: Option<LimitReport>,
+    /// When the report is next repeated to other VMs.
+    repeat_at: Moment,
+    /// Arrival of the answer that was last reported to them.
+    repeated_received_at: Moment,
 }
 
-impl LimitWord {
+impl LimitReport {
     /// Whether it is surely later than `other`.
     fn is_after(&self, other: &Self) -> bool {
-        self.sent_at >= other.heard_at
+        self.sent_at >= other.received_at
     }
 
     /// Whether it allows less than `other`.
@@ -80,42 +79,42 @@
 }
 
 impl NamedLimit {
-    /// Takes a word of the endpoint, from an answer to this VM or as another VM told it.
+    /// Applies a report, from an answer to this VM or from another VM.
     ///
     /// # Examples
     /// ```
-    /// use spanfold_decide::{LimitChange, LimitWord, NamedLimit};
+    /// use spanfold_decide::{LimitChange, LimitReport, NamedLimit};
     /// use spanfold_entity::Moment;
-    /// let word = |per_s, sent, heard| LimitWord { per_s, sent_at: Moment(sent), heard_at: Moment(heard) };
+    /// let report = |per_s, sent, heard| LimitReport { per_s, sent_at: Moment(sent), received_at: Moment(heard) };
     /// let mut limit = NamedLimit::default();
-    /// assert_eq!(limit.hear(word(Some(1.4), 10, 20)), LimitChange::Begun);
-    /// assert_eq!(limit.hear(word(None, 5, 9)), LimitChange::None);
-    /// assert_eq!(limit.hear(word(None, 20, 30)), LimitChange::Ended(1.4));
+    /// assert_eq!(limit.observe(report(Some(1.4), 10, 20)), LimitChange::Begun);
+    /// assert_eq!(limit.observe(report(None, 5, 9)), LimitChange::None);
+    /// assert_eq!(limit.observe(report(None, 20, 30)), LimitChange::Ended(1.4));
     /// ```
-    pub fn hear(&mut self, word: LimitWord) -> LimitChange {
-        let Some(standing) = self.word else {
-            if word.per_s.is_none() {
+    pub fn observe(&mut self, report: LimitReport) -> LimitChange {
+        let Some(current) = self.report else {
+            if report.per_s.is_none() {
                 return LimitChange::None;
             }
-            self.word = Some(word);
+            self.report = Some(report);
             return LimitChange::Begun;
         };
-        if standing.is_after(&word) {
+        if current.is_after(&report) {
             return LimitChange::None;
         }
-        if word.per_s == standing.per_s {
-            self.word = Some(LimitWord {
-                sent_at: standing.sent_at.max(word.sent_at),
-                heard_at: standing.heard_at.max(word.heard_at),
-                ..word
+        if report.per_s == current.per_s {
+            self.report = Some(LimitReport {
+                sent_at: current.sent_at.max(report.sent_at),
+                received_at: current.received_at.max(report.received_at),
+                ..report
             });
             return LimitChange::None;
         }
-        if !word.is_after(&standing) && !word.is_lower(&standing) {
+        if !report.is_after(&current) && !report.is_lower(&current) {
             return LimitChange::None;
         }
-        self.word = Some(word);
-        match (standing.per_s, word.per_s) {
+        self.report = Some(report);
+        match (current.per_s, report.per_s) {
             (None, _) => LimitChange::Begun,
             (Some(before), Some(_)) => LimitChange::Changed(before),
             (Some(before), None) => LimitChange::Ended(before),
@@ -124,20 +123,20 @@
 
     /// The limit that the endpoint named last, in requests a second.
     pub fn per_s(&self) -> Option<f64> {
-        self.word.and_then(|word| word.per_s)
+        self.report.and_then(|report| report.per_s)
     }
 
-    /// The word that stands, a limit or the end of one.
-    pub const fn word(&self) -> Option<&LimitWord> {
-        self.word.as_ref()
+    /// The newest report, of a limit or of its end.
+    pub const fn report(&self) -> Option<&LimitReport> {
+        self.report.as_ref()
     }
 
-    /// The limit that VMs keep to, in requests a second: the one that was named, or more when it has lapsed.
+    /// The limit in force at `now`, in requests a second; above the named one while it expires.
     pub fn rate(&self, now: Moment) -> Option<f64> {
-        let word = self.word?;
-        let per_s = word.per_s?;
+        let report = self.report?;
+        let per_s = report.per_s?;
         let window_millis = RateTerms::of_limit(per_s).window_millis;
-        let lapse_at = word.heard_at.after_millis(LAPSE_MILLIS + LAPSE_WINDOWS * window_millis);
+        let lapse_at = report.received_at.after_millis(LAPSE_MILLIS + LAPSE_WINDOWS * window_millis);
         if now < lapse_at {
             return Some(per_s);
         }
@@ -147,25 +146,25 @@
         (risen < RISEN_PER_S).then_some(risen)
     }
 
-    /// The word that other VMs are to be told now, if any: one that changed something, or repeats what they know for so long.
-    pub(crate) fn take_due(&mut self, change: LimitChange, now: Moment) -> Option<LimitWord> {
-        let word = self.word?;
-        let is_repeated = now >= self.retell_at && word.heard_at > self.told_heard_at;
+    /// The report to send to other VMs now: one that changed something, or a repetition that is due.
+    pub(crate) fn take_due(&mut self, change: LimitChange, now: Moment) -> Option<LimitReport> {
+        let report = self.report?;
+        let is_repeated = now >= self.repeat_at && report.received_at > self.repeated_received_at;
         if change == LimitChange::None && !is_repeated {
             return None;
         }
-        self.retell_at = now.after_millis(RETELL_MILLIS);
-        self.told_heard_at = word.heard_at;
-        Some(word)
+        self.repeat_at = now.after_millis(REPEAT_MILLIS);
+        self.repeated_received_at = report.received_at;
+        Some(report)
     }
 
-    /// Forgets the end of a limit after a while, and a limit that has lapsed and risen; whether it was that.
+    /// Drops an old end of a limit, and a limit that has expired; whether it was the latter.
     pub(crate) fn sweep(&mut self, now: Moment) -> bool {
-        let Some(word) = self.word else { return false };
-        let has_risen = word.per_s.is_some() && self.rate(now).is_none();
-        let is_old = word.per_s.is_none() && now >= word.heard_at.after_millis(ENDED_MILLIS);
+        let Some(report) = self.report else { return false };
+        let has_risen = report.per_s.is_some() && self.rate(now).is_none();
+        let is_old = report.per_s.is_none() && now >= report.received_at.after_millis(ENDED_MILLIS);
         if has_risen || is_old {
-            self.word = None;
+            self.report = None;
         }
         has_risen
     }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,9 +24,9 @@
     ShareView, place, salt_text, salt_version, take_part,
 };
 pub use fleet::{
-    AccountRow, CloseTeller, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow,
+    AccountRow, CloseReporter, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow,
     EngineReport, EngineSpec, FleetTable, HeardVm, HomeRegions, KeptChange, KeptNews, LEADS, LimitChange,
-    LimitWord, LinkMoves, LoadCount, LoadSource, NamedLimit, NewsAssembly, NewsHistory, NewsPiece,
+    LimitReport, LinkMoves, LoadCount, LoadSource, NamedLimit, NewsAssembly, NewsHistory, NewsPiece,
     NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook, PromptPart, RequestLimits, RouteKind, RouteRow,
     RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight, StoreEvent, StoreItem, StorePosition,
     StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target, short_digest,
--- a/crates/decide/tests/engine_starts.rs
+++ b/crates/decide/tests/engine_starts.rs
@@ -71,7 +71,7 @@
         }
         for vm in ["a", "b"] {
             let report = SendReport { key: key(1_000), outcome: SendOutcome::Unreached, pace: None };
-            table.learn_told(VmKey::of(vm), &report, 0.0, at(5));
+            table.learn_reported(VmKey::of(vm), &report, 0.0, at(5));
         }
     });
     let row = table.row(key(2_000)).unwrap();
--- a/crates/decide/tests/shared_rate.rs
+++ b/crates/decide/tests/shared_rate.rs
@@ -6,7 +6,7 @@
 use proptest::test_runner::RngSeed;
 use shared_fleet::{FleetVm, Scene, Trouble, play};
 use spanfold_decide::{
-    ColdSpec, ColdTerms, DeploymentConfig, EndpointEntry, EndpointKey, FleetTable, LimitWord, RateTerms,
+    ColdSpec, ColdTerms, DeploymentConfig, EndpointEntry, EndpointKey, FleetTable, LimitReport, RateTerms,
     ServiceRow, ShareRight, ShareView, VmKey,
 };
 use spanfold_entity::Moment;
@@ -198,8 +198,8 @@
 
 /// The endpoint names a limit, or none, in an answer that comes at so many milliseconds, 10 after its request.
 fn name(table: &mut FleetTable, per_s: Option<f64>, millis: u64) {
-    let word = LimitWord { per_s, sent_at: at(millis - 10), heard_at: at(millis) };
-    table.hear_limit(EndpointKey::of("i-1"), word);
+    let word = LimitReport { per_s, sent_at: at(millis - 10), received_at: at(millis) };
+    table.observe_limit(EndpointKey::of("i-1"), word);
 }
 
 #[test]
--- a/crates/decide/tests/told_health.rs
+++ b/crates/decide/tests/told_health.rs
@@ -55,21 +55,21 @@
 #[test]
 fn one_vms_word_passes_nobody_over_and_two_do_until_an_answer() {
     let mut table = table(2);
-    table.learn_told(vm(1), &report(SendOutcome::Unreached), 0.0, at(0));
-    table.learn_told(vm(1), &report(SendOutcome::Unreached), 0.0, at(100));
+    table.learn_reported(vm(1), &report(SendOutcome::Unreached), 0.0, at(0));
+    table.learn_reported(vm(1), &report(SendOutcome::Unreached), 0.0, at(100));
     assert!(!is_ejected(&table, at(100)), "a VM that is cut off tells of all endpoints, again and again");
-    table.learn_told(vm(2), &report(SendOutcome::Unreached), 0.0, at(200));
+    table.learn_reported(vm(2), &report(SendOutcome::Unreached), 0.0, at(200));
     assert!(is_ejected(&table, at(200)));
-    table.learn_told(vm(3), &report(SendOutcome::Answered), 0.0, at(300));
+    table.learn_reported(vm(3), &report(SendOutcome::Answered), 0.0, at(300));
     assert!(!is_ejected(&table, at(300)), "it answers somebody");
 }
 
 #[test]
 fn an_answer_between_two_vms_words_speaks_for_the_endpoint() {
     let mut table = table(2);
-    table.learn_told(vm(1), &report(SendOutcome::Unreached), 0.0, at(0));
-    table.learn_told(vm(2), &report(SendOutcome::Answered), 0.0, at(50));
-    table.learn_told(vm(3), &report(SendOutcome::Unreached), 0.0, at(100));
+    table.learn_reported(vm(1), &report(SendOutcome::Unreached), 0.0, at(0));
+    table.learn_reported(vm(2), &report(SendOutcome::Answered), 0.0, at(50));
+    table.learn_reported(vm(3), &report(SendOutcome::Unreached), 0.0, at(100));
     assert!(!is_ejected(&table, at(100)));
 }
 
@@ -77,7 +77,7 @@
 fn answers_that_break_pass_nobody_over_but_cost() {
     let mut table = table(2);
     for teller in 0..20 {
-        table.learn_told(vm(teller), &report(SendOutcome::Broken), 0.0, at(teller * 20));
+        table.learn_reported(vm(teller), &report(SendOutcome::Broken), 0.0, at(teller * 20));
     }
     assert!(!is_ejected(&table, at(400)));
     assert!(table.row(key(0)).unwrap().failure_ratio() > 0.8);
@@ -88,7 +88,7 @@
     let mut fleet = table(2);
     let slow = SendReport { key: key(0), outcome: SendOutcome::Answered, pace: Some(3.5) };
     for teller in 0..10 {
-        fleet.learn_told(vm(teller), &slow, 0.0, at(teller * 200));
+        fleet.learn_reported(vm(teller), &slow, 0.0, at(teller * 200));
     }
     assert!(fleet.row(key(0)).unwrap().pace() > 2.2, "{}", fleet.row(key(0)).unwrap().pace());
     // Every seventh VM is 5.5 times slower itself.
@@ -96,7 +96,7 @@
     for teller in 0..70 {
         let pace = if teller % 7 == 0 { 5.5 } else { 1.0 };
         let report = SendReport { pace: Some(pace), ..slow };
-        fleet.learn_told(vm(teller), &report, 0.0, at(teller * 200));
+        fleet.learn_reported(vm(teller), &report, 0.0, at(teller * 200));
     }
     assert!(fleet.row(key(0)).unwrap().pace() < 1.3, "{}", fleet.row(key(0)).unwrap().pace());
 }
@@ -176,7 +176,7 @@
             if tells && tables[teller].is_notable(&report, now) {
                 for (_, table) in tables.iter_mut().enumerate().filter(|(other, _)| *other != teller) {
                     let turn = draw.random::<f64>() * VMS as f64;
-                    table.learn_told(vm(teller as u64), &report, turn, now);
+                    table.learn_reported(vm(teller as u64), &report, turn, now);
                 }
             }
         }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -1,14 +1,14 @@
-//! One send of a request: choose an endpoint, say what it needs to know, judge what comes back.
+//! One send of a request: choose an endpoint, set its headers, classify the answer.
 //!
-//! Invariant: whether the request may have run is known after each send; it may not where no byte left
-//! or the endpoint refused it itself.
+//! Invariant: after each send it is known whether the request may have run. It has not if no byte left this process or the
+//! endpoint refused it.
 
+use crate::answer_handler::AnswerSource;
 use crate::clock::TimeIsUp;
 use crate::endpoint_pool::{EndpointConnection, ExchangeError};
 use crate::flight::SendFlight;
 use crate::gateway::CountGuard;
 use crate::gateway_metrics::KindLabel;
-use crate::limit_desk::LimitSource;
 use crate::outgoing_body::OutgoingBody;
 use crate::placed_note::PlacedNote;
 use crate::request_run::RequestRun;
@@ -42,8 +42,8 @@
 const FETCH_FACTOR: f64 = 2.0;
 /// And this much longer, in milliseconds: the request may wait before its fetch begins.
 const FETCH_EXTRA_MILLIS: u64 = 300;
-/// A request that has not begun is taken back so long before the weights of its engine are overdue, in milliseconds: VMs
-/// hear of a naming a while after it, and the engine of the end some milliseconds later.
+/// A request that has not begun is cancelled this long before the weights of its engine are overdue, in milliseconds: VMs
+/// learn of a new version with a delay, and the engine notices the cancellation some milliseconds later.
 const TAKE_BACK_MILLIS: u64 = 300;
 /// Pause between looks at whether weights are overdue, in milliseconds: namings set a bound some seconds ahead.
 const OVERDUE_LOOK_MILLIS: u64 = 500;
@@ -61,9 +61,9 @@
     Wait,
     /// Nowhere yet: its endpoints take few requests, and the next one from this VM at this moment.
     WaitForShare(Moment),
-    /// Nowhere: its endpoints take few requests, and none from this VM in time. It may come back after so many milliseconds.
+    /// Nowhere: its endpoints take none from this VM in time. Its caller may retry after so many milliseconds.
     Limited(u64),
-    /// Nowhere: its caller would leave before the answer. It may come back after so many milliseconds.
+    /// Nowhere: the answer would be too late for its caller, who may retry after so many milliseconds.
     Late(u64),
 }
 
@@ -100,7 +100,7 @@
     /// Chooses an endpoint and sends the request there once; none if there is no endpoint.
     pub(crate) async fn send_once(&mut self, last_event_id: Option<&Bytes>) -> Option<SendResult> {
         let (choice, flight) = loop {
-            // Others may have learned something while it waited here.
+            // The request may have been quarantined while it waited.
             self.wait_for_judgement().await;
             if self.gateway.now() >= self.ticket.limit {
                 return Some(SendResult::OutOfTime);
@@ -405,8 +405,7 @@
         self.may_have_run = true;
     }
 
-    /// Until when a request must have begun where it was sent: then the engine's weights are overdue. When it would begin
-    /// was only estimated; an estimate that was 2.6 s short let one begin 0.4 s too late.
+    /// When the engine's weights become overdue: the request must have begun by then. Its expected start is only an estimate.
     fn begin_until(&self) -> Moment {
         let version = self.choice.as_ref().and_then(|choice| choice.version);
         let wanted = self.ticket.model.as_deref().and_then(|model| self.gateway.wanted_weights(model));
@@ -436,9 +435,10 @@
     }
 
     /// Takes what the answer's head says of its endpoint's limit.
-    fn hear_limit(&self, flight: &SendFlight, headers: &HeaderMap) {
-        let source = LimitSource { key: flight.key, request: self.ticket.id_text(), sent_at: flight.sent_at };
-        self.gateway.hear_limit(&source, headers);
+    fn observe_limit(&self, flight: &SendFlight, headers: &HeaderMap) {
+        let source =
+            AnswerSource { key: flight.key, request: self.ticket.id_text(), sent_at: flight.sent_at };
+        self.gateway.observe_limit(&source, headers);
     }
 
     /// Judges an answer's head: is it this request's, and did the endpoint run it?
@@ -460,7 +460,7 @@
                 // Its weights are not what was believed, or another endpoint answers: the limit may be that one's.
                 self.gateway.table().doubt_weights(flight.key);
             } else {
-                self.hear_limit(&flight, &head.headers);
+                self.observe_limit(&flight, &head.headers);
             }
             log::info!(request = self.ticket.id_text(), endpoint = flight.endpoint.as_str(),
                 status = head.status.as_u16(); "endpoint.refused");
@@ -473,7 +473,7 @@
             flight.learn(SendOutcome::Failed);
             return SendResult::Lost("an answer to another request");
         }
-        self.hear_limit(&flight, &head.headers);
+        self.observe_limit(&flight, &head.headers);
         SendResult::Answer(Box::new(ReceivedHead { head, body, flight }))
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,12 +1,12 @@
 //! What the tasks of one gateway share.
 
 use crate::PeerBook;
+use crate::answer_handler::ObservedLimit;
 use crate::clock::GatewayClock;
 use crate::digest_relay::DigestRelay;
 use crate::end_watch::EndWatch;
 use crate::endpoint_pool::EndpointPool;
 use crate::gateway_metrics::GatewayMetrics;
-use crate::limit_desk::HeardLimit;
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::placed_note::PlacedNote;
 use crate::quarantine_desk::QuarantineDesk;
@@ -90,11 +90,11 @@
     /// This VM's part of what endpoints take that take few requests, and who waits for it.
     pub shares: ShareDesk,
     /// What endpoints said of their limits that the VMs of this data centre have not been told.
-    pub near_limits: WaitingNotes<HeardLimit>,
+    pub near_limits: WaitingNotes<ObservedLimit>,
     /// The same for other data centres.
-    pub far_limits: WaitingNotes<HeardLimit>,
+    pub far_limits: WaitingNotes<ObservedLimit>,
     /// The same of other data centres, while this VM leads.
-    pub passed_limits: WaitingNotes<HeardLimit>,
+    pub passed_limits: WaitingNotes<ObservedLimit>,
     /// Wakes the task that judges requests.
     pub evidence_came: Notify,
     /// Wakes the task that writes holds into the store.
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -124,7 +124,7 @@
     /// Requests that are held back now.
     pub held_requests: Gauge,
     /// Limits that endpoints named in answers to this VM, by what was said.
-    pub limit_words: Family<KindLabel, Counter>,
+    pub limit_reports: Family<KindLabel, Counter>,
     /// Endpoints that get less work than others.
     pub fleet: FleetGauges,
 }
@@ -189,11 +189,11 @@
         );
         registry.register("held_requests", "Requests that are held back", held_requests.clone());
         registry.register("open_requests", "Requests in flight at this VM", open_requests.clone());
-        let limit_words = Family::<KindLabel, Counter>::default();
+        let limit_reports = Family::<KindLabel, Counter>::default();
         registry.register(
-            "limit_words",
+            "limit_reports",
             "Limits that endpoints named, by what was said",
-            limit_words.clone(),
+            limit_reports.clone(),
         );
         let fleet = FleetGauges::register(&mut registry);
         Self {
@@ -217,7 +217,7 @@
             quarantine_holds,
             turned_away,
             held_requests,
-            limit_words,
+            limit_reports,
             fleet,
         }
     }
--- a/crates/gateway/src/gateway_status.rs
+++ b/crates/gateway/src/gateway_status.rs
@@ -38,22 +38,22 @@
     /// This VM's part of them.
     own_per_s: f64,
     /// How long ago an answer named it, in milliseconds.
-    heard_ago_ms: u64,
+    reported_ago_ms: u64,
 }
 
 impl LimitStatus {
     fn of(key: EndpointKey, row: &EndpointRow, right: Option<&ShareRight>, now: Moment) -> Option<Self> {
-        let word = row.limit.word()?;
+        let report = row.limit.report()?;
         let kept_per_s = row.limit.rate(now)?;
         let terms = RateTerms::of_limit(kept_per_s);
         let part = right.map_or(0, |right| right.part(key, &row.entry.data_centre, &terms));
         Some(Self {
             endpoint: row.entry.id.clone(),
             service: row.entry.service.clone(),
-            named_per_s: word.per_s?,
+            named_per_s: report.per_s?,
             kept_per_s,
             own_per_s: terms.per_s(part),
-            heard_ago_ms: now.micros_since(word.heard_at) / MICROS_PER_MILLI,
+            reported_ago_ms: now.micros_since(report.received_at) / MICROS_PER_MILLI,
         })
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`RetryBudget`] bounds second sends; [`WeightDesk`] decides which engine loads weights next.
 //! - [`EventReader`] cuts streams into whole events.
 
+mod answer_handler;
 mod call_link;
 mod clock;
 mod dialect;
@@ -31,7 +32,6 @@
 mod kept_digest;
 mod kept_task;
 mod lease_keeper;
-mod limit_desk;
 mod load_digest;
 mod long_answer;
 mod naming_task;
@@ -70,12 +70,13 @@
     StoreItem, StorePosition, StoreSpec, WeightTarget, salt_text,
 };
 pub(crate) use spanfold_decide::{
-    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseTeller, ColdTerms, DeskStep, EndingReport,
-    EndpointEnding, EndpointRow, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase, HolderRecord,
-    HolderStanding, IdentityKey, KeptRow, LEADS, LimitChange, LimitWord, LinkMoves, ListStanding, LoadCount,
-    LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece, NewsProgress,
-    NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, QuarantineChange, QuarantineNote,
-    QueueOrder, RateTerms, RequestIdentity, RequestKey, RequestQuarantine, RetryBudget, RouteTable,
-    SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView, VmEntry, VmKey, WantedWeights,
-    WeightDesk, cut_news, old_parts, pick_target, place, salted_key, short_digest, take_part,
+    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseReporter, ColdTerms, DeskStep,
+    EndingReport, EndpointEnding, EndpointRow, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase,
+    HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LimitChange, LimitReport, LinkMoves,
+    ListStanding, LoadCount, LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory,
+    NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice,
+    QuarantineChange, QuarantineNote, QueueOrder, RateTerms, RequestIdentity, RequestKey, RequestQuarantine,
+    RetryBudget, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView,
+    VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key,
+    short_digest, take_part,
 };
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -4,9 +4,9 @@
 //! costs accuracy only. A lead sums its data centre: what it tells others counts each VM once, because
 //! only what VMs say of themselves is summed.
 
-use crate::CloseTeller;
+use crate::CloseReporter;
+use crate::answer_handler::{ForwardScope, LimitNote, ObservedLimit};
 use crate::gateway::{Gateway, TellerReport};
-use crate::limit_desk::{HeardLimit, LimitNote, Onward};
 use crate::peer_message::PeerStamp;
 use crate::placed_note::PlacedNote;
 use crate::waiting_notes::NOTES_MOST;
@@ -63,7 +63,7 @@
     placed: Vec<PlacedNote>,
     reports: Vec<TellerReport>,
     cases: Vec<QuarantineNote>,
-    limits: Vec<HeardLimit>,
+    limits: Vec<ObservedLimit>,
 }
 
 impl LoadDigest {
@@ -205,7 +205,7 @@
         }
         for (teller, report) in &self.reports {
             let turn = rand::random::<f64>() * vms as f64;
-            table.learn_told(*teller, report, turn, now);
+            table.learn_reported(*teller, report, turn, now);
         }
         for (key, model, version) in &self.weights {
             table.raise_weights(*key, *model, *version, is_near, now);
@@ -221,7 +221,7 @@
         drop(table);
         gateway.apply_named_ages(&self.named);
         gateway.take_notes(&self.cases, self.scope, vm, is_lead);
-        gateway.take_limits(&self.limits, Onward::of(self.scope, is_near, is_lead));
+        gateway.apply_limit_notes(&self.limits, ForwardScope::of(self.scope, is_near, is_lead));
         if is_near {
             self.placed.iter().for_each(|note| gateway.far_notes.push(note.clone()));
             self.reports.iter().for_each(|report| gateway.report_far(*report));
@@ -240,10 +240,10 @@
 
 /// Engines that are closed to new work, as far as a digest of `scope` tells of them.
 fn closed_engines(table: &FleetTable, scope: DigestScope, now: Moment) -> Vec<(EndpointKey, u64)> {
-    let tells = |teller: CloseTeller| match scope {
-        DigestScope::Vm => teller == CloseTeller::Own,
-        DigestScope::DataCentre => teller != CloseTeller::Far,
-        DigestScope::Elsewhere => teller == CloseTeller::Far,
+    let tells = |teller: CloseReporter| match scope {
+        DigestScope::Vm => teller == CloseReporter::Own,
+        DigestScope::DataCentre => teller != CloseReporter::Far,
+        DigestScope::Elsewhere => teller == CloseReporter::Far,
     };
     let closed = table.rows().filter(|(_, row)| row.is_closing(now) && tells(row.closed_by));
     closed.map(|(key, row)| (key, row.closing_until.micros_since(now))).collect()
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -3,12 +3,12 @@
 //! Invariant: no engine's silence holds up another's order: calls to engines are under way beside one another, and
 //! each is cut when the right ends.
 
+use crate::answer_handler::AnswerSource;
 use crate::call_link::CallLink;
 use crate::dialect::{OrderOutcome, WeightOrder};
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::lease_keeper::OrderRight;
-use crate::limit_desk::LimitSource;
 use crate::{DeskStep, EngineState, WeightDesk};
 use crate::{EndpointKey, EngineReport, short_digest};
 use spanfold_entity::Moment;
@@ -277,7 +277,7 @@
         Ok(reply) => {
             if (200..300).contains(&reply.status) {
                 // One that refuses may be another endpoint at the same address.
-                gateway.hear_limit(&LimitSource { key, request: &call.path, sent_at }, &reply.headers);
+                gateway.observe_limit(&AnswerSource { key, request: &call.path, sent_at }, &reply.headers);
             }
             Some((reply.status, reply.body))
         }
--- a/crates/spanfold/src/status_report.rs
+++ b/crates/spanfold/src/status_report.rs
@@ -51,7 +51,7 @@
             name("endpoint"),
             name("service"),
             rate("named_per_s"),
-            limit["heard_ago_ms"],
+            limit["reported_ago_ms"],
             rate("own_per_s"),
         );
     }
