Sight: the head of an answer is decoded once into one typed value

What callers saw: nothing; logs could not tell whether an answer said that its endpoint leaves or asked for rest, nor to which VM. The adapter decodes a head into AnswerFacts (request, endpoint, refusal, signature, limit, departure, rest, weights, coldness, idle time, end of the connection), and one handler takes it from answers to requests, orders and reports. Retry-After is read in seconds and as a date (against the answer's own Date), on 429 and 503. Departures and rests are logged and counted and do nothing yet. An answer with Connection: close does not return its connection to the pool.

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet::peer_loads::PeerLoads;
 use crate::fleet::told_health::ToldHealth;
-use crate::{EndpointEntry, KeptParts, NamedLimit, RecentSends, SendReport, VmKey};
+use crate::{EndpointEntry, EndpointRest, KeptParts, NamedLimit, RecentSends, SendReport, VmKey};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -98,8 +98,12 @@
     pub cold_until: Moment,
     /// Requests a second that it takes from all VMs together.
     pub limit: NamedLimit,
-    /// Whether its last limit was invalid, or several.
-    pub has_odd_limit: bool,
+    /// The rest that it asked this VM for.
+    pub rest: EndpointRest,
+    /// Whether an answer of it said that it leaves.
+    pub has_departed: bool,
+    /// Headers that were invalid in its last answer.
+    pub(crate) odd_headers: Vec<&'static str>,
     /// What this VM has sent there while it took few requests.
     pub(crate) recent_sends: RecentSends,
     /// What this VM has in flight there.
@@ -136,7 +140,9 @@
             evacuated_until: Moment(0),
             cold_until: Moment(0),
             limit: NamedLimit::default(),
-            has_odd_limit: false,
+            rest: EndpointRest::default(),
+            has_departed: false,
+            odd_headers: Vec::new(),
             recent_sends: RecentSends::default(),
             own: LoadCount::default(),
             peers: PeerLoads::default(),
--- /dev/null
+++ b/crates/decide/src/fleet/fleet_answers.rs
@@ -0,0 +1,44 @@
+//! What endpoints state in their answers beyond a limit: departures, rests, invalid headers.
+//!
+//! Invariant: a departure is final for its start. Neither an entry nor a later answer takes it back.
+
+use crate::{EndpointKey, FleetTable, RestChange};
+use spanfold_entity::Moment;
+
+impl FleetTable {
+    /// Notes that an endpoint leaves, as an answer of it said; whether that is new.
+    pub fn note_departure(&mut self, key: EndpointKey) -> bool {
+        let Some(row) = self.rows.get_mut(&key) else { return false };
+        !std::mem::replace(&mut row.has_departed, true)
+    }
+
+    /// Notes that an endpoint asked this VM for a rest of so many milliseconds.
+    pub fn note_rest(&mut self, key: EndpointKey, millis: u64, now: Moment) -> RestChange {
+        self.rows.get_mut(&key).map_or(RestChange::None, |row| row.rest.ask(millis, now))
+    }
+
+    /// Notes whether a header of an endpoint's last answer was invalid; whether that is new.
+    pub fn note_odd_header(&mut self, key: EndpointKey, name: &'static str, is_odd: bool) -> bool {
+        let Some(row) = self.rows.get_mut(&key) else { return false };
+        let place = row.odd_headers.iter().position(|known| *known == name);
+        match (place, is_odd) {
+            (None, true) => {
+                row.odd_headers.push(name);
+                return true;
+            }
+            (Some(place), false) => drop(row.odd_headers.swap_remove(place)),
+            _ => {}
+        }
+        false
+    }
+
+    /// Endpoints that said in an answer that they leave.
+    pub fn departed_count(&self) -> usize {
+        self.rows.values().filter(|row| row.has_departed).count()
+    }
+
+    /// Endpoints that asked this VM for a rest that is not over.
+    pub fn resting_count(&self, now: Moment) -> usize {
+        self.rows.values().filter(|row| row.rest.is_resting(now)).count()
+    }
+}
--- a/crates/decide/src/fleet/fleet_limits.rs
+++ b/crates/decide/src/fleet/fleet_limits.rs
@@ -150,14 +150,6 @@
         lapsed
     }
 
-    /// Notes whether an endpoint's last report of its limit was odd; whether that is new.
-    pub fn note_odd_limit(&mut self, key: EndpointKey, is_odd: bool) -> bool {
-        let Some(row) = self.rows.get_mut(&key) else { return false };
-        let is_new = is_odd && !row.has_odd_limit;
-        row.has_odd_limit = is_odd;
-        is_new
-    }
-
     /// Endpoints that name a limit.
     pub fn limited_count(&self) -> usize {
         self.rows.values().filter(|row| row.limit.per_s().is_some()).count()
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -1,7 +1,9 @@
 //! What is there: endpoints with their loads, VMs, routes, and the store's changes.
 
 mod deployment;
+mod endpoint_rest;
 mod endpoint_row;
+mod fleet_answers;
 mod fleet_limits;
 mod fleet_table;
 mod home_regions;
@@ -20,6 +22,7 @@
     AccountRow, ColdSpec, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews,
     PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec, WeightTarget,
 };
+pub use endpoint_rest::{EndpointRest, RestChange};
 pub use endpoint_row::{CloseReporter, EndpointRow, LoadCount, SendOutcome};
 pub use fleet_table::{EndpointKey, FleetTable, LinkMoves, LoadSource, VmKey, short_digest};
 pub use home_regions::HomeRegions;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,12 +24,12 @@
     ShareView, place, salt_text, salt_version, take_part,
 };
 pub use fleet::{
-    AccountRow, CloseReporter, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow,
-    EngineReport, EngineSpec, FleetTable, HeardVm, HomeRegions, KeptChange, KeptNews, LEADS, LimitChange,
-    LimitReport, LinkMoves, LoadCount, LoadSource, NamedLimit, NewsAssembly, NewsHistory, NewsPiece,
-    NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook, PromptPart, RequestLimits, RouteKind, RouteRow,
-    RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight, StoreEvent, StoreItem, StorePosition,
-    StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target, short_digest,
+    AccountRow, CloseReporter, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRest,
+    EndpointRow, EngineReport, EngineSpec, FleetTable, HeardVm, HomeRegions, KeptChange, KeptNews, LEADS,
+    LimitChange, LimitReport, LinkMoves, LoadCount, LoadSource, NamedLimit, NewsAssembly, NewsHistory,
+    NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook, PromptPart, RequestLimits, RestChange,
+    RouteKind, RouteRow, RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight, StoreEvent,
+    StoreItem, StorePosition, StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target, short_digest,
 };
 pub use kept::{
     BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
--- a/crates/gateway/src/answer_handler.rs
+++ b/crates/gateway/src/answer_handler.rs
@@ -1,14 +1,13 @@
-//! Applies the limits that endpoints name in their answers, and forwards them to other VMs.
+//! Applies what endpoints state of themselves in their answers, and forwards to other VMs what concerns them.
 //!
-//! Invariant: every answer of the addressed endpoint is read, including refusals and failures. A value that cannot be read
-//! changes nothing. Each change goes through the leads to every VM once, and is repeated while answers repeat it, so that
+//! Invariant: every answer of the addressed endpoint is applied, including refusals, failures and answers to orders. A limit
+//! or a rest that cannot be read changes nothing. Each change of a limit goes through the leads to every VM once, and is repeated while answers repeat it, so that
 //! a lost message costs a second.
 
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
 use crate::load_digest::DigestScope;
-use crate::{EndpointKey, LimitChange, LimitReport, SaidLimit};
-use hyper::header::HeaderMap;
+use crate::{AnswerFacts, EndpointKey, HeaderField, LimitChange, LimitReport, RestChange};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
@@ -81,24 +80,63 @@
 }
 
 impl Gateway {
-    /// Applies the limit in the head of an answer.
-    pub(crate) fn observe_limit(&self, source: &AnswerSource<'_>, headers: &HeaderMap) {
-        let said = (self.dialect.decode.endpoint_limit)(headers);
-        self.count_limit(&said);
-        self.log_odd_limit(source, &said);
-        let per_s = match said {
-            SaidLimit::Nothing => None,
-            SaidLimit::PerSecond(per_s) | SaidLimit::Several(per_s) => Some(per_s),
-            SaidLimit::Unreadable(_) => return,
-        };
-        let report = LimitReport { per_s, sent_at: source.sent_at, received_at: self.now() };
-        if let Some(heard) = self.apply_limit_report(source, report) {
-            self.near_limits.push(heard);
-            self.far_limits.push(heard);
+    /// Applies what an answer of the addressed endpoint states of it.
+    pub(crate) fn observe_answer(&self, source: &AnswerSource<'_>, facts: &AnswerFacts) {
+        self.log_odd_headers(source, facts);
+        self.observe_limit(source, &facts.limit);
+        self.observe_departure(source, facts);
+        self.observe_rest(source, facts);
+    }
+
+    fn observe_limit(&self, source: &AnswerSource<'_>, limit: &HeaderField<f64>) {
+        if let Some(label) = limit.label() {
+            self.metrics.limit_reports.get_or_create(&KindLabel::new(label)).inc();
+        }
+        if matches!(limit, HeaderField::Invalid(_)) {
+            return;
+        }
+        let report = LimitReport { per_s: limit.value(), sent_at: source.sent_at, received_at: self.now() };
+        if let Some(observed) = self.apply_limit_report(source, report) {
+            self.near_limits.push(observed);
+            self.far_limits.push(observed);
             self.loads_changed.notify_one();
         }
     }
 
+    /// A value that cannot be read counts as a departure too: taken wrongly, it costs one endpoint its work; ignored wrongly,
+    /// callers their requests.
+    fn observe_departure(&self, source: &AnswerSource<'_>, facts: &AnswerFacts) {
+        let leaves = matches!(facts.leaving, HeaderField::Invalid(_)) || facts.leaving.value() == Some(true);
+        if leaves && self.table().note_departure(source.key) {
+            self.metrics.departures.get_or_create(&KindLabel::new("answer")).inc();
+            self.log_departure(source, "its answer");
+        }
+    }
+
+    fn observe_rest(&self, source: &AnswerSource<'_>, facts: &AnswerFacts) {
+        let Some(label) = facts.rest_millis.label() else { return };
+        self.metrics.rests.get_or_create(&KindLabel::new(label)).inc();
+        let Some(asked_ms) = facts.rest_millis.value() else { return };
+        let mut table = self.table();
+        let (rest_ms, extends) = match table.note_rest(source.key, asked_ms, self.now()) {
+            RestChange::None => return,
+            RestChange::Begun(millis) => (millis, false),
+            RestChange::Extended(millis) => (millis, true),
+        };
+        let Some(row) = table.row(source.key) else { return };
+        let (endpoint, born) = (row.entry.id.as_str(), row.entry.born_millis.unwrap_or_default());
+        let status = facts.status.as_u16();
+        log::info!(request = source.request, endpoint, born, status, asked_ms, rest_ms, extends;
+            "endpoint.resting");
+    }
+
+    fn log_departure(&self, source: &AnswerSource<'_>, origin: &str) {
+        let table = self.table();
+        let Some(row) = table.row(source.key) else { return };
+        let (endpoint, born) = (row.entry.id.as_str(), row.entry.born_millis.unwrap_or_default());
+        log::warn!(request = source.request, endpoint, born, source = origin; "endpoint.leaving");
+    }
+
     /// Applies limits that other VMs have received.
     pub(crate) fn apply_limit_notes(&self, notes: &[LimitNote], forward: ForwardScope) {
         let now = self.now();
@@ -134,30 +172,24 @@
         }
     }
 
-    fn count_limit(&self, said: &SaidLimit) {
-        let kind = match said {
-            SaidLimit::Nothing => return,
-            SaidLimit::PerSecond(_) => "named",
-            SaidLimit::Several(_) => "several",
-            SaidLimit::Unreadable(fault) => fault.kind(),
-        };
-        self.metrics.limit_reports.get_or_create(&KindLabel::new(kind)).inc();
-    }
-
-    /// Logs the first of several invalid limits in a row.
-    fn log_odd_limit(&self, source: &AnswerSource<'_>, said: &SaidLimit) {
-        let cause = match said {
-            SaidLimit::Nothing | SaidLimit::PerSecond(_) => None,
-            SaidLimit::Several(_) => Some("several limits, the lowest counts".to_owned()),
-            SaidLimit::Unreadable(fault) => Some(fault.to_string()),
-        };
+    /// Logs each header that begins to be invalid or to have several values.
+    fn log_odd_headers(&self, source: &AnswerSource<'_>, facts: &AnswerFacts) {
+        let causes = [
+            ("limit", facts.limit.cause("the limit")),
+            ("leaving", facts.leaving.cause("the departure")),
+            ("rest", facts.rest_millis.cause("the rest")),
+            ("weights", facts.weights.cause("the version of weights")),
+            ("cold", facts.cold_millis.cause("the time of being cold")),
+        ];
         let mut table = self.table();
-        if !table.note_odd_limit(source.key, cause.is_some()) {
-            return;
+        for (field, cause) in causes {
+            if !table.note_odd_header(source.key, field, cause.is_some()) {
+                continue;
+            }
+            let (Some(cause), Some(row)) = (cause, table.row(source.key)) else { continue };
+            let (request, endpoint, cause) = (source.request, row.entry.id.as_str(), cause.as_str());
+            log::warn!(request, endpoint, field, cause; "answer.odd");
         }
-        let (Some(cause), Some(row)) = (cause, table.row(source.key)) else { return };
-        let (request, endpoint, cause) = (source.request, row.entry.id.as_str(), cause.as_str());
-        log::warn!(request, endpoint, cause; "limit.odd");
     }
 
     /// Logs a change of an endpoint's limit.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,11 +4,11 @@
 //! function is pure, so that a stand-in and the real platform meet the same code.
 
 use crate::{
-    DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, StoreEvent, StoreItem,
+    AnswerFacts, DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, StoreEvent, StoreItem,
     StorePosition, WeightTarget,
 };
-use hyper::Method;
 use hyper::header::{HeaderMap, HeaderName};
+use hyper::{Method, StatusCode};
 use std::net::SocketAddr;
 
 /// All that differs between platforms.
@@ -41,10 +41,6 @@
     pub account: HeaderName,
     /// Id of the endpoint incarnation that a request is meant for.
     pub expect_endpoint: HeaderName,
-    /// On an answer: id of the endpoint incarnation that gave it.
-    pub endpoint_id: HeaderName,
-    /// On an endpoint's refusal: the request did not run.
-    pub not_run: HeaderName,
     /// The prompt's model.
     pub model: HeaderName,
     /// Tokens of the prompt and tokens that may be generated.
@@ -296,45 +292,6 @@
     }
 }
 
-/// What the head of an endpoint's answer says of how many requests a second it takes from all VMs together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum SaidLimit {
-    /// No limit.
-    Nothing,
-    /// So many.
-    PerSecond(f64),
-    /// Several limits at once; the lowest is given.
-    Several(f64),
-    /// Something that is no limit.
-    Unreadable(LimitFault),
-}
-
-/// Why what an endpoint names is no limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum LimitFault {
-    /// It is no number.
-    #[error("it is no number")]
-    Number,
-    /// It is less than none, or not finite.
-    #[error("it is less than none, or not finite")]
-    Range,
-}
-
-impl LimitFault {
-    /// A word for metrics.
-    ///
-    /// # Examples
-    /// ```
-    /// assert_eq!(spanfold_gateway::LimitFault::Range.kind(), "range");
-    /// ```
-    pub const fn kind(self) -> &'static str {
-        match self {
-            Self::Number => "number",
-            Self::Range => "range",
-        }
-    }
-}
-
 /// What the store's values, and headers of callers and endpoints, mean.
 #[derive(Clone, Copy, Debug)]
 pub struct ValueDialect {
@@ -348,8 +305,8 @@
     pub prompt_parts: fn(&str) -> Option<Vec<PromptPart>>,
     /// Reads tokens of the prompt and tokens that may be generated.
     pub token_usage: fn(&str) -> Option<(u32, u32)>,
-    /// Reads the limit that an endpoint names in the head of an answer.
-    pub endpoint_limit: fn(&HeaderMap) -> SaidLimit,
+    /// Decodes the head of an endpoint's answer.
+    pub answer: fn(StatusCode, &HeaderMap) -> AnswerFacts,
     /// The caller's key in an authorization header.
     pub caller_key: fn(&str) -> Option<&str>,
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -3,6 +3,7 @@
 //! Invariant: after each send it is known whether the request may have run. It has not if no byte left this process or the
 //! endpoint refused it.
 
+use crate::answer_facts::{AnswerFacts, AnswerOrigin};
 use crate::answer_handler::AnswerSource;
 use crate::clock::TimeIsUp;
 use crate::endpoint_pool::{EndpointConnection, ExchangeError};
@@ -19,7 +20,7 @@
 };
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -351,8 +352,9 @@
                 SendResult::Lost("broken")
             }
             Ok(Ok((answer, connection))) => {
-                flight.hold(connection, answer.headers());
-                let result = self.judge(answer, flight);
+                let facts = (gateway.dialect.decode.answer)(answer.status(), answer.headers());
+                flight.hold(connection, &facts);
+                let result = self.judge(answer, &facts, flight);
                 // Only endpoints that live count towards the route's attempts.
                 self.sends += u32::from(!matches!(result, SendResult::Ended));
                 result
@@ -434,46 +436,34 @@
         self.gateway.table().miss_key(flight.key, Moment(0));
     }
 
-    /// Takes what the answer's head says of its endpoint's limit.
-    fn observe_limit(&self, flight: &SendFlight, headers: &HeaderMap) {
-        let source =
-            AnswerSource { key: flight.key, request: self.ticket.id_text(), sent_at: flight.sent_at };
-        self.gateway.observe_limit(&source, headers);
-    }
-
-    /// Judges an answer's head: is it this request's, and did the endpoint run it?
-    fn judge(&mut self, answer: Response<Incoming>, flight: SendFlight) -> SendResult {
-        let names = &self.gateway.dialect.headers;
+    /// Classifies an answer's head: whether it answers this request, and whether the endpoint ran it.
+    fn judge(&mut self, answer: Response<Incoming>, facts: &AnswerFacts, flight: SendFlight) -> SendResult {
         let (head, body) = answer.into_parts();
-        let refused =
-            head.headers.contains_key(&names.not_run) || head.status == StatusCode::MISDIRECTED_REQUEST;
-        if refused {
-            let other = head.headers.get(&names.endpoint_id);
-            if head.status == StatusCode::MISDIRECTED_REQUEST
-                && other.is_some_and(|id| id != flight.endpoint.as_str())
-            {
+        let origin = facts.origin(&flight.endpoint, &self.ticket.id);
+        if origin == AnswerOrigin::Addressed {
+            let source =
+                AnswerSource { key: flight.key, request: self.ticket.id_text(), sent_at: flight.sent_at };
+            self.gateway.observe_answer(&source, facts);
+        }
+        if facts.is_refusal() {
+            if head.status == StatusCode::MISDIRECTED_REQUEST && origin == AnswerOrigin::OtherEndpoint {
                 self.learn_ended(&flight);
                 return SendResult::Ended;
             }
             flight.learn(SendOutcome::Refused);
             if head.status == StatusCode::MISDIRECTED_REQUEST {
-                // Its weights are not what was believed, or another endpoint answers: the limit may be that one's.
                 self.gateway.table().doubt_weights(flight.key);
-            } else {
-                self.observe_limit(&flight, &head.headers);
             }
             log::info!(request = self.ticket.id_text(), endpoint = flight.endpoint.as_str(),
                 status = head.status.as_u16(); "endpoint.refused");
             return SendResult::Refused;
         }
         self.may_have_run = true;
-        if head.headers.get(&names.request_id) != Some(&self.ticket.id) {
-            // An answer to an earlier request of this connection: this one's own may still come, but
-            // cannot be told from further surplus ones.
+        if facts.request_id.as_ref() != Some(&self.ticket.id) {
+            // The answer to this request may still follow, but cannot be told from further surplus ones.
             flight.learn(SendOutcome::Failed);
             return SendResult::Lost("an answer to another request");
         }
-        self.observe_limit(&flight, &head.headers);
         SendResult::Answer(Box::new(ReceivedHead { head, body, flight }))
     }
 }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -5,8 +5,7 @@
 
 use crate::endpoint_pool::EndpointConnection;
 use crate::gateway::Gateway;
-use crate::{EndpointKey, LoadCount, PlacementChoice, SendOutcome, SendReport};
-use hyper::header::HeaderMap;
+use crate::{AnswerFacts, EndpointKey, LoadCount, PlacementChoice, SendOutcome, SendReport};
 use spanfold_entity::Moment;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,6 +29,8 @@
     head_at: Option<Moment>,
     connection: Option<EndpointConnection>,
     granted: Option<Duration>,
+    /// Whether the endpoint ends the connection after its answer.
+    ends_connection: bool,
 }
 
 impl SendFlight {
@@ -54,14 +55,16 @@
             head_at: None,
             connection: None,
             granted: None,
+            ends_connection: false,
         }
     }
 
     /// Holds the connection on which the answer comes.
-    pub(crate) fn hold(&mut self, connection: EndpointConnection, head: &HeaderMap) {
+    pub(crate) fn hold(&mut self, connection: EndpointConnection, facts: &AnswerFacts) {
         self.head_at = Some(self.gateway.now());
         self.connection = Some(connection);
-        self.granted = granted_idle(head);
+        self.granted = facts.granted_idle;
+        self.ends_connection = facts.ends_connection;
     }
 
     /// Whether its endpoint had begun to answer, and for how long it has been at it, in microseconds.
@@ -103,7 +106,9 @@
 
     /// The answer was whole: the connection may serve another request.
     pub(crate) fn complete(&mut self) {
-        if let Some(connection) = self.connection.take() {
+        if let Some(connection) = self.connection.take()
+            && !self.ends_connection
+        {
             self.gateway.pool.give_back(self.key, connection, self.granted);
         }
     }
@@ -126,10 +131,3 @@
         self.gateway.loads_changed.notify_one();
     }
 }
-
-/// The idle time that an endpoint grants a connection, from `Keep-Alive: timeout=SECONDS`.
-fn granted_idle(head: &HeaderMap) -> Option<Duration> {
-    let text = head.get("keep-alive")?.to_str().ok()?;
-    let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -168,7 +168,7 @@
         tokio::time::sleep(SWEEP_PAUSE).await;
         let now = gateway.now();
         gateway.repeat_limits(turn);
-        let (gone, doubted, evacuated, cold, limited) = {
+        let (gone, doubted, evacuated) = {
             let mut table = gateway.table();
             for data_centre in table.end_lapsed_evacuations(now) {
                 log::warn!(data_centre = data_centre.as_str(), source = "a restored store"; "evacuation.ended");
@@ -178,11 +178,14 @@
             }
             let gone = table.sweep(now);
             let doubted = table.rows().filter(|(_, row)| row.is_doubted()).count();
-            (gone, doubted, table.evacuated(now).count(), table.cold_count(now), table.limited_count())
+            let gauges = &gateway.metrics.fleet;
+            gauges.cold_endpoints.set(table.cold_count(now) as i64);
+            gauges.limited_endpoints.set(table.limited_count() as i64);
+            gauges.leaving_endpoints.set(table.departed_count() as i64);
+            gauges.resting_endpoints.set(table.resting_count(now) as i64);
+            (gone, doubted, table.evacuated(now).count())
         };
         let gauges = &gateway.metrics.fleet;
-        gauges.cold_endpoints.set(cold as i64);
-        gauges.limited_endpoints.set(limited as i64);
         gauges.evacuated_data_centres.set(evacuated as i64);
         gauges.doubted_endpoints.set(doubted as i64);
         for key in gone {
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -37,6 +37,10 @@
     pub cold_endpoints: Gauge,
     /// Endpoints that name a limit.
     pub limited_endpoints: Gauge,
+    /// Endpoints that said in an answer that they leave.
+    pub leaving_endpoints: Gauge,
+    /// Endpoints that asked this VM for a rest.
+    pub resting_endpoints: Gauge,
 }
 
 impl FleetGauges {
@@ -46,6 +50,8 @@
             evacuated_data_centres: Gauge::default(),
             cold_endpoints: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            leaving_endpoints: Gauge::default(),
+            resting_endpoints: Gauge::default(),
         };
         let doubted = gauges.doubted_endpoints.clone();
         registry.register("doubted_endpoints", "Endpoints that VMs could not reach", doubted);
@@ -55,6 +61,10 @@
         registry.register("cold_endpoints", "Endpoints that are cold and bear less", cold);
         let limited = gauges.limited_endpoints.clone();
         registry.register("limited_endpoints", "Endpoints that name a limit", limited);
+        let leaving = gauges.leaving_endpoints.clone();
+        registry.register("leaving_endpoints", "Endpoints that said in an answer that they leave", leaving);
+        let resting = gauges.resting_endpoints.clone();
+        registry.register("resting_endpoints", "Endpoints that asked this VM for a rest", resting);
         gauges
     }
 }
@@ -125,6 +135,10 @@
     pub held_requests: Gauge,
     /// Limits that endpoints named in answers to this VM, by what was said.
     pub limit_reports: Family<KindLabel, Counter>,
+    /// Departures of endpoints, by source.
+    pub departures: Family<KindLabel, Counter>,
+    /// Answers that asked for a rest, by what was said.
+    pub rests: Family<KindLabel, Counter>,
     /// Endpoints that get less work than others.
     pub fleet: FleetGauges,
 }
@@ -195,6 +209,9 @@
             "Limits that endpoints named, by what was said",
             limit_reports.clone(),
         );
+        let (departures, rests) = (Family::<KindLabel, Counter>::default(), Family::default());
+        registry.register("departures", "Departures of endpoints, by source", departures.clone());
+        registry.register("rests", "Answers that asked for a rest, by what was said", rests.clone());
         let fleet = FleetGauges::register(&mut registry);
         Self {
             registry,
@@ -218,6 +235,8 @@
             turned_away,
             held_requests,
             limit_reports,
+            departures,
+            rests,
             fleet,
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`RetryBudget`] bounds second sends; [`WeightDesk`] decides which engine loads weights next.
 //! - [`EventReader`] cuts streams into whole events.
 
+mod answer_facts;
 mod answer_handler;
 mod call_link;
 mod clock;
@@ -55,11 +56,12 @@
 mod stream_relay;
 mod waiting_notes;
 
+pub use answer_facts::{AnswerFacts, FaultKind, HeaderFault, HeaderField};
 pub use clock::GatewayClock;
 pub use dialect::{
-    EngineDialect, EntryError, HeaderNames, KeptDialect, LeaseGrant, LimitFault, OrderOutcome, RangePage,
-    SaidLimit, StoreDecoder, StoreDialect, StoreKeys, StoreRefusal, StoreReply, StoreTransaction,
-    ValueDialect, WatchPage, WeightOrder, WireCall, WireDialect,
+    EngineDialect, EntryError, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder,
+    StoreDialect, StoreKeys, StoreRefusal, StoreReply, StoreTransaction, ValueDialect, WatchPage,
+    WeightOrder, WireCall, WireDialect,
 };
 pub use event_reader::{EventError, EventReader};
 pub use gateway_daemon::{GatewayDaemon, GatewayError};
@@ -76,7 +78,7 @@
     ListStanding, LoadCount, LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory,
     NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice,
     QuarantineChange, QuarantineNote, QueueOrder, RateTerms, RequestIdentity, RequestKey, RequestQuarantine,
-    RetryBudget, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView,
-    VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place, salted_key,
-    short_digest, take_part,
+    RestChange, RetryBudget, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict,
+    ShareView, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place,
+    salted_key, short_digest, take_part,
 };
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -11,6 +11,7 @@
 use crate::lease_keeper::OrderRight;
 use crate::{DeskStep, EngineState, WeightDesk};
 use crate::{EndpointKey, EngineReport, short_digest};
+use hyper::StatusCode;
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -275,9 +276,10 @@
     call.headers.push((gateway.dialect.headers.expect_endpoint.clone(), id.clone()));
     match CallLink::new(address).call(&call, deadline).await {
         Ok(reply) => {
-            if (200..300).contains(&reply.status) {
-                // One that refuses may be another endpoint at the same address.
-                gateway.observe_limit(&AnswerSource { key, request: &call.path, sent_at }, &reply.headers);
+            // One that refuses may be another endpoint at the same address.
+            if let Some(status) = StatusCode::from_u16(reply.status).ok().filter(StatusCode::is_success) {
+                let facts = (gateway.dialect.decode.answer)(status, &reply.headers);
+                gateway.observe_answer(&AnswerSource { key, request: &call.path, sent_at }, &facts);
             }
             Some((reply.status, reply.body))
         }
