An endpoint that said it leaves gets no new work

What callers saw: requests went to an engine that had announced its end up to 12.5 s before, as long as the store was away; such a request is lost if the engine ends first. Cause: the entry alone told a departure, and no store could tell it.

A departure stands with the endpoint's start and is final: no entry, listing or later answer takes it back, also after the row is gone, or if the entry is read later than the departure was reported. It binds first, second and resumed sends, what waits, a send whose connection is being opened, orders and reports; the end of such an endpoint is no evidence against requests. VMs forward it along the path of limits and repeat it. Ended incarnations are remembered up to 16,384 and the oldest makes room, so that the departures of several replacements of all endpoints are kept; before, the 4,097th was not remembered at all.

The withdrawal while a connection is opened has no test of its own.

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -202,9 +202,14 @@
         self.ejected_until = self.ejected_until.max(until);
     }
 
+    /// Whether it said that it leaves, in an answer or in its entry: its end is expected.
+    pub const fn has_announced_end(&self) -> bool {
+        self.has_departed || self.entry.draining
+    }
+
     /// Whether it gets no new work: it has said that it leaves, its entry is gone for good, or cannot be read.
     pub fn is_leaving(&self, now: Moment) -> bool {
-        self.entry.draining || self.is_unreadable || self.missing_until.is_some_and(|until| now >= until)
+        self.has_announced_end() || self.is_unreadable || self.missing_until.is_some_and(|until| now >= until)
     }
 
     /// Whether it may get new work: it does not leave, and its data centre is not evacuated.
--- a/crates/decide/src/fleet/fleet_answers.rs
+++ b/crates/decide/src/fleet/fleet_answers.rs
@@ -2,14 +2,35 @@
 //!
 //! Invariant: a departure is final for its start. Neither an entry nor a later answer takes it back.
 
+use super::fleet_table::EndedRow;
 use crate::{EndpointKey, FleetTable, RestChange};
 use spanfold_entity::Moment;
+use std::collections::BTreeMap;
 
 impl FleetTable {
-    /// Notes that an endpoint leaves, as an answer of it said; whether that is new.
-    pub fn note_departure(&mut self, key: EndpointKey) -> bool {
-        let Some(row) = self.rows.get_mut(&key) else { return false };
-        !std::mem::replace(&mut row.has_departed, true)
+    /// Notes that an endpoint leaves, as an answer of it said to this VM or to another one; whether that is new.
+    ///
+    /// An endpoint whose entry has not been read yet is remembered too: a listing made earlier may still bring it.
+    pub fn note_departure(&mut self, key: EndpointKey, now: Moment) -> bool {
+        if let Some(row) = self.rows.get_mut(&key) {
+            // Nothing goes there that could use what it keeps.
+            row.kept.clear();
+            return !std::mem::replace(&mut row.has_departed, true);
+        }
+        let is_new = !self.had_departed(key);
+        if is_new {
+            let ended = EndedRow { id: String::new(), at: now, weights: BTreeMap::new(), draining: true };
+            self.note_ended(key, ended);
+        }
+        is_new
+    }
+
+    /// Endpoints that leave, `most` of them from the `turn`th on.
+    pub fn departed_in_turn(&self, turn: usize, most: usize) -> Vec<EndpointKey> {
+        let departed = self.rows.iter().filter(|(_, row)| row.has_departed);
+        let departed: Vec<_> = departed.map(|(key, _)| *key).collect();
+        let places = (0..departed.len().min(most)).map(|place| (turn + place) % departed.len());
+        places.map(|place| departed[place]).collect()
     }
 
     /// Notes that an endpoint asked this VM for a rest of so many milliseconds.
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -98,8 +98,9 @@
 const RETURNED_MILLIS: u64 = 4_000;
 /// A VM with an answer from any endpoint within this time, in milliseconds, is believed of one that it cannot reach.
 const REACHING_MILLIS: u64 = 2_000;
-/// Ids of ended incarnations that are remembered, so that a late entry does not revive one.
-const ENDED_MOST: usize = 4_096;
+/// Ended incarnations that are remembered, so that a late entry does not revive one: several replacements of all endpoints
+/// of a large deployment.
+const ENDED_MOST: usize = 16_384;
 
 /// All endpoints.
 #[derive(Debug, Default)]
@@ -142,14 +143,16 @@
     born_millis: Option<u64>,
 }
 
-/// An incarnation that is gone.
+/// An incarnation that is gone, or that is not known yet and leaves.
 #[derive(Debug)]
-struct EndedRow {
-    at: Moment,
+pub(super) struct EndedRow {
+    /// Its id; empty if that is not known yet.
+    pub(super) id: String,
+    pub(super) at: Moment,
     /// The weights that it had.
-    weights: BTreeMap<String, u64>,
+    pub(super) weights: BTreeMap<String, u64>,
     /// It had said that it leaves.
-    draining: bool,
+    pub(super) draining: bool,
 }
 
 /// How sends to a data centre's endpoints went last.
@@ -264,7 +267,7 @@
             self.note_dated(&entry.service);
         }
         // A living endpoint's entry goes too, if a cut outlasts its heartbeats, and is written again afterwards.
-        if self.ended.get(&key).is_some_and(|row| row.draining) {
+        if self.had_departed(key) {
             return false;
         }
         let has_returned = self.ended.remove(&key).is_some();
@@ -422,12 +425,9 @@
             if let Some(keys) = self.by_service.get_mut(&row.entry.service) {
                 keys.retain(|other| other != key);
             }
-            let EndpointEntry { id, weights, draining, .. } = row.entry;
-            if self.ended.len() < ENDED_MOST {
-                self.ended.insert(*key, EndedRow { at: now, weights, draining });
-            } else if self.key_of(&id) == *key {
-                self.newest.remove(&id);
-            }
+            let draining = row.has_announced_end();
+            let EndpointEntry { id, weights, .. } = row.entry;
+            self.note_ended(*key, EndedRow { id, at: now, weights, draining });
         }
         for row in self.rows.values_mut() {
             row.relax();
@@ -440,6 +440,23 @@
         gone
     }
 
+    /// Remembers an incarnation that is gone, in place of the one that went first if there are too many.
+    pub(super) fn note_ended(&mut self, key: EndpointKey, ended: EndedRow) {
+        if self.ended.len() >= ENDED_MOST
+            && let Some(first) = self.ended.iter().min_by_key(|(_, row)| row.at).map(|(key, _)| *key)
+            && let Some(row) = self.ended.remove(&first)
+            && self.key_of(&row.id) == first
+        {
+            self.newest.remove(&row.id);
+        }
+        self.ended.insert(key, ended);
+    }
+
+    /// Whether an incarnation that is gone, or not known yet, had said that it leaves.
+    pub(super) fn had_departed(&self, key: EndpointKey) -> bool {
+        self.ended.get(&key).is_some_and(|row| row.draining)
+    }
+
     /// One endpoint.
     pub fn row(&self, key: EndpointKey) -> Option<&EndpointRow> {
         self.rows.get(&key)
--- a/crates/gateway/src/answer_handler.rs
+++ b/crates/gateway/src/answer_handler.rs
@@ -1,8 +1,8 @@
 //! Applies what endpoints state of themselves in their answers, and forwards to other VMs what concerns them.
 //!
 //! Invariant: every answer of the addressed endpoint is applied, including refusals, failures and answers to orders. A limit
-//! or a rest that cannot be read changes nothing. Each change of a limit goes through the leads to every VM once, and is repeated while answers repeat it, so that
-//! a lost message costs a second.
+//! or a rest that cannot be read changes nothing. Limits and departures go through the leads to every VM once, and are
+//! repeated, so that a lost message costs little.
 
 use crate::gateway::Gateway;
 use crate::gateway_metrics::KindLabel;
@@ -11,10 +11,10 @@
 use serde::{Deserialize, Serialize};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
-/// Limits that a VM repeats in each sweep, so that a VM that starts learns them from the others.
+/// Limits, and departures, that a VM repeats in each sweep.
 const REPEATED_MOST: usize = 1;
 
-/// The answer that a limit was read from.
+/// The answer that states something.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct AnswerSource<'a> {
     /// The endpoint that sent it.
@@ -25,35 +25,69 @@
     pub sent_at: Moment,
 }
 
-/// A limit report of one endpoint.
+/// What one endpoint stated, as far as it concerns other VMs.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct ObservedLimit {
-    key: EndpointKey,
-    report: LimitReport,
+pub(crate) enum ObservedAnswer {
+    /// Its limit, or the end of one.
+    Limit(EndpointKey, LimitReport),
+    /// It leaves.
+    Departure(EndpointKey),
 }
 
-/// The same in messages between VMs, with ages in place of moments, since VMs have different origins. 30 bytes at most.
+/// The same in messages between VMs, with ages in place of moments, since VMs have different origins. 31 bytes at most.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub(crate) struct LimitNote {
-    key: EndpointKey,
-    per_s: Option<f64>,
-    /// How long ago the request was sent, in microseconds.
-    sent_ago: u64,
-    /// How long ago its answer came, in microseconds.
-    received_ago: u64,
+pub(crate) enum AnswerNote {
+    Limit {
+        key: EndpointKey,
+        per_s: Option<f64>,
+        /// How long ago the request was sent, in microseconds.
+        sent_ago: u64,
+        /// How long ago its answer came, in microseconds.
+        received_ago: u64,
+    },
+    Departure(EndpointKey),
 }
 
-impl LimitNote {
-    pub(crate) fn of(heard: &ObservedLimit, now: Moment) -> Self {
-        let ObservedLimit { key, report } = *heard;
-        let (sent_ago, received_ago) =
-            (now.micros_since(report.sent_at), now.micros_since(report.received_at));
-        Self { key, per_s: report.per_s, sent_ago, received_ago }
+impl AnswerNote {
+    pub(crate) fn of(observed: &ObservedAnswer, now: Moment) -> Self {
+        match *observed {
+            ObservedAnswer::Departure(key) => Self::Departure(key),
+            ObservedAnswer::Limit(key, report) => Self::Limit {
+                key,
+                per_s: report.per_s,
+                sent_ago: now.micros_since(report.sent_at),
+                received_ago: now.micros_since(report.received_at),
+            },
+        }
     }
 
-    fn report(&self, now: Moment) -> LimitReport {
+    fn observed(&self, now: Moment) -> ObservedAnswer {
         let at = |ago: u64| Moment(now.0.saturating_sub(ago));
-        LimitReport { per_s: self.per_s, sent_at: at(self.sent_ago), received_at: at(self.received_ago) }
+        match *self {
+            Self::Departure(key) => ObservedAnswer::Departure(key),
+            Self::Limit { key, per_s, sent_ago, received_ago } => {
+                let (sent_at, received_at) = (at(sent_ago), at(received_ago));
+                ObservedAnswer::Limit(key, LimitReport { per_s, sent_at, received_at })
+            }
+        }
+    }
+}
+
+/// How this VM learned of a departure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DepartureSource {
+    /// From an answer to this VM.
+    Answer,
+    /// From another VM.
+    Peer,
+}
+
+impl DepartureSource {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Answer => "answer",
+            Self::Peer => "peer",
+        }
     }
 }
 
@@ -97,19 +131,23 @@
         }
         let report = LimitReport { per_s: limit.value(), sent_at: source.sent_at, received_at: self.now() };
         if let Some(observed) = self.apply_limit_report(source, report) {
-            self.near_limits.push(observed);
-            self.far_limits.push(observed);
-            self.loads_changed.notify_one();
+            self.forward(observed);
         }
     }
 
+    /// Sends what an endpoint stated to this VM to all others.
+    fn forward(&self, observed: ObservedAnswer) {
+        self.near_answers.push(observed);
+        self.far_answers.push(observed);
+        self.loads_changed.notify_one();
+    }
+
     /// A value that cannot be read counts as a departure too: taken wrongly, it costs one endpoint its work; ignored wrongly,
     /// callers their requests.
     fn observe_departure(&self, source: &AnswerSource<'_>, facts: &AnswerFacts) {
         let leaves = matches!(facts.leaving, HeaderField::Invalid(_)) || facts.leaving.value() == Some(true);
-        if leaves && self.table().note_departure(source.key) {
-            self.metrics.departures.get_or_create(&KindLabel::new("answer")).inc();
-            self.log_departure(source, "its answer");
+        if leaves {
+            self.note_departure(source, DepartureSource::Answer);
         }
     }
 
@@ -130,45 +168,73 @@
             "endpoint.resting");
     }
 
-    fn log_departure(&self, source: &AnswerSource<'_>, origin: &str) {
-        let table = self.table();
-        let Some(row) = table.row(source.key) else { return };
-        let (endpoint, born) = (row.entry.id.as_str(), row.entry.born_millis.unwrap_or_default());
-        log::warn!(request = source.request, endpoint, born, source = origin; "endpoint.leaving");
+    /// Notes that an endpoint leaves, and forwards it if that is new.
+    pub(crate) fn note_departure(&self, source: &AnswerSource<'_>, origin: DepartureSource) -> bool {
+        let now = self.now();
+        let mut table = self.table();
+        if !table.note_departure(source.key, now) {
+            return false;
+        }
+        self.metrics.departures.get_or_create(&KindLabel::new(origin.label())).inc();
+        let row = table.row(source.key);
+        let endpoint = row.map_or("", |row| row.entry.id.as_str());
+        let born = row.and_then(|row| row.entry.born_millis).unwrap_or_default();
+        log::warn!(request = source.request, endpoint, born, source = origin.label(); "endpoint.leaving");
+        drop(table);
+        if origin != DepartureSource::Peer {
+            self.forward(ObservedAnswer::Departure(source.key));
+        }
+        true
     }
 
-    /// Applies limits that other VMs have received.
-    pub(crate) fn apply_limit_notes(&self, notes: &[LimitNote], forward: ForwardScope) {
+    /// Applies what endpoints stated to other VMs.
+    pub(crate) fn apply_answer_notes(&self, notes: &[AnswerNote], forward: ForwardScope) {
         let now = self.now();
         for note in notes {
-            let report = note.report(now);
-            let source = AnswerSource { key: note.key, request: "", sent_at: report.sent_at };
-            self.metrics.limit_reports.get_or_create(&KindLabel::new("told")).inc();
-            let Some(heard) = self.apply_limit_report(&source, report) else { continue };
-            match forward {
-                ForwardScope::Nobody => {}
-                ForwardScope::Far => self.far_limits.push(heard),
-                ForwardScope::Passed => self.passed_limits.push(heard),
+            let forwarded = match note.observed(now) {
+                ObservedAnswer::Limit(key, report) => {
+                    self.metrics.limit_reports.get_or_create(&KindLabel::new("told")).inc();
+                    let source = AnswerSource { key, request: "", sent_at: report.sent_at };
+                    self.apply_limit_report(&source, report)
+                }
+                ObservedAnswer::Departure(key) => {
+                    let source = AnswerSource { key, request: "", sent_at: now };
+                    let is_new = self.note_departure(&source, DepartureSource::Peer);
+                    is_new.then_some(ObservedAnswer::Departure(key))
+                }
+            };
+            match (forwarded, forward) {
+                (None, _) | (_, ForwardScope::Nobody) => {}
+                (Some(observed), ForwardScope::Far) => self.far_answers.push(observed),
+                (Some(observed), ForwardScope::Passed) => self.passed_answers.push(observed),
             }
         }
     }
 
-    /// Applies a report; returns what to forward.
-    fn apply_limit_report(&self, source: &AnswerSource<'_>, report: LimitReport) -> Option<ObservedLimit> {
+    /// Applies a limit; returns what to forward.
+    fn apply_limit_report(&self, source: &AnswerSource<'_>, report: LimitReport) -> Option<ObservedAnswer> {
         let (change, due) = {
             let mut table = self.table();
             let change = table.observe_limit(source.key, report);
             (change, table.take_due_limit(source.key, change, self.now()))
         };
         self.log_limit(source, &report, change);
-        due.map(|report| ObservedLimit { key: source.key, report })
+        due.map(|report| ObservedAnswer::Limit(source.key, report))
     }
 
-    /// Repeats current limits to the VMs of this data centre, some in each sweep `turn`.
-    pub(crate) fn repeat_limits(&self, turn: usize) {
-        let reports = self.table().limits_in_turn(turn * REPEATED_MOST, REPEATED_MOST);
-        for (key, report) in reports {
-            self.near_limits.push(ObservedLimit { key, report });
+    /// Repeats current limits and departures, some in each sweep `turn`: VMs that start, or missed a message, lack them.
+    /// Departures go to other data centres too, since no answer repeats them there.
+    pub(crate) fn repeat_answers(&self, turn: usize) {
+        let (limits, departed) = {
+            let (table, first) = (self.table(), turn * REPEATED_MOST);
+            (table.limits_in_turn(first, REPEATED_MOST), table.departed_in_turn(first, REPEATED_MOST))
+        };
+        for (key, report) in limits {
+            self.near_answers.push(ObservedAnswer::Limit(key, report));
+        }
+        for key in departed {
+            self.near_answers.push(ObservedAnswer::Departure(key));
+            self.far_answers.push(ObservedAnswer::Departure(key));
         }
     }
 
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -343,6 +343,11 @@
                     cause = cause.as_str(); "endpoint.unreached");
                 SendResult::NotSent
             }
+            Ok(Err(ExchangeError::Withdrawn)) => {
+                log::info!(request = self.ticket.id_text(), endpoint = flight.endpoint.as_str();
+                    "send.withdrawn");
+                SendResult::NotSent
+            }
             Ok(Err(ExchangeError::Lost(cause))) => {
                 flight.learn(SendOutcome::Broken);
                 self.note_broken(&flight);
@@ -383,7 +388,8 @@
     ) -> Result<Exchanged, TimeIsUp> {
         let gateway = &self.gateway;
         let (mark, is_long) = (request.body().mark(), request.body().is_long());
-        let mut exchange = pin!(gateway.pool.exchange(flight.key, flight.address, request));
+        let mut exchange =
+            pin!(gateway.pool.exchange(flight.key, flight.address, request, || self.may_reach(flight)));
         let (mut patience, mut rest) = (self.patience(), mark.rest());
         loop {
             // Newer weights may be named meanwhile.
@@ -402,6 +408,11 @@
         }
     }
 
+    /// Whether the endpoint that was chosen still takes requests.
+    fn may_reach(&self, flight: &SendFlight) -> bool {
+        self.gateway.table().row(flight.key).is_none_or(|row| !row.has_announced_end())
+    }
+
     fn sent(&mut self) {
         self.sends += 1;
         self.may_have_run = true;
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoint_pool.rs
@@ -42,6 +42,9 @@
     /// The request was sent; it may have run.
     #[error("no answer: {0}")]
     Lost(String),
+    /// No byte of the request left this process: meanwhile the endpoint takes none.
+    #[error("withdrawn before it was sent")]
+    Withdrawn,
 }
 
 /// One connection to an endpoint. Dropping it cuts it.
@@ -78,12 +81,14 @@
     /// Sends `request` over a kept or a new connection; gives the answer's head.
     ///
     /// A kept connection that turns out to be closed before a byte was written is replaced. A long body
-    /// has a connection of its own.
+    /// has a connection of its own. `may_send` is asked right before the first byte: what was learned while a connection was
+    /// opened counts.
     pub(crate) async fn exchange(
         &self,
         key: EndpointKey,
         address: SocketAddr,
         mut request: Request<OutgoingBody>,
+        may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, EndpointConnection), ExchangeError> {
         loop {
             let is_long = request.body().is_long();
@@ -98,6 +103,9 @@
                 }
                 continue;
             }
+            if !may_send() {
+                return Err(ExchangeError::Withdrawn);
+            }
             connection.body = request.body().mark();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((response, connection)),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! What the tasks of one gateway share.
 
 use crate::PeerBook;
-use crate::answer_handler::ObservedLimit;
+use crate::answer_handler::ObservedAnswer;
 use crate::clock::GatewayClock;
 use crate::digest_relay::DigestRelay;
 use crate::end_watch::EndWatch;
@@ -89,12 +89,12 @@
     pub desk: Mutex<QuarantineDesk>,
     /// This VM's part of what endpoints take that take few requests, and who waits for it.
     pub shares: ShareDesk,
-    /// What endpoints said of their limits that the VMs of this data centre have not been told.
-    pub near_limits: WaitingNotes<ObservedLimit>,
+    /// What endpoints stated in answers that the VMs of this data centre have not received.
+    pub near_answers: WaitingNotes<ObservedAnswer>,
     /// The same for other data centres.
-    pub far_limits: WaitingNotes<ObservedLimit>,
+    pub far_answers: WaitingNotes<ObservedAnswer>,
     /// The same of other data centres, while this VM leads.
-    pub passed_limits: WaitingNotes<ObservedLimit>,
+    pub passed_answers: WaitingNotes<ObservedAnswer>,
     /// Wakes the task that judges requests.
     pub evidence_came: Notify,
     /// Wakes the task that writes holds into the store.
@@ -168,9 +168,9 @@
             passed_reports: WaitingNotes::default(),
             desk: Mutex::default(),
             shares: ShareDesk::default(),
-            near_limits: WaitingNotes::default(),
-            far_limits: WaitingNotes::default(),
-            passed_limits: WaitingNotes::default(),
+            near_answers: WaitingNotes::default(),
+            far_answers: WaitingNotes::default(),
+            passed_answers: WaitingNotes::default(),
             evidence_came: Notify::new(),
             holds_changed: Notify::new(),
             near_cases: WaitingNotes::default(),
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -167,7 +167,7 @@
     for turn in 0.. {
         tokio::time::sleep(SWEEP_PAUSE).await;
         let now = gateway.now();
-        gateway.repeat_limits(turn);
+        gateway.repeat_answers(turn);
         let (gone, doubted, evacuated) = {
             let mut table = gateway.table();
             for data_centre in table.end_lapsed_evacuations(now) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -91,7 +91,7 @@
         };
         if tells_all || place >= LEADS || far_count == 0 {
             let _ = (gateway.far_notes.take(), gateway.far_reports.take());
-            let _ = (gateway.far_cases.take(), gateway.far_limits.take());
+            let _ = (gateway.far_cases.take(), gateway.far_answers.take());
             tokio::time::sleep(NO_LEAD_PAUSE).await;
             continue;
         }
@@ -116,7 +116,7 @@
         };
         if targets.is_empty() || far_count == 0 {
             let _ = (gateway.passed_notes.take(), gateway.passed_reports.take());
-            let _ = (gateway.passed_cases.take(), gateway.passed_limits.take());
+            let _ = (gateway.passed_cases.take(), gateway.passed_answers.take());
             tokio::time::sleep(NO_LEAD_PAUSE).await;
             continue;
         }
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -5,7 +5,7 @@
 //! only what VMs say of themselves is summed.
 
 use crate::CloseReporter;
-use crate::answer_handler::{ForwardScope, LimitNote, ObservedLimit};
+use crate::answer_handler::{AnswerNote, ForwardScope, ObservedAnswer};
 use crate::gateway::{Gateway, TellerReport};
 use crate::peer_message::PeerStamp;
 use crate::placed_note::PlacedNote;
@@ -44,8 +44,8 @@
     reports: Vec<TellerReport>,
     /// Requests under which endpoints end.
     cases: Vec<QuarantineNote>,
-    /// What endpoints said of the requests that they take.
-    limits: Vec<LimitNote>,
+    /// What endpoints stated of themselves in answers.
+    answers: Vec<AnswerNote>,
     /// Engines that get no new work, and for how long, in microseconds.
     closed: Vec<(EndpointKey, u64)>,
     /// How long moves still take each store's link, in microseconds, and the pace that they have shown lately.
@@ -63,7 +63,7 @@
     placed: Vec<PlacedNote>,
     reports: Vec<TellerReport>,
     cases: Vec<QuarantineNote>,
-    limits: Vec<ObservedLimit>,
+    answers: Vec<ObservedAnswer>,
 }
 
 impl LoadDigest {
@@ -73,7 +73,7 @@
             placed: gateway.near_notes.take(),
             reports: gateway.near_reports.take(),
             cases: gateway.near_cases.take(),
-            limits: gateway.near_limits.take(),
+            answers: gateway.near_answers.take(),
         };
         let now = gateway.now();
         let table = gateway.table();
@@ -89,7 +89,7 @@
             placed: gateway.far_notes.take(),
             reports: gateway.far_reports.take(),
             cases: gateway.far_cases.take(),
-            limits: gateway.far_limits.take(),
+            answers: gateway.far_answers.take(),
         };
         let now = gateway.now();
         let table = gateway.table();
@@ -104,7 +104,7 @@
             placed: gateway.passed_notes.take(),
             reports: gateway.passed_reports.take(),
             cases: gateway.passed_cases.take(),
-            limits: gateway.passed_limits.take(),
+            answers: gateway.passed_answers.take(),
         };
         let now = gateway.now();
         let heard = gateway.peers().far_heard(now);
@@ -119,13 +119,13 @@
         self.placed.splice(0..0, earlier.placed);
         self.reports.splice(0..0, earlier.reports);
         self.cases.splice(0..0, earlier.cases);
-        self.limits.splice(0..0, earlier.limits);
+        self.answers.splice(0..0, earlier.answers);
         self.placed.truncate(NOTES_MOST);
         self.reports.truncate(NOTES_MOST);
         self.cases.truncate(NOTES_MOST);
-        // The newest word of an endpoint stands, and comes last.
-        let over = self.limits.len().saturating_sub(NOTES_MOST);
-        self.limits.drain(..over);
+        // The newest report of an endpoint counts, and comes last.
+        let over = self.answers.len().saturating_sub(NOTES_MOST);
+        self.answers.drain(..over);
     }
 
     fn build(
@@ -142,7 +142,7 @@
             DigestScope::DataCentre => 1,
             DigestScope::Elsewhere => 2,
         };
-        let DigestNotes { placed, reports, mut cases, limits } = notes;
+        let DigestNotes { placed, reports, mut cases, answers } = notes;
         cases.extend(gateway.desk().quarantine.retell(audience, now));
         let loads = loads.into_iter();
         Self {
@@ -153,7 +153,7 @@
             placed,
             reports,
             cases,
-            limits: limits.iter().map(|heard| LimitNote::of(heard, now)).collect(),
+            answers: answers.iter().map(|heard| AnswerNote::of(heard, now)).collect(),
             closed: closed_engines(table, scope, now),
             moves,
             weights: seen_weights(table, scope, now),
@@ -221,7 +221,7 @@
         drop(table);
         gateway.apply_named_ages(&self.named);
         gateway.take_notes(&self.cases, self.scope, vm, is_lead);
-        gateway.apply_limit_notes(&self.limits, ForwardScope::of(self.scope, is_near, is_lead));
+        gateway.apply_answer_notes(&self.answers, ForwardScope::of(self.scope, is_near, is_lead));
         if is_near {
             self.placed.iter().for_each(|note| gateway.far_notes.push(note.clone()));
             self.reports.iter().for_each(|report| gateway.report_far(*report));
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -124,8 +124,11 @@
 
     /// Asks engines whose loads may be over.
     fn ask_reports(&mut self, gateway: &Arc<Gateway>) {
-        for key in self.desk.nearly_loaded(gateway.now()) {
-            if self.asked.insert(key) {
+        let now = gateway.now();
+        for key in self.desk.nearly_loaded(now) {
+            // One that leaves is not asked: what it has loaded matters no more.
+            let is_known = gateway.table().row(key).is_some_and(|row| !row.is_leaving(now));
+            if is_known && self.asked.insert(key) {
                 let gateway = Arc::clone(gateway);
                 self.reports.spawn(async move {
                     let report = read_report(&gateway, key).await;
@@ -210,8 +213,10 @@
     }
     let held = *right.borrow();
     let now = gateway.now();
-    // Looked at anew right before the order leaves: the process may have stood still meanwhile.
-    if held.fencing == 0 || now < held.from || now >= held.until {
+    let leaves = gateway.table().row(key).is_none_or(|row| row.is_leaving(now));
+    // Looked at anew right before the order leaves: the report may have said that the engine leaves, and the process may
+    // have stood still meanwhile.
+    if leaves || held.fencing == 0 || now < held.from || now >= held.until {
         return OrderAnswer::Unanswered;
     }
     let order = WeightOrder {
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -213,7 +213,8 @@
     fn ending_of(&self, flight: &SendFlight) -> Option<EndpointEnding> {
         let now = self.gateway.now();
         let table = self.gateway.table();
-        let row = table.row(flight.key).filter(|row| !row.entry.draining && row.missing_until.is_none())?;
+        let row =
+            table.row(flight.key).filter(|row| !row.has_announced_end() && row.missing_until.is_none())?;
         let service = &row.entry.service;
         let among = table.rows_of(service).filter(|(_, row)| !row.is_leaving(now)).count();
         Some(EndpointEnding {
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -209,7 +209,7 @@
         let (key, ending) = {
             let table = self.gateway.table();
             let key = table.key_of(id);
-            let ending = table.row(key).filter(|row| !row.entry.draining).map(|row| {
+            let ending = table.row(key).filter(|row| !row.has_announced_end()).map(|row| {
                 let service = &row.entry.service;
                 EndpointEnding {
                     start: key,
