An endpoint that asks a VM for rest gets nothing from it until then

What callers saw: five of 18 engines turned all requests away for seconds; a quarter of all requests was refused after two sends, since the engines that rest look idle. Cause: Retry-After was read by nobody, a refusal was forgotten after 150 ms.

The rest is kept with the endpoint's row, from the answer's arrival: nothing shortens it, a longer one extends it, an hour at most. It joins limits and coldness in the one place that tells when an endpoint takes a request, so that waiting, refusing and times to return follow: where all endpoints rest, callers are refused at once and return after the first end, one after the other. After a rest one request goes at a time until one is served. A send whose connection is being opened is withdrawn. A rest binds the VM that was asked; if two VMs were asked, the others avoid the endpoint while they have another one, since with hundreds of VMs each sends too rarely to be asked itself. request.limited and request.unplaced count what kept a request from its endpoints; status and explain show rests and departures.

--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -1,12 +1,14 @@
 //! Where a request goes, whether it is refused, and whether it is sent again.
 
 mod admission;
+mod blocked_counts;
 mod placement;
 mod retry_budget;
 mod share_queue;
 mod shared_rate;
 
 pub use admission::{AdmissionVerdict, AdmissionView, take_part};
+pub use blocked_counts::BlockedCounts;
 pub(crate) use placement::candidates;
 pub use placement::{PlacementAsk, PlacementChoice, ShareView, place, salt_text, salt_version};
 pub use retry_budget::{BudgetTerms, RetryBudget};
--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -3,8 +3,8 @@
 //! The endpoint with the least expected cost wins: expected time to the first event (prompts that
 //! wait there, parts that must be moved there, the rest that must be read, memory that must come
 //! free first), and on top the price of crossing data centres, of failing answers and of old
-//! weights, all in microseconds. Invariant: an endpoint that leaves, that has failed this request,
-//! whose data centre is evacuated or outside the request's homes, or whose weights are overdue is never chosen; one that is ejected only if all are. Each VM
+//! weights, all in microseconds. Invariant: an endpoint that leaves, that asked this VM for a rest, that has failed this
+//! request, whose data centre is evacuated or outside the request's homes, or whose weights are overdue is never chosen; one that is ejected only if all are. Each VM
 //! decides by itself on loads that peers told it some milliseconds ago: asking a home VM would cost
 //! more time than its exactness saves.
 
@@ -215,7 +215,8 @@
 ) -> Vec<(EndpointKey, &'a EndpointRow)> {
     let allowed = table.rows_of(ask.service).filter(|(key, row)| ask.allows(table, *key, row, now));
     let mut allowed: Vec<_> = allowed.collect();
-    let is_sound = |row: &EndpointRow| !row.is_ejected(now) && !row.is_closing(now);
+    let is_sound =
+        |row: &EndpointRow| !row.is_ejected(now) && !row.is_closing(now) && !row.rest.is_resting(now);
     if allowed.iter().any(|(_, row)| is_sound(row)) {
         allowed.retain(|(_, row)| is_sound(row));
     }
--- a/crates/decide/src/admit/share_queue.rs
+++ b/crates/decide/src/admit/share_queue.rs
@@ -1,6 +1,6 @@
 //! Who is served of a service whose endpoints all take few requests, who is refused, and when those may return.
 //!
-//! Pattern: all endpoints of a service name limits, together far below its traffic. Without an order whoever asks at the
+//! Pattern: all endpoints of a service name limits, together far below its traffic, or rest. Without an order whoever asks at the
 //! right moment is served, and all others wait until their time is over, or come back together.
 //!
 //! Each VM serves at the rate of its own parts, and all VMs by the same order: the highest rank first, within it the client
@@ -11,6 +11,7 @@
 //! Invariant: nobody who could go now is overtaken, and a request that cannot go now, or has gone elsewhere, keeps back
 //! nobody who can.
 
+use crate::EndpointRow;
 use spanfold_entity::{MICROS_PER_MILLI, MICROS_PER_SECOND, Moment};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -42,7 +43,7 @@
 }
 
 /// What the endpoints of a service take that may serve a request.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ShareOutlook {
     /// When this VM may send one of them a request; none if it has no part of any.
     pub next_at: Option<Moment>,
@@ -52,6 +53,18 @@
     pub all_per_s: f64,
     /// All VMs.
     pub vms: usize,
+    /// When the first of them returns, if all of them rest: nobody is asked back before.
+    pub rest_until: Option<Moment>,
+}
+
+impl ShareOutlook {
+    /// Adds an endpoint that rests, or returns from a rest: after it, it is expected to take a request a second for each of
+    /// its slots.
+    pub(crate) fn add_rested(&mut self, row: &EndpointRow) {
+        let per_s = f64::from(row.entry.slots.max(1));
+        self.all_per_s += per_s;
+        self.own_per_s += per_s / self.vms.max(1) as f64;
+    }
 }
 
 /// What becomes of a request that no endpoint takes now.
@@ -128,8 +141,9 @@
         // The refused return to any VM: each tells its part of the times that there are for all.
         let per_s = outlook.all_per_s / outlook.vms.max(1) as f64;
         let pause_micros = (MICROS_PER_SECOND as f64 / per_s.max(f64::MIN_POSITIVE)) as u64;
-        let most = now.after_millis(BACK_MOST_MILLIS);
-        let back_at = self.returns_until.max(now).after_micros(pause_micros).min(most);
+        let from = outlook.rest_until.unwrap_or(now).max(now);
+        let most = from.after_millis(BACK_MOST_MILLIS);
+        let back_at = self.returns_until.max(from).after_micros(pause_micros).min(most);
         self.returns_until = back_at;
         (back_at.micros_since(now) / MICROS_PER_MILLI).max(BACK_LEAST_MILLIS)
     }
@@ -150,7 +164,9 @@
     /// let order = QueueOrder {
     ///     number: 1, rank: 0, account: String::new(), received: Moment(0), objective_millis: 300,
     /// };
-    /// let outlook = ShareOutlook { next_at: Some(Moment(90_000)), own_per_s: 2.0, all_per_s: 4.0, vms: 2 };
+    /// let outlook = ShareOutlook {
+    ///     next_at: Some(Moment(90_000)), own_per_s: 2.0, all_per_s: 4.0, vms: 2, rest_until: None,
+    /// };
     /// let mut queue = ShareQueue::default();
     /// assert_eq!(queue.admit("s", &order, &outlook, Moment(0)), ShareVerdict::Wait(Moment(90_000)));
     /// let late = ShareOutlook { next_at: Some(Moment(900_000)), ..outlook };
@@ -182,6 +198,11 @@
         }
     }
 
+    /// When a request that is refused because all endpoints rest may return, in milliseconds from now.
+    pub fn refuse(&mut self, service: &str, outlook: &ShareOutlook, now: Moment) -> u64 {
+        self.services.entry(service.to_owned()).or_default().back_millis(outlook, now)
+    }
+
     /// Notes that a request goes to an endpoint that takes few.
     pub fn note_served(&mut self, service: &str, order: &QueueOrder, now: Moment) {
         let queue = self.services.entry(service.to_owned()).or_default();
--- a/crates/decide/src/fleet/endpoint_rest.rs
+++ b/crates/decide/src/fleet/endpoint_rest.rs
@@ -64,6 +64,11 @@
         now < self.until
     }
 
+    /// Whether it takes requests as if it had never rested.
+    pub fn is_over(&self, now: Moment) -> bool {
+        !self.is_returning && !self.is_resting(now)
+    }
+
     /// When it takes a request; `now` if it does at once.
     pub fn next_at(&self, now: Moment) -> Moment {
         if self.is_returning { now.max(self.probe_at) } else { now }
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -262,7 +262,12 @@
                 self.told.unreached(teller, turn, now);
                 return;
             }
-            SendOutcome::Refused => return,
+            SendOutcome::Refused => {
+                if let Some(millis) = report.rest_millis {
+                    self.told.asked_rest(teller, millis, turn, now);
+                }
+                return;
+            }
         };
         self.failure_ratio += FAILURE_WEIGHT * (failed - self.failure_ratio);
         if let Some(pace) = report.pace {
--- a/crates/decide/src/fleet/fleet_answers.rs
+++ b/crates/decide/src/fleet/fleet_answers.rs
@@ -3,7 +3,7 @@
 //! Invariant: a departure is final for its start. Neither an entry nor a later answer takes it back.
 
 use super::fleet_table::EndedRow;
-use crate::{EndpointKey, FleetTable, RestChange};
+use crate::{EndpointKey, EndpointRow, FleetTable, RestChange, ShareOutlook};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
 
@@ -38,6 +38,29 @@
         self.rows.get_mut(&key).map_or(RestChange::None, |row| row.rest.ask(millis, now))
     }
 
+    /// Notes that an endpoint served a request that was sent at `sent_at`; whether it has returned from a rest with that.
+    pub fn note_served(&mut self, key: EndpointKey, sent_at: Moment) -> bool {
+        self.rows.get_mut(&key).is_some_and(|row| row.rest.note_served(sent_at))
+    }
+
+    /// What the endpoints of a service take once their rests end, if all of them rest that `may_serve` and take work.
+    pub fn rest_outlook(
+        &self,
+        service: &str,
+        vms: usize,
+        may_serve: impl Fn(&EndpointRow) -> bool,
+        now: Moment,
+    ) -> Option<ShareOutlook> {
+        let mut outlook = ShareOutlook { vms, ..ShareOutlook::default() };
+        let rows = self.rows_of(service).map(|(_, row)| row);
+        for row in rows.filter(|row| row.takes_work(now) && may_serve(row)) {
+            let until = row.rest.until(now)?;
+            outlook.rest_until = Some(outlook.rest_until.map_or(until, |known| known.min(until)));
+            outlook.add_rested(row);
+        }
+        outlook.rest_until.is_some().then_some(outlook)
+    }
+
     /// Notes whether a header of an endpoint's last answer was invalid; whether that is new.
     pub fn note_odd_header(&mut self, key: EndpointKey, name: &'static str, is_odd: bool) -> bool {
         let Some(row) = self.rows.get_mut(&key) else { return false };
--- a/crates/decide/src/fleet/fleet_limits.rs
+++ b/crates/decide/src/fleet/fleet_limits.rs
@@ -49,7 +49,7 @@
         [is_cold, row.limit.rate(now).map(RateTerms::of_limit)]
     }
 
-    /// When this VM may send a request to an endpoint: now, unless that takes few requests; none if it may send none.
+    /// When this VM may send a request to an endpoint: now, unless that rests or takes few requests; none if it may send none.
     pub fn next_share(
         &self,
         key: EndpointKey,
@@ -58,7 +58,7 @@
         now: Moment,
     ) -> Option<Moment> {
         let terms = self.rate_terms(row, shares.cold, now);
-        let mut next_at = now;
+        let mut next_at = row.rest.next_at(now);
         for terms in terms.iter().flatten() {
             let part = shares.part(key, row, terms);
             next_at = next_at.max(row.recent_sends.next_at(part, terms.window_millis, now)?);
@@ -73,26 +73,27 @@
             .is_some_and(|row| row.limit.rate(now).is_some() || self.cold_spec(row, now).is_some())
     }
 
-    /// Counts a request that is about to be sent to an endpoint, if that takes few; false if this VM's part is used up,
-    /// which another request may have done since the choice.
+    /// Counts a request that is about to be sent to an endpoint; false if that takes none now, which another request may have
+    /// brought about since the choice.
     pub fn take_share(&mut self, key: EndpointKey, shares: &ShareView<'_>, now: Moment) -> bool {
         let Some(row) = self.rows.get(&key) else { return false };
         let terms = self.rate_terms(row, shares.cold, now);
-        let Some(window_millis) = terms.iter().flatten().map(|terms| terms.window_millis).max() else {
-            return true;
-        };
+        let window_millis = terms.iter().flatten().map(|terms| terms.window_millis).max();
         let takes = self.next_share(key, row, shares, now).is_some_and(|at| at <= now);
         if takes && let Some(row) = self.rows.get_mut(&key) {
-            row.recent_sends.push(window_millis, now);
+            row.rest.note_send(now);
+            if let Some(window_millis) = window_millis {
+                row.recent_sends.push(window_millis, now);
+            }
         }
         takes
     }
 
-    /// What the endpoints take together that a request may go to, if all of them take few requests only.
+    /// What the endpoints take together that a request may go to, if all of them rest or take few requests only.
     pub fn share_outlook(&self, ask: &PlacementAsk<'_>, now: Moment) -> Option<ShareOutlook> {
         let shares = &ask.shares;
-        let mut outlook = ShareOutlook { next_at: None, own_per_s: 0.0, all_per_s: 0.0, vms: shares.vms };
-        let mut is_any = false;
+        let mut outlook = ShareOutlook { vms: shares.vms, ..ShareOutlook::default() };
+        let (mut is_any, mut all_rest) = (false, true);
         for (key, row) in candidates(self, ask, now) {
             is_any = true;
             let terms = self.rate_terms(row, shares.cold, now);
@@ -100,13 +101,20 @@
                 .into_iter()
                 .flatten()
                 .min_by(|one, other| one.per_s(one.count).total_cmp(&other.per_s(other.count)));
-            // One that takes any number would have been chosen.
-            let terms = lowest?;
-            outlook.all_per_s += terms.per_s(terms.count);
-            outlook.own_per_s += terms.per_s(shares.part(key, row, &terms));
+            match lowest {
+                Some(terms) => {
+                    outlook.all_per_s += terms.per_s(terms.count);
+                    outlook.own_per_s += terms.per_s(shares.part(key, row, &terms));
+                }
+                None if row.rest.is_over(now) => return None, // It would have been chosen.
+                None => outlook.add_rested(row),
+            }
+            all_rest &= row.rest.is_resting(now);
+            outlook.rest_until = [outlook.rest_until, row.rest.until(now)].into_iter().flatten().min();
             let next_at = self.next_share(key, row, shares, now);
             outlook.next_at = [outlook.next_at, next_at].into_iter().flatten().min();
         }
+        outlook.rest_until = outlook.rest_until.filter(|_| all_rest);
         is_any.then_some(outlook)
     }
 
--- a/crates/decide/src/fleet/send_report.rs
+++ b/crates/decide/src/fleet/send_report.rs
@@ -12,4 +12,6 @@
     pub outcome: SendOutcome,
     /// Multiple of the usual time that the first event took, if it came.
     pub pace: Option<f32>,
+    /// Milliseconds of rest that the endpoint asked the sender for, if it turned the request away with that.
+    pub rest_millis: Option<u64>,
 }
--- a/crates/decide/src/fleet/told_health.rs
+++ b/crates/decide/src/fleet/told_health.rs
@@ -7,6 +7,10 @@
 //! Invariant: one VM's word passes nobody over, since it may be cut off or frozen itself; two VMs that could
 //! not reach an endpoint, with no answer from it to anybody in between, do. When the rest is over, VMs try it again one
 //! after the other, not all at once, and the first answer to any of them ends the rest for all.
+//!
+//! A rest that an endpoint asks for binds the VM that was asked. If two VMs were asked, the endpoint is overloaded rather than
+//! selective, and the others avoid it too while they have another one: with many VMs, each sends too rarely to one endpoint
+//! to be asked itself, and all of them together would go on.
 
 use crate::VmKey;
 use spanfold_entity::Moment;
@@ -18,6 +22,9 @@
 const REST_MILLIS: u64 = 1_000;
 /// Longest rest, in milliseconds.
 const REST_MOST_MILLIS: u64 = 4_000;
+/// Longest time for which VMs avoid an endpoint that asked others for rest, in milliseconds: after it, they try it one after
+/// the other.
+const ASKED_MOST_MILLIS: u64 = 10_000;
 /// Attempts that were under way when a rest began end within this time, in milliseconds: they say nothing new.
 const UNDER_WAY_MILLIS: u64 = 500;
 /// Time from one VM's attempt to the next one's, in milliseconds: an attempt at an endpoint that is dark takes 350,
@@ -29,6 +36,8 @@
 pub(crate) struct ToldHealth {
     /// The last VM that could not reach it, and when it said so; none since an answer.
     unreached: Option<(VmKey, Moment)>,
+    /// The last VM that was asked for rest, and until when.
+    asked: Option<(VmKey, Moment)>,
     /// Rests in a row.
     rests: u32,
     rested_at: Moment,
@@ -69,6 +78,19 @@
         }
     }
 
+    /// The endpoint asked the VM `reporter` for so many milliseconds of rest; `turn` as above.
+    pub(crate) fn asked_rest(&mut self, reporter: VmKey, millis: u64, turn: f64, now: Moment) {
+        let until = now.after_millis(millis.min(ASKED_MOST_MILLIS));
+        let Some((other, other_until)) = self.asked.replace((reporter, until)) else { return };
+        if other == reporter || now >= other_until {
+            return;
+        }
+        let end = until.min(other_until).after_millis((turn * TURN_MILLIS) as u64);
+        self.avoided_until = self.avoided_until.max(end);
+        self.rests = self.rests.max(1);
+        self.rested_at = now;
+    }
+
     /// Begins a rest, or goes on with one whose end another VM did not find worth waiting for.
     fn rest(&mut self, turn: f64, now: Moment) {
         let rest = (REST_MILLIS << self.rests.min(4)).min(REST_MOST_MILLIS);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -19,9 +19,9 @@
 mod weights;
 
 pub use admit::{
-    AdmissionVerdict, AdmissionView, BudgetTerms, ColdTerms, ListStanding, PlacementAsk, PlacementChoice,
-    QueueOrder, RateTerms, RecentSends, RetryBudget, ShareOutlook, ShareQueue, ShareRight, ShareVerdict,
-    ShareView, place, salt_text, salt_version, take_part,
+    AdmissionVerdict, AdmissionView, BlockedCounts, BudgetTerms, ColdTerms, ListStanding, PlacementAsk,
+    PlacementChoice, QueueOrder, RateTerms, RecentSends, RetryBudget, ShareOutlook, ShareQueue, ShareRight,
+    ShareVerdict, ShareView, place, salt_text, salt_version, take_part,
 };
 pub use fleet::{
     AccountRow, CloseReporter, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRest,
--- /dev/null
+++ b/crates/decide/tests/endpoint_answers.rs
@@ -0,0 +1,275 @@
+//! Departures and rests over random histories, without a network: what engines would see of one VM.
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use spanfold_decide::{
+    ColdTerms, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRest, FleetTable, HomeRegions,
+    PlacementAsk, RestChange, SendOutcome, SendReport, ShareView, VmKey, place,
+};
+use spanfold_entity::Moment;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+
+const IDS: [&str; 3] = ["i-1", "i-2", "i-3"];
+
+fn at(millis: u64) -> Moment {
+    Moment(0).after_millis(1_000_000 + millis)
+}
+
+fn entry(id: &str, born: u64, slots: u32) -> EndpointEntry {
+    EndpointEntry {
+        id: id.to_owned(),
+        born_millis: Some(born),
+        service: "desk".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        data_centre: "dc-a".to_owned(),
+        slots,
+        draining: false,
+        cold_millis: Some(0),
+        weights: BTreeMap::new(),
+    }
+}
+
+fn shares() -> ShareView<'static> {
+    ShareView { right: None, cold: ColdTerms::default(), vms: 9 }
+}
+
+fn ask(exclude: &[EndpointKey]) -> PlacementAsk<'_> {
+    PlacementAsk {
+        service: "desk",
+        data_centre: "dc-a",
+        silent: &[],
+        parts: &[],
+        prompt_tokens: 0,
+        output_tokens: 0,
+        objective_millis: 300,
+        bytes: 100,
+        model: None,
+        wanted: None,
+        memory_part: 1.0,
+        homes: HomeRegions::default(),
+        wall: "shared",
+        exclude,
+        shares: shares(),
+        draw: || 0.5,
+    }
+}
+
+/// One step of a history; endpoints by their place, times in milliseconds.
+#[derive(Clone, Debug)]
+enum Step {
+    /// Its entry is written, or comes late: with the start of then.
+    Entry(usize, u64, u32),
+    /// Its entry goes, held for so long.
+    Gone(usize, u64),
+    /// The store's listing holds these only.
+    Listing(Vec<usize>),
+    /// An answer of the present start says that it leaves, to this VM or to another one.
+    Departure(usize),
+    /// It turns a request away that was sent at this time, and asks for rest.
+    Rest(usize, u64),
+    /// It answers, without saying anything, a request sent so long ago.
+    Success(usize, u64),
+    /// Another VM was asked for rest.
+    Reported(usize, u64, u64),
+    Sweep,
+    /// Requests arrive.
+    Requests(u8),
+    Wait(u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let place = 0..IDS.len();
+    let step = prop_oneof![
+        3 => (place.clone(), 0..4_u64, 1..9_u32).prop_map(|(place, born, slots)| Step::Entry(place, born, slots)),
+        1 => (place.clone(), 0..3_000_u64).prop_map(|(place, hold)| Step::Gone(place, hold)),
+        1 => proptest::collection::vec(place.clone(), 0..3).prop_map(Step::Listing),
+        1 => place.clone().prop_map(Step::Departure),
+        2 => (place.clone(), 0..5_000_u64).prop_map(|(place, millis)| Step::Rest(place, millis)),
+        2 => (place.clone(), 0..4_000_u64).prop_map(|(place, age)| Step::Success(place, age)),
+        1 => (place, 0..3_u64, 0..5_000_u64).prop_map(|(place, vm, millis)| Step::Reported(place, vm, millis)),
+        1 => Just(Step::Sweep),
+        6 => (1..5_u8).prop_map(Step::Requests),
+        6 => (1..900_u64).prop_map(Step::Wait),
+    ];
+    proptest::collection::vec(step, 1..120)
+}
+
+/// What is known of the endpoints themselves.
+#[derive(Default)]
+struct Truth {
+    born: [u64; 3],
+    departed: BTreeSet<EndpointKey>,
+    rests: BTreeMap<EndpointKey, Vec<(Moment, Moment)>>,
+}
+
+impl Truth {
+    fn key(&self, place: usize) -> EndpointKey {
+        EndpointKey::of_start(IDS[place], Some(self.born[place]))
+    }
+}
+
+fn play(history: &[Step]) {
+    let (mut table, mut truth, mut now) = (FleetTable::default(), Truth::default(), 0);
+    for step in history {
+        match *step {
+            Step::Entry(place, born, slots) => {
+                truth.born[place] = truth.born[place].max(born);
+                table.apply_entry(entry(IDS[place], born, slots), at(now));
+            }
+            Step::Gone(place, hold) => table.miss_entry(IDS[place], at(now + hold)),
+            Step::Listing(ref places) => {
+                let listed: HashSet<_> = places.iter().map(|place| truth.key(*place)).collect();
+                table.miss_all_but(&listed, at(now));
+            }
+            Step::Departure(place) => {
+                truth.departed.insert(truth.key(place));
+                table.note_departure(truth.key(place), at(now));
+            }
+            Step::Rest(place, millis) => {
+                let key = truth.key(place);
+                if table.row(key).is_some() {
+                    truth.rests.entry(key).or_default().push((at(now), at(now + millis)));
+                }
+                table.note_rest(key, millis, at(now));
+                table.learn(key, SendOutcome::Refused, at(now));
+            }
+            Step::Success(place, age) => {
+                table.learn(truth.key(place), SendOutcome::Answered, at(now));
+                table.note_served(
+                    truth.key(place),
+                    at(now).min(Moment(at(now).0.saturating_sub(age * 1_000))),
+                );
+            }
+            Step::Reported(place, vm, millis) => {
+                let report = SendReport {
+                    key: truth.key(place),
+                    outcome: SendOutcome::Refused,
+                    pace: None,
+                    rest_millis: Some(millis),
+                };
+                table.learn_reported(VmKey(vm), &report, 0.5, at(now));
+            }
+            Step::Sweep => {
+                for key in table.sweep(at(now)) {
+                    // Whoever returns after its row is gone has its rest behind it as far as this VM knows.
+                    truth.rests.remove(&key);
+                }
+            }
+            Step::Requests(count) => {
+                for _ in 0..count {
+                    send(&mut table, &truth, at(now));
+                }
+            }
+            Step::Wait(millis) => now += millis,
+        }
+    }
+}
+
+/// Sends one request where it is placed; nothing goes to an endpoint that left or rests.
+fn send(table: &mut FleetTable, truth: &Truth, now: Moment) {
+    let Some(choice) = place(table, &ask(&[]), now) else { return };
+    if !table.take_share(choice.key, &shares(), now) {
+        return;
+    }
+    assert!(!truth.departed.contains(&choice.key), "sent to one that left");
+    let rests = truth.rests.get(&choice.key).into_iter().flatten();
+    let mut broken = rests.filter(|(from, until)| (*from..*until).contains(&now));
+    assert_eq!(broken.next(), None, "sent within a rest at {now:?}");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 512, rng_seed: RngSeed::Fixed(41), ..ProptestConfig::default() })]
+
+    #[test]
+    fn nothing_goes_to_an_endpoint_that_left_or_rests(history in steps()) {
+        play(&history);
+    }
+}
+
+#[test]
+fn a_departure_that_was_reported_before_the_entry_was_read_holds() {
+    let mut table = FleetTable::default();
+    let key = EndpointKey::of_start("i-1", Some(1));
+    assert!(table.note_departure(key, at(0)));
+    assert!(!table.note_departure(key, at(1)));
+    assert!(!table.apply_entry(entry("i-1", 1, 8), at(2)));
+    assert!(table.row(key).is_none());
+    // The next start is free of it.
+    assert!(table.apply_entry(entry("i-1", 2, 8), at(3)));
+    assert!(place(&table, &ask(&[]), at(4)).is_some());
+}
+
+/// Departures of a whole deployment, several times over, are remembered.
+#[test]
+fn departures_of_many_replaced_endpoints_are_remembered() {
+    let mut table = FleetTable::default();
+    for number in 0..12_000 {
+        let id = format!("i-{number}");
+        table.apply_entry(entry(&id, 1, 8), at(number));
+        table.note_departure(EndpointKey::of_start(&id, Some(1)), at(number));
+        table.miss_entry(&id, Moment(0));
+        if number % 100 == 99 {
+            table.sweep(at(number));
+        }
+    }
+    assert!(!table.apply_entry(entry("i-1", 1, 8), at(20_000)));
+    assert!(!table.apply_entry(entry("i-11999", 1, 8), at(20_000)));
+}
+
+#[test]
+fn an_endpoint_that_is_well_gets_work_when_its_rest_ends() {
+    let mut table = FleetTable::default();
+    table.set_services(&DeploymentConfig::default());
+    table.apply_entry(entry("i-1", 1, 8), at(0));
+    let key = EndpointKey::of_start("i-1", Some(1));
+    assert_eq!(table.note_rest(key, 3_000, at(0)), RestChange::Begun(3_000));
+    // Shorter ones, and successes that cross it, shorten nothing; a longer one extends it.
+    assert_eq!(table.note_rest(key, 500, at(100)), RestChange::None);
+    table.learn(key, SendOutcome::Answered, at(200));
+    assert!(!table.note_served(key, at(50)));
+    assert_eq!(table.note_rest(key, 3_000, at(300)), RestChange::Extended(3_000));
+    assert!(place(&table, &ask(&[]), at(3_299)).is_none());
+    assert_eq!(table.rest_outlook("desk", 9, |_| true, at(3_299)).unwrap().rest_until, Some(at(3_300)));
+    assert!(place(&table, &ask(&[]), at(3_300)).is_some());
+    // One request at a time until one is served.
+    assert!(table.take_share(key, &shares(), at(3_300)));
+    assert!(!table.take_share(key, &shares(), at(3_400)));
+    assert!(table.take_share(key, &shares(), at(3_500)));
+    assert!(table.note_served(key, at(3_300)));
+    assert!((0..50).all(|_| table.take_share(key, &shares(), at(3_510))));
+}
+
+/// A rest of years, said by one faulty answer, takes an endpoint from a VM for an hour.
+#[test]
+fn a_rest_is_kept_for_an_hour_at_most() {
+    let mut rest = EndpointRest::default();
+    assert_eq!(rest.ask(1_000_000_000_000, at(0)), RestChange::Begun(3_600_000));
+    assert_eq!((rest.is_resting(at(3_599_999)), rest.is_resting(at(3_600_000))), (true, false));
+    rest.note_send(at(3_600_000));
+    assert!(rest.next_at(at(3_600_001)) > at(3_600_001));
+    // It asks again, if it meant it.
+    assert_eq!(rest.ask(1_000_000_000_000, at(3_600_010)), RestChange::Begun(3_600_000));
+}
+
+/// Two VMs that were asked make the others avoid an endpoint, while they have another one.
+#[test]
+fn vms_avoid_an_endpoint_that_asked_two_others_for_rest() {
+    let mut table = FleetTable::default();
+    for id in ["i-1", "i-2"] {
+        table.apply_entry(entry(id, 1, 8), at(0));
+    }
+    let (key, other) = (EndpointKey::of_start("i-1", Some(1)), EndpointKey::of_start("i-2", Some(1)));
+    let report =
+        |millis| SendReport { key, outcome: SendOutcome::Refused, pace: None, rest_millis: Some(millis) };
+    let avoided = |table: &FleetTable, millis| table.row(key).unwrap().is_ejected(at(millis));
+    table.learn_reported(VmKey(1), &report(3_000), 0.0, at(0));
+    table.learn_reported(VmKey(1), &report(3_000), 0.0, at(10));
+    assert!(!avoided(&table, 20), "one VM's rest is its own");
+    table.learn_reported(VmKey(2), &report(1_000), 0.0, at(20));
+    assert!(avoided(&table, 1_000) && !avoided(&table, 1_020), "until the first of both rests ends");
+    assert_eq!(place(&table, &ask(&[]), at(500)).unwrap().key, other);
+    assert_eq!(place(&table, &ask(&[other]), at(500)).unwrap().key, key, "while there is another one");
+    let served = SendReport { outcome: SendOutcome::Answered, rest_millis: None, ..report(0) };
+    table.learn_reported(VmKey(3), &served, 0.0, at(600));
+    assert!(!avoided(&table, 600), "an answer to anybody ends it");
+}
--- a/crates/decide/tests/engine_starts.rs
+++ b/crates/decide/tests/engine_starts.rs
@@ -70,7 +70,12 @@
             table.learn_pace(key(1_000), 9_000, 1_000);
         }
         for vm in ["a", "b"] {
-            let report = SendReport { key: key(1_000), outcome: SendOutcome::Unreached, pace: None };
+            let report = SendReport {
+                key: key(1_000),
+                outcome: SendOutcome::Unreached,
+                pace: None,
+                rest_millis: None,
+            };
             table.learn_reported(VmKey::of(vm), &report, 0.0, at(5));
         }
     });
--- a/crates/decide/tests/told_health.rs
+++ b/crates/decide/tests/told_health.rs
@@ -45,7 +45,7 @@
 }
 
 fn report(outcome: SendOutcome) -> SendReport {
-    SendReport { key: key(0), outcome, pace: None }
+    SendReport { key: key(0), outcome, pace: None, rest_millis: None }
 }
 
 fn is_ejected(table: &FleetTable, now: Moment) -> bool {
@@ -86,7 +86,7 @@
 #[test]
 fn a_slow_engine_is_known_after_some_reports_and_a_slow_vm_alone_changes_little() {
     let mut fleet = table(2);
-    let slow = SendReport { key: key(0), outcome: SendOutcome::Answered, pace: Some(3.5) };
+    let slow = SendReport { key: key(0), outcome: SendOutcome::Answered, pace: Some(3.5), rest_millis: None };
     for teller in 0..10 {
         fleet.learn_reported(vm(teller), &slow, 0.0, at(teller * 200));
     }
@@ -109,7 +109,7 @@
     table.learn(key(1), SendOutcome::Answered, at(100));
     assert!(table.is_notable(&report(SendOutcome::Unreached), at(200)));
     assert!(!table.is_notable(&report(SendOutcome::Unreached), at(3_000)));
-    let sound = SendReport { key: key(1), outcome: SendOutcome::Answered, pace: None };
+    let sound = SendReport { key: key(1), outcome: SendOutcome::Answered, pace: None, rest_millis: None };
     assert!(!table.is_notable(&sound, at(200)));
     // Usual paces are reported like slow ones: from slow ones alone, all engines would be believed slow.
     assert!(table.is_notable(&SendReport { pace: Some(1.0), ..sound }, at(200)));
@@ -172,7 +172,7 @@
             let outcome = if engine < DARK { SendOutcome::Unreached } else { SendOutcome::Answered };
             tables[teller].release(key(engine), load);
             tables[teller].learn(key(engine), outcome, now);
-            let report = SendReport { key: key(engine), outcome, pace: None };
+            let report = SendReport { key: key(engine), outcome, pace: None, rest_millis: None };
             if tells && tables[teller].is_notable(&report, now) {
                 for (_, table) in tables.iter_mut().enumerate().filter(|(other, _)| *other != teller) {
                     let turn = draw.random::<f64>() * VMS as f64;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -242,12 +242,19 @@
     fn wait_or_leave(&self, ask: &PlacementAsk<'_>) -> Option<PlaceResult> {
         let gateway = &self.gateway;
         let now = gateway.now();
-        let outlook = gateway.table().share_outlook(ask, now)?;
+        let (outlook, blocked) = {
+            let table = gateway.table();
+            (table.share_outlook(ask, now), table.blocked(ask, now))
+        };
+        let Some(outlook) = outlook else {
+            log::info!(request = self.ticket.id_text(), service = ask.service, blocked:%; "request.unplaced");
+            return None;
+        };
         let verdict = gateway.shares.queue().admit(ask.service, &self.queue_order, &outlook, now);
         Some(match verdict {
             ShareVerdict::Wait(until) => PlaceResult::WaitForShare(until),
             ShareVerdict::Refuse(back_millis) => {
-                log::info!(request = self.ticket.id_text(), service = ask.service,
+                log::info!(request = self.ticket.id_text(), service = ask.service, blocked:%,
                     own_per_s = outlook.own_per_s, all_per_s = outlook.all_per_s, back_ms = back_millis;
                     "request.limited");
                 PlaceResult::Limited(back_millis)
@@ -410,7 +417,8 @@
 
     /// Whether the endpoint that was chosen still takes requests.
     fn may_reach(&self, flight: &SendFlight) -> bool {
-        self.gateway.table().row(flight.key).is_none_or(|row| !row.has_announced_end())
+        let (table, now) = (self.gateway.table(), self.gateway.now());
+        table.row(flight.key).is_none_or(|row| !row.has_announced_end() && !row.rest.is_resting(now))
     }
 
     fn sent(&mut self) {
@@ -461,7 +469,7 @@
                 self.learn_ended(&flight);
                 return SendResult::Ended;
             }
-            flight.learn(SendOutcome::Refused);
+            flight.refused(facts.rest_millis.value());
             if head.status == StatusCode::MISDIRECTED_REQUEST {
                 self.gateway.table().doubt_weights(flight.key);
             }
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -80,7 +80,12 @@
         self.begun = true;
         let taken = self.gateway.now().micros_since(self.sent_at);
         let pace = self.learn_pace(taken);
-        self.gateway.note_send(SendReport { key: self.key, outcome: SendOutcome::Answered, pace });
+        self.gateway.note_send(SendReport {
+            key: self.key,
+            outcome: SendOutcome::Answered,
+            pace,
+            rest_millis: None,
+        });
         let mut table = self.gateway.table();
         let read = LoadCount { unread_tokens: self.load.unread_tokens, ..LoadCount::default() };
         table.release(self.key, read);
@@ -118,10 +123,21 @@
         self.connection = None;
     }
 
+    /// Learns that the endpoint refused the request, and for how long it wants to rest.
+    pub(crate) fn refused(&self, rest_millis: Option<u64>) {
+        let outcome = SendOutcome::Refused;
+        self.gateway.table().learn(self.key, outcome, self.gateway.now());
+        self.gateway.note_send(SendReport { key: self.key, outcome, pace: None, rest_millis });
+    }
+
     /// Learns from how the send went.
     pub(crate) fn learn(&self, outcome: SendOutcome) {
         self.gateway.table().learn(self.key, outcome, self.gateway.now());
-        self.gateway.note_send(SendReport { key: self.key, outcome, pace: None });
+        let is_served = matches!(outcome, SendOutcome::Answered | SendOutcome::Failed);
+        if is_served && self.gateway.table().note_served(self.key, self.sent_at) {
+            log::info!(endpoint = self.endpoint.as_str(); "endpoint.rested");
+        }
+        self.gateway.note_send(SendReport { key: self.key, outcome, pace: None, rest_millis: None });
     }
 }
 
--- a/crates/gateway/src/gateway_status.rs
+++ b/crates/gateway/src/gateway_status.rs
@@ -22,6 +22,10 @@
     cold_endpoints: usize,
     /// Those that name a limit.
     limits: Vec<LimitStatus>,
+    /// Endpoints that said in an answer that they leave.
+    leaving: Vec<String>,
+    /// Endpoints that asked this VM for rest.
+    rests: Vec<RestStatus>,
     /// Data centres whose endpoints get no work because the operator asked for that.
     evacuated: Vec<String>,
 }
@@ -58,6 +62,23 @@
     }
 }
 
+/// An endpoint that asked this VM for rest.
+#[derive(Debug, Serialize)]
+struct RestStatus {
+    endpoint: String,
+    service: String,
+    /// How long the rest still lasts, in milliseconds.
+    left_ms: u64,
+}
+
+impl RestStatus {
+    fn of(row: &EndpointRow, now: Moment) -> Option<Self> {
+        let left_ms = row.rest.until(now)?.micros_since(now) / MICROS_PER_MILLI;
+        let (endpoint, service) = (row.entry.id.clone(), row.entry.service.clone());
+        Some(Self { endpoint, service, left_ms })
+    }
+}
+
 impl GatewayStatus {
     pub(crate) fn of(gateway: &Gateway) -> Self {
         let now = gateway.now();
@@ -78,6 +99,12 @@
             endpoints: table.rows().count(),
             cold_endpoints: table.cold_count(now),
             limits: limits.collect(),
+            leaving: table
+                .rows()
+                .filter(|(_, row)| row.has_departed)
+                .map(|(_, row)| row.entry.id.clone())
+                .collect(),
+            rests: table.rows().filter_map(|(_, row)| RestStatus::of(row, now)).collect(),
             evacuated: table.evacuated(now).map(str::to_owned).collect(),
         }
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -99,7 +99,7 @@
                 return run.refuse("no engine has room in time", back_millis);
             }
             SendResult::Limited(back_millis) => {
-                return run.give_up("its endpoints take no more in time", back_millis);
+                return run.refuse_unless_run("its endpoints take no more in time", back_millis);
             }
             SendResult::OutOfTime => return run.time_up(),
             SendResult::HeldBack => return run.hold_back(),
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -11,7 +11,8 @@
 use crate::relay::answer_with;
 use crate::request_ticket::RequestTicket;
 use crate::{
-    EndpointEnding, EndpointKey, PlacementChoice, QueueOrder, RequestIdentity, RequestKey, short_digest,
+    EndpointEnding, EndpointKey, EndpointRow, PlacementChoice, QueueOrder, RequestIdentity, RequestKey,
+    short_digest,
 };
 use bytes::Bytes;
 use hyper::http::response;
@@ -246,12 +247,36 @@
 
     /// The final answer of a request that found no endpoint to go to or go on to.
     pub(crate) fn give_up(&mut self, reason: &'static str, base_millis: u64) -> Response<AnswerBody> {
+        let back_millis = if self.may_have_run { None } else { self.rest_back_millis() };
+        self.refuse_unless_run(reason, back_millis.unwrap_or(base_millis))
+    }
+
+    /// The same, with a time to return that is known.
+    pub(crate) fn refuse_unless_run(
+        &mut self,
+        reason: &'static str,
+        base_millis: u64,
+    ) -> Response<AnswerBody> {
         if self.may_have_run {
             return self.own(OwnAnswer::plain(StatusCode::BAD_GATEWAY, "the endpoint gave no answer"));
         }
         self.refuse(reason, base_millis)
     }
 
+    /// When the request may return if all endpoints that may serve it rest, those included that it was sent to.
+    fn rest_back_millis(&self) -> Option<u64> {
+        let (gateway, ticket, now) = (&self.gateway, &self.ticket, self.gateway.now());
+        let routes = gateway.routes()?;
+        let homes = routes.homes(&ticket.host, &ticket.path, ticket.account.as_deref());
+        let vms = gateway.peers().listed_count();
+        let outlook = {
+            let table = gateway.table();
+            let may_serve = |row: &EndpointRow| table.is_home(homes, &row.entry.data_centre);
+            table.rest_outlook(&ticket.service, vms, may_serve, now)?
+        };
+        Some(gateway.shares.queue().refuse(&ticket.service, &outlook, now))
+    }
+
     /// The final answer of a request whose time is over.
     pub(crate) fn time_up(&mut self) -> Response<AnswerBody> {
         self.own(OwnAnswer::plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
--- a/crates/spanfold/src/explain.rs
+++ b/crates/spanfold/src/explain.rs
@@ -14,20 +14,21 @@
 /// What a VM came to believe up to this long before a request's last line belongs to its story.
 const BELIEF_MILLIS: u64 = 15_000;
 /// Events that tell what a VM believes of the whole deployment.
-const BELIEFS: [&str; 12] = [
+const BELIEFS: [&str; 10] = [
     "configuration.in_force",
     "configuration.rejected",
     "dependency.lost",
     "dependency.regained",
     "gateway.started",
     "gateway.stopping",
-    "limit.ended",
     "limit.lapsed",
-    "limit.named",
     "store.relist",
     "watch.relist",
     "weights.named",
 ];
+/// Events that tell what a VM learned of an endpoint, whichever request's answer told it.
+const ENDPOINT_BELIEFS: [&str; 5] =
+    ["endpoint.leaving", "endpoint.resting", "limit.ended", "limit.named", "answer.odd"];
 /// Events that tell of requests under which endpoints end.
 const QUARANTINE_EVENTS: &str = "quarantine.";
 /// Fields that every line has, told in other places.
@@ -58,8 +59,10 @@
             || (is_same(line) && line.time_millis <= last.time_millis)
             || (vms.contains(line.vm.as_str())
                 && (from..=last.time_millis).contains(&line.time_millis)
-                && line.text("request").is_empty()
-                && (BELIEFS.contains(&line.event.as_str()) || endpoints.contains(line.text("endpoint"))))
+                && (ENDPOINT_BELIEFS.contains(&line.event.as_str())
+                    || line.text("request").is_empty()
+                        && (BELIEFS.contains(&line.event.as_str())
+                            || endpoints.contains(line.text("endpoint")))))
     };
     let mut text = String::new();
     for line in lines.iter().filter(belongs) {
@@ -70,7 +73,9 @@
         };
         let before = last.time_millis - line.time_millis;
         let _ = write!(text, "-{before:>6} ms  {mark}  {}  {}", line.vm, line.event);
-        let is_told = |key: &str| !COMMON.contains(&key) || (key == "request" && is_same(line));
+        let is_told = |key: &str| {
+            !COMMON.contains(&key) || (key == "request" && !["", request].contains(&line.text("request")))
+        };
         for (key, value) in line.fields.iter().filter(|(key, _)| is_told(key)) {
             let _ =
                 write!(text, "  {key}={}", value.as_str().map_or_else(|| value.to_string(), str::to_owned));
--- a/crates/spanfold/src/status_report.rs
+++ b/crates/spanfold/src/status_report.rs
@@ -55,6 +55,19 @@
             rate("own_per_s"),
         );
     }
+    for endpoint in status["leaving"].as_array().into_iter().flatten() {
+        let _ = writeln!(text, "  {} leaves", endpoint.as_str().unwrap_or_default());
+    }
+    for rest in status["rests"].as_array().into_iter().flatten() {
+        let name = |key: &str| rest[key].as_str().unwrap_or_default().to_owned();
+        let _ = writeln!(
+            text,
+            "  {} of {} asked this VM for rest, {} ms left",
+            name("endpoint"),
+            name("service"),
+            rest["left_ms"],
+        );
+    }
     for data_centre in status["evacuated"].as_array().into_iter().flatten() {
         let _ = writeln!(text, "  {} is evacuated", data_centre.as_str().unwrap_or_default());
     }
--- a/crates/spanfold/tests/explain.rs
+++ b/crates/spanfold/tests/explain.rs
@@ -52,3 +52,17 @@
 ";
     assert_eq!(text, expected);
 }
+
+/// What kept a request from its endpoints was told by answers to other requests.
+#[test]
+fn the_story_of_a_request_that_found_no_endpoint_names_departures_and_rests() {
+    let (code, text) = explain_from("r-3", ["rests.log", "vm-2.log"]);
+    assert_eq!(code, 0);
+    let expected = "\
+-  1500 ms  belief   rests  endpoint.leaving  born=0  endpoint=i-1  request=r-1  source=answer
+-   500 ms  belief   rests  endpoint.resting  asked_ms=3000  born=0  endpoint=i-2  extends=false  request=r-2  rest_ms=3000  status=503
+-     0 ms  request  rests  request.limited  all_per_s=8  back_ms=2625  blocked=2 listed, 1 leaving, 1 resting  own_per_s=1  service=desk
+-     0 ms  request  rests  request.ended  endpoint=  outcome=its endpoints take no more in time  status=503
+";
+    assert!(text.contains(expected), "{text}");
+}
