A surplus refusal of another request is no promise for this one

What callers saw: 503, a promise that the request has not run and never will, while its endpoint was running it. Cause: the mark of a refusal was read before the id of the request that the answer names; surplus answers stand where the next one is due. Now such an answer counts as one to another request: the request may have run.

--- a/crates/gateway/src/answer_facts.rs
+++ b/crates/gateway/src/answer_facts.rs
@@ -144,12 +144,12 @@
 impl AnswerFacts {
     /// Whose answer it is, sent to `endpoint` with the request id `request`.
     pub(crate) fn origin(&self, endpoint: &str, request: &HeaderValue) -> AnswerOrigin {
-        if self.endpoint_id.as_deref().is_some_and(|id| id != endpoint) {
-            return AnswerOrigin::OtherEndpoint;
-        }
         if self.request_id.as_ref().is_some_and(|id| id != request) {
             return AnswerOrigin::OtherRequest;
         }
+        if self.endpoint_id.as_deref().is_some_and(|id| id != endpoint) {
+            return AnswerOrigin::OtherEndpoint;
+        }
         if self.status == StatusCode::MISDIRECTED_REQUEST {
             return AnswerOrigin::Mismatch;
         }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -464,7 +464,8 @@
                 AnswerSource { key: flight.key, request: self.ticket.id_text(), sent_at: flight.sent_at };
             self.gateway.observe_answer(&source, facts);
         }
-        if facts.is_refusal() {
+        // A surplus refusal of an earlier request is no promise for this one, which its endpoint may be running.
+        if facts.is_refusal() && origin != AnswerOrigin::OtherRequest {
             if head.status == StatusCode::MISDIRECTED_REQUEST && origin == AnswerOrigin::OtherEndpoint {
                 self.learn_ended(&flight);
                 return SendResult::Ended;
