A success without its endpoint's signature is not passed on

What callers saw: 200 with a body that its endpoint may not have sent. Such an answer now counts as one that did not come: a second endpoint is asked where the route allows it, else the caller gets 502, since the request may have run.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -484,6 +484,12 @@
             flight.learn(SendOutcome::Failed);
             return SendResult::Lost("an answer to another request");
         }
+        if head.status.is_success() && !facts.is_signed {
+            log::warn!(request = self.ticket.id_text(), endpoint = flight.endpoint.as_str(),
+                status = head.status.as_u16(); "answer.unsigned");
+            flight.learn(SendOutcome::Failed);
+            return SendResult::Lost("an answer without its endpoint's signature");
+        }
         SendResult::Answer(Box::new(ReceivedHead { head, body, flight }))
     }
 }
