Weights that an answer or an event tells count at once

What callers saw: after an engine had loaded newer weights, requests still named the old version there and were turned away, until its entry or a report told. Cause: X-Weight-Versions in answers, and as a first line of events, was read by nobody. Versions only rise, so that an older answer that crosses changes nothing.

--- a/crates/decide/src/fleet/fleet_answers.rs
+++ b/crates/decide/src/fleet/fleet_answers.rs
@@ -61,6 +61,20 @@
         outlook.rest_until.is_some().then_some(outlook)
     }
 
+    /// Notes the version of a model's weights that an answer or an event of an engine told to this VM; whether it is newer than
+    /// the known one. Older ones are of answers that crossed: versions rise only.
+    pub fn note_weights(&mut self, key: EndpointKey, model: &str, version: u64, now: Moment) -> bool {
+        let Some(row) = self.rows.get_mut(&key) else { return false };
+        let Some(known) = row.entry.weights.get_mut(model).filter(|known| **known < version) else {
+            return false;
+        };
+        *known = version;
+        row.weights_seen = Some(now);
+        row.closing_until = now;
+        row.kept.clear();
+        true
+    }
+
     /// Notes whether a header of an endpoint's last answer was invalid; whether that is new.
     pub fn note_odd_header(&mut self, key: EndpointKey, name: &'static str, is_odd: bool) -> bool {
         let Some(row) = self.rows.get_mut(&key) else { return false };
--- a/crates/gateway/src/answer_handler.rs
+++ b/crates/gateway/src/answer_handler.rs
@@ -122,6 +122,17 @@
         self.observe_rest(source, facts);
     }
 
+    /// Applies the version of a model's weights that an answer or an event told.
+    pub(crate) fn observe_weights(&self, source: &AnswerSource<'_>, model: &str, version: u64) {
+        let mut table = self.table();
+        if !table.note_weights(source.key, model, version, self.now()) {
+            return;
+        }
+        let endpoint = table.row(source.key).map_or("", |row| row.entry.id.as_str());
+        log::info!(request = source.request, endpoint, model, version; "weights.seen");
+        self.loads_changed.notify_one();
+    }
+
     fn observe_limit(&self, source: &AnswerSource<'_>, limit: &HeaderField<f64>) {
         if let Some(label) = limit.label() {
             self.metrics.limit_reports.get_or_create(&KindLabel::new(label)).inc();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -307,6 +307,8 @@
     pub token_usage: fn(&str) -> Option<(u32, u32)>,
     /// Decodes the head of an endpoint's answer.
     pub answer: fn(StatusCode, &HeaderMap) -> AnswerFacts,
+    /// Reads the newest version of weights that whole events of a stream tell, if any does.
+    pub event_weights: fn(&[u8]) -> Option<u64>,
     /// The caller's key in an authorization header.
     pub caller_key: fn(&str) -> Option<&str>,
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -463,6 +463,9 @@
             let source =
                 AnswerSource { key: flight.key, request: self.ticket.id_text(), sent_at: flight.sent_at };
             self.gateway.observe_answer(&source, facts);
+            if let (Some(model), Some(version)) = (&self.ticket.model, facts.weights.value()) {
+                self.gateway.observe_weights(&source, model, version);
+            }
         }
         // A surplus refusal of an earlier request is no promise for this one, which its endpoint may be running.
         if facts.is_refusal() && origin != AnswerOrigin::OtherRequest {
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -5,6 +5,7 @@
 //! answer. A stream that cannot go on is broken off visibly: it never looks complete.
 
 use crate::SendOutcome;
+use crate::answer_handler::AnswerSource;
 use crate::clock::TimeIsUp;
 use crate::dispatch::{ReceivedHead, SendResult};
 use crate::event_reader::{EventError, EventReader};
@@ -74,6 +75,7 @@
     let (chunks, received) = mpsc::channel(CHUNKS_WAITING);
     let ended = first.is_none();
     if let Some(first) = first {
+        observe_weights(&run, &flight, &first);
         // The channel is empty and its receiver stands: this cannot fail.
         let _ = chunks.try_send(Ok(Frame::data(first)));
     }
@@ -82,6 +84,15 @@
     Ok(answer_with(&head, StreamBody::new(ChunkStream(received)).boxed_unsync()))
 }
 
+/// Applies a change of weights that an event tells.
+fn observe_weights(run: &RequestRun, flight: &SendFlight, events: &[u8]) {
+    let told = (run.gateway.dialect.decode.event_weights)(events);
+    if let (Some(model), Some(version)) = (&run.ticket.model, told) {
+        let source = AnswerSource { key: flight.key, request: run.ticket.id_text(), sent_at: flight.sent_at };
+        run.gateway.observe_weights(&source, model, version);
+    }
+}
+
 fn first_event_patience(run: &RequestRun) -> Moment {
     let ticket = &run.ticket;
     if !ticket.route.repeatable() || run.sends >= ticket.route.attempts {
@@ -116,6 +127,7 @@
         while !ended {
             match self.step().await {
                 PumpStep::Events(events) => {
+                    observe_weights(&self.run, &self.flight, &events);
                     if self.chunks.send(Ok(Frame::data(events))).await.is_err() {
                         self.run.end("caller left");
                         return;
