Coldness that an answer tells counts at once

What callers saw: an endpoint that becomes cold again while it runs got as much as a warm one until its entry said so. Cause: X-Cold-Ms was read nowhere. The VM that was told keeps to its part of what a cold endpoint bears; the others learn of it from the entry.

--- a/crates/decide/src/fleet/fleet_answers.rs
+++ b/crates/decide/src/fleet/fleet_answers.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariant: a departure is final for its start. Neither an entry nor a later answer takes it back.
 
+use super::fleet_limits::COLD_MOST_MILLIS;
 use super::fleet_table::EndedRow;
 use crate::{EndpointKey, EndpointRow, FleetTable, RestChange, ShareOutlook};
 use spanfold_entity::Moment;
@@ -75,6 +76,16 @@
         true
     }
 
+    /// Notes that an endpoint stays cold for so many milliseconds, as an answer told; whether it was warm.
+    pub fn note_cold(&mut self, key: EndpointKey, millis: u64, now: Moment) -> bool {
+        let until = now.after_millis(millis.min(COLD_MOST_MILLIS));
+        let Some(row) = self.rows.get_mut(&key) else { return false };
+        let was_warm = now >= row.cold_until;
+        row.cold_until = until;
+        self.cold_until = self.cold_until.max(until);
+        was_warm && until > now
+    }
+
     /// Notes whether a header of an endpoint's last answer was invalid; whether that is new.
     pub fn note_odd_header(&mut self, key: EndpointKey, name: &'static str, is_odd: bool) -> bool {
         let Some(row) = self.rows.get_mut(&key) else { return false };
--- a/crates/decide/src/fleet/fleet_limits.rs
+++ b/crates/decide/src/fleet/fleet_limits.rs
@@ -10,7 +10,7 @@
 use spanfold_entity::Moment;
 
 /// An endpoint is taken for cold for this long at most, in milliseconds, whatever its entry says.
-const COLD_MOST_MILLIS: u64 = 600_000;
+pub(super) const COLD_MOST_MILLIS: u64 = 600_000;
 
 impl FleetTable {
     /// Until when an endpoint is cold whose entry has come at `now`.
--- a/crates/gateway/src/answer_handler.rs
+++ b/crates/gateway/src/answer_handler.rs
@@ -120,6 +120,17 @@
         self.observe_limit(source, &facts.limit);
         self.observe_departure(source, facts);
         self.observe_rest(source, facts);
+        self.observe_coldness(source, facts);
+    }
+
+    fn observe_coldness(&self, source: &AnswerSource<'_>, facts: &AnswerFacts) {
+        let Some(cold_ms) = facts.cold_millis.value() else { return };
+        let mut table = self.table();
+        if !table.note_cold(source.key, cold_ms, self.now()) {
+            return;
+        }
+        let endpoint = table.row(source.key).map_or("", |row| row.entry.id.as_str());
+        log::info!(request = source.request, endpoint, cold_ms; "endpoint.cold");
     }
 
     /// Applies the version of a model's weights that an answer or an event told.
