A caller's head has the time that the configuration gives it

What callers saw: a connection cut in the middle of a head that was begun late in the idle time, though both times were kept. Cause: headerTimeoutMs was read by nobody, and the library's one timer, which runs from the answer before, was set to the idle time alone. It is the sum of both now, which also bounds a head that never ends.

--- a/crates/decide/src/fleet/deployment.rs
+++ b/crates/decide/src/fleet/deployment.rs
@@ -192,12 +192,14 @@
     pub body_bytes: usize,
     /// Time that a connection may be idle, in milliseconds.
     pub idle_millis: u64,
+    /// Time that a caller may take for a head, in milliseconds.
+    pub header_millis: u64,
 }
 
 impl Default for RequestLimits {
     /// Customary limits of HTTP servers, until a configuration names its own.
     fn default() -> Self {
-        Self { header_bytes: 16_384, body_bytes: 4 << 20, idle_millis: 15_000 }
+        Self { header_bytes: 16_384, body_bytes: 4 << 20, idle_millis: 15_000, header_millis: 10_000 }
     }
 }
 
--- a/crates/gateway/src/front_door.rs
+++ b/crates/gateway/src/front_door.rs
@@ -63,7 +63,7 @@
     let service = service_fn(|request| answer_caller(Arc::clone(&gateway), limits, request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(limits.idle_millis))
+        .header_read_timeout(head_timeout(limits))
         .max_buf_size(READ_BYTES.max(limits.header_bytes.saturating_add(FRAMING_BYTES)))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
@@ -81,6 +81,12 @@
     let _ = connection.await;
 }
 
+/// Longest wait for the end of a head. The library counts from the end of the answer before, so that the idle time is part of
+/// it: a caller may begin a head when that is nearly over.
+const fn head_timeout(limits: RequestLimits) -> Duration {
+    Duration::from_millis(limits.idle_millis.saturating_add(limits.header_millis))
+}
+
 /// What the configuration in force lets a caller send.
 fn present_limits(gateway: &Gateway) -> RequestLimits {
     gateway.routes().map_or_else(RequestLimits::default, |table| table.config().limits)
@@ -99,7 +105,8 @@
     let present = present_limits(&gateway);
     // How much is read of a head and waited for stands from a connection's start on: after a change the
     // caller opens another one. Bodies are measured anew with each request.
-    let changed = (present.header_bytes, present.idle_millis) != (limits.header_bytes, limits.idle_millis);
+    let of_connection = |limits: RequestLimits| (limits.header_bytes, head_timeout(limits));
+    let changed = of_connection(present) != of_connection(limits);
     if coded || changed || gateway.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
