A report that tells of an engine's end counts as its departure

What callers saw: requests, and an order to load weights, went to an engine whose report had said that it drains or ends within seconds, until its entry or an answer said so. Cause: state and leaves_ms of a report were read by nobody. An end within 15 s, the longest deadline of requests, counts as a departure; one later does not, since the answers say it in time.

--- a/crates/decide/src/fleet/deployment.rs
+++ b/crates/decide/src/fleet/deployment.rs
@@ -255,6 +255,8 @@
     pub orders_taken: u64,
     /// The engines' clock at the answer, in milliseconds, if it was told.
     pub clock_millis: Option<u64>,
+    /// Milliseconds until it ends, if it leaves; zero if it tells no time.
+    pub leaves_millis: Option<u64>,
 }
 
 /// One change of what a store of kept cache holds.
--- a/crates/gateway/src/answer_handler.rs
+++ b/crates/gateway/src/answer_handler.rs
@@ -78,6 +78,8 @@
 pub(crate) enum DepartureSource {
     /// From an answer to this VM.
     Answer,
+    /// From a report that this VM asked for.
+    Report,
     /// From another VM.
     Peer,
 }
@@ -86,6 +88,7 @@
     const fn label(self) -> &'static str {
         match self {
             Self::Answer => "answer",
+            Self::Report => "report",
             Self::Peer => "peer",
         }
     }
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -3,7 +3,7 @@
 //! Invariant: no engine's silence holds up another's order: calls to engines are under way beside one another, and
 //! each is cut when the right ends.
 
-use crate::answer_handler::AnswerSource;
+use crate::answer_handler::{AnswerSource, DepartureSource};
 use crate::call_link::CallLink;
 use crate::dialect::{OrderOutcome, WeightOrder};
 use crate::gateway::Gateway;
@@ -20,6 +20,9 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+/// An engine that ends so soon gets no new work, in milliseconds: the longest deadline of requests that begin now. One that
+/// ends later says so in its answers when the time has come.
+const LEAVES_SOON_MILLIS: u64 = 15_000;
 /// Pause between looks while loads are under way: a part of a load's time that may be lost.
 const BUSY_PAUSE: Duration = Duration::from_millis(70);
 /// Pause between looks otherwise.
@@ -246,6 +249,10 @@
         }
         Ok(report) => {
             gateway.set_engine_clock(report.clock_millis);
+            if report.leaves_millis.is_some_and(|millis| millis <= LEAVES_SOON_MILLIS) {
+                let source = AnswerSource { key, request: call.path.as_str(), sent_at: gateway.now() };
+                gateway.note_departure(&source, DepartureSource::Report);
+            }
             Some(report)
         }
         Err(cause) => {
