A store of kept cache is asked again after the rest that it names

What callers saw: nothing yet; a store that turns questions for news away with 429 and Retry-After was asked again within 0.2 s, by each asker. Cause: the same, Retry-After was read by nobody. A rest of a minute at most is kept; what was believed of the store has expired by then.

--- a/crates/gateway/src/kept_task.rs
+++ b/crates/gateway/src/kept_task.rs
@@ -9,6 +9,7 @@
 use crate::gateway::Gateway;
 use crate::kept_digest::{askers, asks_stores};
 use crate::{EndpointKey, KeptNews, NewsRhythm, StoreSpec, WireCall};
+use hyper::StatusCode;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -98,9 +99,10 @@
     let read = gateway.dialect.kept.read_events;
     let news = match ask(gateway, key, link, &call, timeout, read).await {
         Ok(news) => news,
-        Err(AskFailure::Busy) => {
+        Err(AskFailure::Busy(asked_millis)) => {
             // Nothing was missed: the same question later, apart from those that were refused with it.
-            let rest = rhythm.rest_millis + rand::random_range(0..rhythm.rest_millis);
+            let usual = rhythm.rest_millis + rand::random_range(0..rhythm.rest_millis);
+            let rest = usual.max(asked_millis.min(BUSY_MOST_MILLIS));
             tokio::time::sleep(Duration::from_millis(rest)).await;
             return Some(position);
         }
@@ -132,12 +134,14 @@
 /// Why a store gave no news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum AskFailure {
-    /// It holds back as many calls as it may.
-    Busy,
+    /// It holds back as many calls as it may, and asks for so many milliseconds of rest.
+    Busy(u64),
     /// It did not answer, or not in its form.
     Lost,
 }
 
+/// Longest rest of a store that is kept, in milliseconds: what was believed of it has expired by then.
+const BUSY_MOST_MILLIS: u64 = 60_000;
 /// Status of a store that holds back as many calls as it may.
 const BUSY_STATUS: u16 = 429;
 
@@ -154,7 +158,10 @@
             Ok(news) => return Ok(news),
             Err(cause) => cause,
         },
-        Ok(CallReply { status: BUSY_STATUS, .. }) => return Err(AskFailure::Busy),
+        Ok(CallReply { status: BUSY_STATUS, headers, .. }) => {
+            let facts = (gateway.dialect.decode.answer)(StatusCode::TOO_MANY_REQUESTS, &headers);
+            return Err(AskFailure::Busy(facts.rest_millis.value().unwrap_or_default()));
+        }
         Ok(CallReply { status, .. }) => format!("status {status}"),
         Err(error) => error.to_string(),
     };
