What kept a request from its endpoints is counted when it is refused, not at each look

A request that waits looks at the endpoints each 20 ms; the counts are for the line that tells of its refusal. Fleet tests of answers, limits, rests and departures pass.

--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -242,11 +242,9 @@
     fn wait_or_leave(&self, ask: &PlacementAsk<'_>) -> Option<PlaceResult> {
         let gateway = &self.gateway;
         let now = gateway.now();
-        let (outlook, blocked) = {
-            let table = gateway.table();
-            (table.share_outlook(ask, now), table.blocked(ask, now))
-        };
+        let outlook = gateway.table().share_outlook(ask, now);
         let Some(outlook) = outlook else {
+            let blocked = gateway.table().blocked(ask, now);
             log::info!(request = self.ticket.id_text(), service = ask.service, blocked:%; "request.unplaced");
             return None;
         };
@@ -254,6 +252,7 @@
         Some(match verdict {
             ShareVerdict::Wait(until) => PlaceResult::WaitForShare(until),
             ShareVerdict::Refuse(back_millis) => {
+                let blocked = gateway.table().blocked(ask, now);
                 log::info!(request = self.ticket.id_text(), service = ask.service, blocked:%,
                     own_per_s = outlook.own_per_s, all_per_s = outlook.all_per_s, back_ms = back_millis;
                     "request.limited");
