--- a/crates/decide/tests/endpoint_answers.rs
+++ b/crates/decide/tests/endpoint_answers.rs
@@ -2,6 +2,8 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use spanfold_decide::{
     ColdTerms, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRest, FleetTable, HomeRegions,
     PlacementAsk, RestChange, SendOutcome, SendReport, ShareView, VmKey, place,
@@ -273,3 +275,100 @@
     table.learn_reported(VmKey(3), &served, 0.0, at(600));
     assert!(!avoided(&table, 600), "an answer to anybody ends it");
 }
+
+/// VMs of one deployment whose store is silent, and messages between them that may be lost or come late.
+struct SilentStore {
+    vms: Vec<FleetTable>,
+    /// Receiver, endpoint, and when the message arrives.
+    messages: Vec<(usize, EndpointKey, u64)>,
+    /// Endpoints that have said that they leave, and the VMs that passed such an answer on.
+    departed: BTreeSet<EndpointKey>,
+    told: BTreeSet<(usize, EndpointKey)>,
+    random: SmallRng,
+}
+
+impl SilentStore {
+    fn new(vms: usize, endpoints: usize) -> Self {
+        let mut tables: Vec<_> = (0..vms).map(|_| FleetTable::default()).collect();
+        for table in &mut tables {
+            for number in 0..endpoints {
+                table.apply_entry(entry(&format!("i-{number}"), 1, 8), at(0));
+            }
+        }
+        Self {
+            vms: tables,
+            messages: Vec::new(),
+            departed: BTreeSet::new(),
+            told: BTreeSet::new(),
+            random: SmallRng::seed_from_u64(41),
+        }
+    }
+
+    /// Sends a message from `vm` to all others; a third is lost, the others take `delay` milliseconds.
+    fn spread(&mut self, vm: usize, key: EndpointKey, now: u64, delay: u64) {
+        for other in (0..self.vms.len()).filter(|other| *other != vm) {
+            if self.random.random_range(0..3) > 0 {
+                self.messages.push((other, key, now + delay));
+            }
+        }
+    }
+
+    fn deliver(&mut self, now: u64) {
+        let (due, later) = self.messages.drain(..).partition(|(_, _, arrives)| *arrives <= now);
+        self.messages = later;
+        for (vm, key, _) in due {
+            self.vms[vm].note_departure(key, at(now));
+        }
+    }
+
+    /// A request at `vm`: a leaving endpoint that serves it says so in its answer.
+    fn request(&mut self, vm: usize, now: u64, delay: u64) -> Option<EndpointKey> {
+        let key = place(&self.vms[vm], &ask(&[]), at(now))?.key;
+        assert!(!self.told.contains(&(vm, key)), "sent by a VM that had passed the answer on");
+        if self.departed.contains(&key) {
+            self.told.insert((vm, key));
+            if self.vms[vm].note_departure(key, at(now)) {
+                self.spread(vm, key, now, delay);
+            }
+        }
+        Some(key)
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(42), ..ProptestConfig::default() })]
+
+    /// The store is silent for 20 s, in which endpoints leave one after the other and say so in answers only, all of them to
+    /// the first VM. The others have no requests before 15 s.
+    #[test]
+    fn departures_that_only_answers_tell_reach_all_vms(
+        vms in 2..9_usize,
+        leaving in 1..5_usize,
+        delay in 0..1_500_u64,
+        pause in 1..40_u64,
+    ) {
+        let mut fleet = SilentStore::new(vms, leaving + 1);
+        for step in 0..20_000 / pause {
+            let now = step * pause;
+            if step % 20 == 0 && fleet.departed.len() < leaving {
+                let id = format!("i-{}", fleet.departed.len());
+                fleet.departed.insert(EndpointKey::of_start(&id, Some(1)));
+            }
+            fleet.deliver(now);
+            // Each VM repeats one departure each half second.
+            if now % 500 < pause {
+                for vm in 0..vms {
+                    for key in fleet.vms[vm].departed_in_turn((now / 500) as usize, 1) {
+                        fleet.spread(vm, key, now, delay);
+                    }
+                }
+            }
+            let vm = if now < 15_000 { 0 } else { step as usize % vms };
+            let chosen = fleet.request(vm, now, delay);
+            prop_assert!(chosen.is_some(), "one endpoint stays");
+            let leaves = chosen.is_some_and(|key| fleet.departed.contains(&key));
+            prop_assert!(now < 15_000 || !leaves, "a VM that was not told itself, {now} ms");
+        }
+        prop_assert!(!fleet.told.is_empty());
+    }
+}
