--- a/crates/decide/src/admit/admission.rs
+++ b/crates/decide/src/admit/admission.rs
@@ -38,8 +38,8 @@
 
 /// Part of the looks at which a waiting prompt takes room that it sees, in a deployment of `vms` VMs.
 ///
-/// Pattern: many VMs with waiting prompts hear of one engine's room at once, and all send there. Each draws a lot
-/// instead.
+/// Many VMs with waiting prompts learn of one engine's free memory at the same time, and all would send there. Each
+/// draws a random number instead.
 ///
 /// # Examples
 /// ```
--- a/crates/decide/src/fleet/fleet_limits.rs
+++ b/crates/decide/src/fleet/fleet_limits.rs
@@ -135,7 +135,7 @@
         self.rows.get_mut(&key)?.limit.take_due(change, now)
     }
 
-    /// Words of limits that stand, `most` of them from the `turn`th on: VMs that have just started know none.
+    /// Reports of current limits, `most` of them from the `turn`th on, for VMs that have just started.
     pub fn limits_in_turn(&self, turn: usize, most: usize) -> Vec<(EndpointKey, LimitReport)> {
         if !self.has_limits {
             return Vec::new();
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -341,7 +341,7 @@
         let start = NewestStart { key, born_millis: entry.born_millis };
         match self.newest.insert(entry.id.clone(), start) {
             Some(known) if known.born_millis > entry.born_millis => {
-                // The last word of an earlier start came late.
+                // A late entry of an earlier start.
                 self.newest.insert(entry.id.clone(), known);
                 false
             }
@@ -617,8 +617,8 @@
         self.rows.get_mut(&key)?.learn_pace(taken_micros, expected_micros)
     }
 
-    /// Whether other VMs must hear of a send: it went badly, or its endpoint did so before. A send that broke says
-    /// nothing of an endpoint while this VM has answers from none.
+    /// Whether a send is reported to other VMs: it failed, or its endpoint failed before. A broken send indicates nothing
+    /// about the endpoint while this VM has no answers from any endpoint.
     pub fn is_notable(&self, report: &SendReport, now: Moment) -> bool {
         let Some(row) = self.rows.get(&report.key) else { return false };
         let lately = |at: Moment| now < at.after_millis(REACHING_MILLIS);
--- a/crates/decide/src/quarantine/held_book.rs
+++ b/crates/decide/src/quarantine/held_book.rs
@@ -1,8 +1,7 @@
 //! Requests that are held back, until when, and what follows.
 //!
-//! Invariant: a hold ends at a stored deadline, whoever still knows of it; the same hold, told again by a VM that learned
-//! of it later, never lasts longer here than it already does. Holds of one request are numbered: what is told of an
-//! earlier one changes nothing in a later one, and one that operators lifted does not come back.
+//! Invariant: a hold ends at its stored deadline; a later report of the same hold never extends it. Holds of one request
+//! are numbered: a report of an earlier hold does not change a later one, and a hold that operators lifted does not return.
 
 use crate::RequestKey;
 use spanfold_entity::Moment;
--- a/crates/decide/src/quarantine/request_quarantine.rs
+++ b/crates/decide/src/quarantine/request_quarantine.rs
@@ -18,8 +18,8 @@
 /// Evidence is weighed so long after it came, in milliseconds: those that were at the same end are reported one after the
 /// other, within 20 ms by VMs of one data centre and 140 across five, and the first must not look guiltier than the rest.
 const SETTLE_MILLIS: u64 = 150;
-/// Audiences that are told by themselves: the VMs of this data centre, other data centres, and the VMs of this one that
-/// hear of others through a lead.
+/// Groups of VMs with separate reports: this data centre, other data centres, and the VMs of this one that receive
+/// reports of others through a lead.
 const AUDIENCES: usize = 3;
 
 /// A change of what is held back.
