What is known of an endpoint takes less memory, and passes over all endpoints are fewer

Cause, by counting what a row of 10,001 holds: two maps of weights for each (some 400 bytes each), tree nodes a third empty, hash tables of parts and peers that stay once they were used.

Test: table_memory, a law in bytes a row at 20,000 (1,100; 400 more in use).

--- a/crates/decide/src/fleet/deployment.rs
+++ b/crates/decide/src/fleet/deployment.rs
@@ -4,9 +4,11 @@
 //! into them once, and nothing downstream reads the platform's form again.
 
 use crate::EndpointKey;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 /// The configuration in force, decoded.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -204,7 +206,7 @@
 }
 
 /// One running endpoint as service discovery tells it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointEntry {
     /// Its id. An endpoint may start again under the id that it had.
     pub id: String,
@@ -216,6 +218,8 @@
     pub address: SocketAddr,
     /// Its data centre.
     pub data_centre: String,
+    /// The version of its software.
+    pub version: Arc<str>,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it has said that it is leaving.
@@ -223,7 +227,7 @@
     /// How long it stays cold, in milliseconds, from when this was written; none if it does not tell.
     pub cold_millis: Option<u64>,
     /// Weight versions by model.
-    pub weights: BTreeMap<String, u64>,
+    pub weights: Arc<BTreeMap<String, u64>>,
 }
 
 impl EndpointEntry {
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// Work that one VM has in flight at an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -72,6 +73,8 @@
 const NOTABLE_RATIO: f64 = 0.05;
 /// Paces beyond this are outliers, in multiples of the expected one.
 const PACE_MOST: f64 = 20.0;
+/// Weights count as changed lately for this long, in milliseconds: longer than anybody is told of them.
+const CHANGED_MILLIS: u64 = 10_000;
 /// Source of the report that an engine's weights are about to change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReporter {
@@ -117,7 +120,7 @@
     /// Source of the report that its weights are about to change.
     pub closed_by: CloseReporter,
     /// Weights as service discovery told them last; `entry` holds newer ones that were seen.
-    pub listed_weights: BTreeMap<String, u64>,
+    pub listed_weights: Arc<BTreeMap<String, u64>>,
     /// When this VM last saw newer weights itself, so that peers are told.
     pub weights_seen: Option<Moment>,
     /// When a VM of this data centre told of newer weights, so that other data centres are told.
@@ -149,7 +152,7 @@
             kept: KeptParts::default(),
             closing_until: Moment(0),
             closed_by: CloseReporter::Own,
-            listed_weights: entry.weights.clone(),
+            listed_weights: Arc::clone(&entry.weights),
             weights_seen: None,
             weights_told: None,
             weights_far: None,
@@ -217,6 +220,13 @@
         now >= self.evacuated_until && !self.is_leaving(now)
     }
 
+    /// Whether its weights change, or have changed lately, so that other VMs are told.
+    pub(crate) fn is_changing(&self, now: Moment) -> bool {
+        let lately = |at: Option<Moment>| at.is_some_and(|at| now < at.after_millis(CHANGED_MILLIS));
+        let has_changed = lately(self.weights_seen) || lately(self.weights_told) || lately(self.weights_far);
+        has_changed || self.is_closing(now)
+    }
+
     /// Whether its weights are being changed, or about to be.
     pub fn is_closing(&self, now: Moment) -> bool {
         now < self.closing_until
--- a/crates/decide/src/fleet/fleet_answers.rs
+++ b/crates/decide/src/fleet/fleet_answers.rs
@@ -6,7 +6,7 @@
 use super::fleet_table::EndedRow;
 use crate::{EndpointKey, EndpointRow, FleetTable, RestChange, ShareOutlook};
 use spanfold_entity::Moment;
-use std::collections::BTreeMap;
+use std::sync::Arc;
 
 impl FleetTable {
     /// Notes that an endpoint leaves, as an answer of it said to this VM or to another one; whether that is new.
@@ -20,7 +20,7 @@
         }
         let is_new = !self.had_departed(key);
         if is_new {
-            let ended = EndedRow { id: String::new(), at: now, weights: BTreeMap::new(), draining: true };
+            let ended = EndedRow { id: String::new(), at: now, weights: Arc::default(), draining: true };
             self.note_ended(key, ended);
         }
         is_new
@@ -66,13 +66,15 @@
     /// the known one. Older ones are of answers that crossed: versions rise only.
     pub fn note_weights(&mut self, key: EndpointKey, model: &str, version: u64, now: Moment) -> bool {
         let Some(row) = self.rows.get_mut(&key) else { return false };
-        let Some(known) = row.entry.weights.get_mut(model).filter(|known| **known < version) else {
+        if row.entry.weights.get(model).is_none_or(|known| *known >= version) {
             return false;
-        };
-        *known = version;
+        }
+        Arc::make_mut(&mut row.entry.weights).insert(model.to_owned(), version);
+        row.entry.weights = self.weights.share(Arc::clone(&row.entry.weights));
         row.weights_seen = Some(now);
         row.closing_until = now;
         row.kept.clear();
+        self.changing.insert(key);
         true
     }
 
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -8,11 +8,12 @@
 use crate::CloseReporter;
 use crate::{
     DeploymentConfig, EndpointEntry, EndpointRow, HomeRegions, LoadCount, PromptPart, SendOutcome,
-    SendReport, ServiceRow, StoreRow, StoreSpec,
+    SendReport, ServiceRow, SharedWeights, StoreRow, StoreSpec,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
 
 /// Short digest of an endpoint's id and of its start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -105,7 +106,10 @@
 /// All endpoints.
 #[derive(Debug, Default)]
 pub struct FleetTable {
-    pub(super) rows: BTreeMap<EndpointKey, EndpointRow>,
+    /// Each row for itself: a tree's nodes are a third empty.
+    pub(super) rows: BTreeMap<EndpointKey, Box<EndpointRow>>,
+    /// Weights that many endpoints have, kept once.
+    pub(super) weights: SharedWeights,
     pub(super) services: BTreeMap<String, ServiceRow>,
     by_service: HashMap<String, Vec<EndpointKey>>,
     /// Ids whose entries cannot be read since they were written last.
@@ -113,11 +117,15 @@
     /// Services whose endpoints tell their starts.
     dated: HashSet<String>,
     /// The newest start of each id.
-    newest: HashMap<String, NewestStart>,
+    newest: HashMap<EndpointKey, NewestStart>,
     ended: HashMap<EndpointKey, EndedRow>,
     stores: BTreeMap<EndpointKey, StoreRow>,
     reach: HashMap<String, ReachNote>,
     told: HashMap<LoadSource, ToldRows>,
+    /// Endpoints where this VM has work in flight.
+    own_busy: BTreeSet<EndpointKey>,
+    /// Endpoints of which other VMs are told more than loads: their weights change, or have changed lately.
+    pub(super) changing: BTreeSet<EndpointKey>,
     /// Evacuated data centres, and until when.
     pub(super) evacuated: BTreeMap<String, Moment>,
     /// The region of each data centre.
@@ -150,11 +158,35 @@
     pub(super) id: String,
     pub(super) at: Moment,
     /// The weights that it had.
-    pub(super) weights: BTreeMap<String, u64>,
+    pub(super) weights: Arc<BTreeMap<String, u64>>,
     /// It had said that it leaves.
     pub(super) draining: bool,
 }
 
+/// Endpoints that get less work than others, or none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct FleetCounts {
+    /// Those that VMs could not reach.
+    pub doubted: usize,
+    /// Those that are cold.
+    pub cold: usize,
+    /// Those that name a limit.
+    pub limited: usize,
+    /// Those that said in an answer that they leave.
+    pub departed: usize,
+    /// Those that asked this VM for a rest.
+    pub resting: usize,
+}
+
+/// What a pass over all endpoints brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct FleetSweep {
+    /// Endpoints that were gone and idle, and are dropped.
+    pub gone: Vec<EndpointKey>,
+    /// Counts of the others.
+    pub counts: FleetCounts,
+}
+
 /// How sends to a data centre's endpoints went last.
 #[derive(Clone, Copy, Debug, Default)]
 struct ReachNote {
@@ -270,6 +302,7 @@
         if self.had_departed(key) {
             return false;
         }
+        entry.weights = self.weights.share(entry.weights);
         let has_returned = self.ended.remove(&key).is_some();
         let cold_until = self.cold_until(&entry, now);
         if let Some(row) = self.rows.get_mut(&key) {
@@ -278,9 +311,13 @@
             entry.draining |= row.entry.draining;
             row.listed_weights.clone_from(&entry.weights);
             // Entries lag behind: what was seen at the engine itself may be newer.
-            for (model, version) in &row.entry.weights {
-                let listed = entry.weights.entry(model.clone()).or_default();
-                *listed = (*listed).max(*version);
+            if entry.weights != row.entry.weights {
+                let weights = Arc::make_mut(&mut entry.weights);
+                for (model, version) in row.entry.weights.iter() {
+                    let listed = weights.entry(model.clone()).or_default();
+                    *listed = (*listed).max(*version);
+                }
+                entry.weights = self.weights.share(entry.weights);
             }
             if entry.weights != row.entry.weights {
                 row.kept.clear();
@@ -303,7 +340,7 @@
             // The last write of one that is gone may come late: its entry lapses before this time is over.
             row.eject_until(now.after_millis(RETURNED_MILLIS));
         }
-        self.rows.insert(key, row);
+        self.rows.insert(key, Box::new(row));
         true
     }
 
@@ -322,6 +359,11 @@
         self.unreadable.remove(id)
     }
 
+    /// Ids whose entries cannot be read.
+    pub fn unreadable(&self) -> impl Iterator<Item = &str> {
+        self.unreadable.iter().map(String::as_str)
+    }
+
     /// Whether an entry lacks the start that all endpoints of its service tell: it is not that endpoint's own.
     pub fn lacks_start(&self, entry: &EndpointEntry) -> bool {
         entry.born_millis.is_none() && self.dated.contains(&entry.service)
@@ -339,10 +381,11 @@
     /// Whether an entry is of the newest start of its id; an earlier start that it takes the place of has ended.
     fn is_newest(&mut self, entry: &EndpointEntry, key: EndpointKey) -> bool {
         let start = NewestStart { key, born_millis: entry.born_millis };
-        match self.newest.insert(entry.id.clone(), start) {
+        let id = EndpointKey::of(&entry.id);
+        match self.newest.insert(id, start) {
             Some(known) if known.born_millis > entry.born_millis => {
                 // A late entry of an earlier start.
-                self.newest.insert(entry.id.clone(), known);
+                self.newest.insert(id, known);
                 false
             }
             Some(known) => {
@@ -357,7 +400,8 @@
 
     /// The key of the newest start of `id`.
     pub fn key_of(&self, id: &str) -> EndpointKey {
-        self.newest.get(id).map_or_else(|| EndpointKey::of(id), |start| start.key)
+        let key = EndpointKey::of(id);
+        self.newest.get(&key).map_or(key, |start| start.key)
     }
 
     /// Notes that the entry of `id` is gone; until `hold` its endpoint goes on getting work.
@@ -391,7 +435,7 @@
         let late = self.ended.values().filter(|row| now < row.at.after_millis(AFTERLIFE_MILLIS));
         let all = self.rows.values().map(|row| &row.entry.weights).chain(late.map(|row| &row.weights));
         let mut oldest = BTreeMap::new();
-        for (model, version) in all.flatten() {
+        for (model, version) in all.flat_map(|weights| weights.iter()) {
             let least = oldest.entry(model.clone()).or_insert(*version);
             *least = (*least).min(*version);
         }
@@ -412,16 +456,28 @@
         missing
     }
 
-    /// Drops endpoints that are gone and idle; returns their keys.
-    pub fn sweep(&mut self, now: Moment) -> Vec<EndpointKey> {
-        let gone: Vec<_> = self
-            .rows
-            .iter()
-            .filter(|(_, row)| row.missing_until.is_some_and(|until| now >= until) && row.own.running == 0)
-            .map(|(key, _)| *key)
-            .collect();
+    /// Drops endpoints that are gone and idle, and counts the others, in one pass over all.
+    pub fn sweep(&mut self, now: Moment) -> FleetSweep {
+        let mut gone = Vec::new();
+        let mut counts = FleetCounts::default();
+        for (key, row) in &mut self.rows {
+            if row.missing_until.is_some_and(|until| now >= until) && row.own.running == 0 {
+                gone.push(*key);
+                continue;
+            }
+            row.relax();
+            row.peers.sweep(now);
+            counts.doubted += usize::from(row.is_doubted());
+            counts.limited += usize::from(row.limit.per_s().is_some());
+            counts.departed += usize::from(row.has_departed);
+            counts.resting += usize::from(row.rest.is_resting(now));
+        }
+        counts.cold = if now < self.cold_until { self.cold_count(now) } else { 0 };
+        let rows = &self.rows;
+        self.changing.retain(|key| rows.get(key).is_some_and(|row| row.is_changing(now)));
         for key in &gone {
             let Some(row) = self.rows.remove(key) else { continue };
+            self.own_busy.remove(key);
             if let Some(keys) = self.by_service.get_mut(&row.entry.service) {
                 keys.retain(|other| other != key);
             }
@@ -429,15 +485,11 @@
             let EndpointEntry { id, weights, .. } = row.entry;
             self.note_ended(*key, EndedRow { id, at: now, weights, draining });
         }
-        for row in self.rows.values_mut() {
-            row.relax();
-            row.peers.sweep(now);
-        }
         for row in self.stores.values_mut() {
             row.sweep(now);
         }
         self.told.retain(|_, told| now < told.at.after_millis(AFTERLIFE_MILLIS));
-        gone
+        FleetSweep { gone, counts }
     }
 
     /// Remembers an incarnation that is gone, in place of the one that went first if there are too many.
@@ -447,7 +499,7 @@
             && let Some(row) = self.ended.remove(&first)
             && self.key_of(&row.id) == first
         {
-            self.newest.remove(&row.id);
+            self.newest.remove(&EndpointKey::of(&row.id));
         }
         self.ended.insert(key, ended);
     }
@@ -459,18 +511,18 @@
 
     /// One endpoint.
     pub fn row(&self, key: EndpointKey) -> Option<&EndpointRow> {
-        self.rows.get(&key)
+        self.rows.get(&key).map(Box::as_ref)
     }
 
     /// All endpoints.
     pub fn rows(&self) -> impl Iterator<Item = (EndpointKey, &EndpointRow)> {
-        self.rows.iter().map(|(key, row)| (*key, row))
+        self.rows.iter().map(|(key, row)| (*key, row.as_ref()))
     }
 
     /// The endpoints of `service`.
     pub fn rows_of(&self, service: &str) -> impl Iterator<Item = (EndpointKey, &EndpointRow)> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
-        keys.iter().filter_map(|key| self.rows.get(key).map(|row| (*key, row)))
+        keys.iter().filter_map(|key| self.rows.get(key).map(|row| (*key, row.as_ref())))
     }
 
     /// Counts work sent to an endpoint, and believes that it keeps `parts` from now on.
@@ -478,6 +530,7 @@
         self.note_parts(key, parts, salt);
         if let Some(row) = self.rows.get_mut(&key) {
             row.own.add(load);
+            self.own_busy.insert(key);
         }
     }
 
@@ -485,6 +538,9 @@
     pub fn release(&mut self, key: EndpointKey, load: LoadCount) {
         if let Some(row) = self.rows.get_mut(&key) {
             row.own.subtract(load);
+            if row.own == LoadCount::default() {
+                self.own_busy.remove(&key);
+            }
         }
     }
 
@@ -519,14 +575,30 @@
 
     /// What this VM, and the VMs that `counts` names, have in flight; idle endpoints are left out.
     pub fn loads_of(&self, counts: impl Fn(VmKey) -> bool, now: Moment) -> Vec<(EndpointKey, LoadCount)> {
-        let loads = self.rows.iter().map(|(key, row)| (*key, row.load_of(&counts, now)));
+        let told = self.told_by(|source| matches!(source, LoadSource::Vm(vm) if counts(vm)));
+        let busy: BTreeSet<_> = self.own_busy.iter().copied().chain(told).collect();
+        self.loads_at(busy, |row| row.load_of(&counts, now))
+    }
+
+    /// Endpoints that the last digests of some sources named: all others are at rest there.
+    fn told_by(&self, counts: impl Fn(LoadSource) -> bool) -> impl Iterator<Item = EndpointKey> {
+        let told = self.told.iter().filter(move |(source, _)| counts(**source));
+        told.flat_map(|(_, rows)| rows.endpoints.iter().copied())
+    }
+
+    fn loads_at(
+        &self,
+        keys: BTreeSet<EndpointKey>,
+        load: impl Fn(&EndpointRow) -> LoadCount,
+    ) -> Vec<(EndpointKey, LoadCount)> {
+        let loads = keys.into_iter().filter_map(|key| Some((key, load(self.rows.get(&key)?))));
         loads.filter(|(_, load)| *load != LoadCount::default()).collect()
     }
 
     /// What the VMs of other data centres have in flight, as their leads told; idle endpoints are left out.
     pub fn far_loads(&self, now: Moment) -> Vec<(EndpointKey, LoadCount)> {
-        let loads = self.rows.iter().map(|(key, row)| (*key, row.peers.sum_far(now)));
-        loads.filter(|(_, load)| *load != LoadCount::default()).collect()
+        let busy = self.told_by(|source| matches!(source, LoadSource::DataCentre(_))).collect();
+        self.loads_at(busy, |row| row.peers.sum_far(now))
     }
 
     /// Gives an engine no new work until `until`, because its weights are about to change.
@@ -534,6 +606,7 @@
         if let Some(row) = self.rows.get_mut(&key) {
             row.closing_until = until;
             row.closed_by = CloseReporter::Own;
+            self.changing.insert(key);
         }
     }
 
@@ -542,18 +615,20 @@
         if let Some(row) = self.rows.get_mut(&key) {
             row.closing_until = until;
             row.closed_by = if is_near { CloseReporter::Near } else { CloseReporter::Far };
+            self.changing.insert(key);
         }
     }
 
     /// Takes the weight versions that an engine told itself.
     pub fn set_weights(&mut self, key: EndpointKey, weights: &BTreeMap<String, u64>, now: Moment) {
         if let Some(row) = self.rows.get_mut(&key)
-            && row.entry.weights != *weights
+            && *row.entry.weights != *weights
         {
-            row.entry.weights.clone_from(weights);
+            row.entry.weights = self.weights.share(Arc::new(weights.clone()));
             row.weights_seen = Some(now);
             row.closing_until = now;
             row.kept.clear();
+            self.changing.insert(key);
         }
     }
 
@@ -567,18 +642,26 @@
         now: Moment,
     ) {
         let Some(row) = self.rows.get_mut(&key) else { return };
-        let known = row.entry.weights.iter_mut().find(|(model, _)| short_digest(model) == model_digest);
-        if let Some((_, known)) = known
+        let known = row.entry.weights.iter().find(|(model, _)| short_digest(model) == model_digest);
+        if let Some((model, known)) = known
             && *known < version
         {
-            *known = version;
+            let model = model.clone();
+            Arc::make_mut(&mut row.entry.weights).insert(model, version);
+            row.entry.weights = self.weights.share(Arc::clone(&row.entry.weights));
             row.kept.clear();
             row.closing_until = now;
             let told = if is_near { &mut row.weights_told } else { &mut row.weights_far };
             *told = Some(now);
+            self.changing.insert(key);
         }
     }
 
+    /// Endpoints whose weights change, or have changed lately.
+    pub fn changing(&self) -> impl Iterator<Item = (EndpointKey, &EndpointRow)> {
+        self.changing.iter().filter_map(|key| Some((*key, self.rows.get(key)?.as_ref())))
+    }
+
     /// Falls back to the versions that service discovery told, because an engine denied another.
     pub fn doubt_weights(&mut self, key: EndpointKey) {
         if let Some(row) = self.rows.get_mut(&key) {
--- a/crates/decide/src/fleet/peer_loads.rs
+++ b/crates/decide/src/fleet/peer_loads.rs
@@ -7,7 +7,6 @@
 
 use crate::{LoadCount, LoadSource, VmKey};
 use spanfold_entity::Moment;
-use std::collections::HashMap;
 
 /// A peer's load counts for this long after its last digest, in milliseconds.
 const PEER_LOAD_MILLIS: u64 = 1_500;
@@ -15,7 +14,7 @@
 /// Loads by the source that told them.
 #[derive(Debug, Default)]
 pub(crate) struct PeerLoads {
-    rows: HashMap<LoadSource, (LoadCount, Moment)>,
+    rows: Vec<(LoadSource, LoadCount, Moment)>,
     sum: LoadCount,
     /// No row was told before this moment.
     oldest: Moment,
@@ -25,16 +24,24 @@
     /// Takes what `source` says that it has in flight.
     pub(crate) fn set(&mut self, source: LoadSource, load: LoadCount, now: Moment) {
         self.oldest = if self.rows.is_empty() { now } else { self.oldest.min(now) };
-        if let Some((before, _)) = self.rows.insert(source, (load, now)) {
-            self.sum.subtract(before);
+        match self.rows.iter_mut().find(|(other, _, _)| *other == source) {
+            Some((_, known, told_at)) => {
+                self.sum.subtract(*known);
+                (*known, *told_at) = (load, now);
+            }
+            None => self.rows.push((source, load, now)),
         }
         self.sum.add(load);
     }
 
     /// Notes that `source` has nothing in flight.
     pub(crate) fn clear(&mut self, source: LoadSource) {
-        if let Some((before, _)) = self.rows.remove(&source) {
-            self.sum.subtract(before);
+        let Some(place) = self.rows.iter().position(|(other, _, _)| *other == source) else { return };
+        let (_, before, _) = self.rows.swap_remove(place);
+        self.sum.subtract(before);
+        if self.rows.is_empty() {
+            // Most endpoints are busy for a moment only: an idle one holds no memory.
+            self.rows = Vec::new();
         }
     }
 
@@ -58,7 +65,7 @@
 
     fn sum_where(&self, counts: impl Fn(LoadSource) -> bool, now: Moment) -> LoadCount {
         let mut sum = LoadCount::default();
-        for (source, (load, told_at)) in &self.rows {
+        for (source, load, told_at) in &self.rows {
             if counts_at(*told_at, now) && counts(*source) {
                 sum.add(*load);
             }
@@ -70,7 +77,7 @@
     pub(crate) fn sweep(&mut self, now: Moment) {
         let mut sum = LoadCount::default();
         let mut oldest = now;
-        self.rows.retain(|_, (load, told_at)| {
+        self.rows.retain(|(_, load, told_at)| {
             let stays = counts_at(*told_at, now);
             if stays {
                 sum.add(*load);
@@ -78,6 +85,9 @@
             }
             stays
         });
+        if self.rows.is_empty() {
+            self.rows = Vec::new();
+        }
         self.sum = sum;
         self.oldest = oldest;
     }
--- a/crates/decide/src/kept/kept_parts.rs
+++ b/crates/decide/src/kept/kept_parts.rs
@@ -4,18 +4,19 @@
 //! reads on from the first gap. The belief follows what was sent there, in the order of last use,
 //! and forgets beyond the room that running requests leave. It may be wrong: it only ever costs
 //! time, never an answer.
+//!
+//! An engine keeps some tens of parts and a VM believes something of each engine: a short list that is searched through
+//! takes a fifth of the memory of a map and its order, and no more time.
 
 use crate::PromptPart;
 use crate::salted_key;
-use std::collections::{BTreeMap, HashMap};
 
 /// Parts believed kept, with the least recently used one first to go.
 #[derive(Debug, Default)]
 pub struct KeptParts {
     tokens: u64,
-    last_use: u64,
-    rows: HashMap<u64, (u64, u32)>,
-    by_use: BTreeMap<u64, u64>,
+    /// Salted keys and tokens; the part used last comes last.
+    rows: Vec<(u64, u32)>,
 }
 
 impl KeptParts {
@@ -33,7 +34,14 @@
     /// assert_eq!(kept.leading(&parts, 8), 0);
     /// ```
     pub fn leading(&self, parts: &[PromptPart], salt: u64) -> usize {
-        parts.iter().take_while(|part| self.rows.contains_key(&salted_key(part.key, salt))).count()
+        if self.rows.is_empty() {
+            return 0;
+        }
+        let is_kept = |part: &&PromptPart| {
+            let key = salted_key(part.key, salt);
+            self.rows.iter().any(|(other, _)| *other == key)
+        };
+        parts.iter().take_while(is_kept).count()
     }
 
     /// Notes that `parts` were just used, and forgets what exceeds `room` tokens.
@@ -41,20 +49,19 @@
         // The first part is used by most others: it is marked last, so that it goes last.
         for part in parts.iter().rev() {
             let key = salted_key(part.key, salt);
-            self.last_use += 1;
-            if let Some((used, tokens)) = self.rows.insert(key, (self.last_use, part.tokens)) {
-                self.by_use.remove(&used);
+            if let Some(place) = self.rows.iter().position(|(other, _)| *other == key) {
+                let (_, tokens) = self.rows.remove(place);
                 self.tokens -= u64::from(tokens);
             }
-            self.by_use.insert(self.last_use, key);
+            self.rows.push((key, part.tokens));
             self.tokens += u64::from(part.tokens);
         }
-        while self.tokens > room {
-            let Some((_, key)) = self.by_use.pop_first() else { break };
-            if let Some((_, tokens)) = self.rows.remove(&key) {
-                self.tokens -= u64::from(tokens);
-            }
+        let mut gone = 0;
+        while self.tokens > room && gone < self.rows.len() {
+            self.tokens -= u64::from(self.rows[gone].1);
+            gone += 1;
         }
+        self.rows.drain(..gone);
     }
 
     /// Forgets everything, as after a restart or a load of weights.
--- a/crates/decide/tests/engine_starts.rs
+++ b/crates/decide/tests/engine_starts.rs
@@ -21,10 +21,11 @@
         service: "llm".into(),
         address: "127.0.0.1:9".parse().unwrap(),
         data_centre: "dc-a".into(),
+        version: "v1".into(),
         slots: 8,
         draining: false,
         cold_millis: None,
-        weights: BTreeMap::from([("m".to_owned(), version)]),
+        weights: BTreeMap::from([("m".to_owned(), version)]).into(),
     }
 }
 
--- a/crates/decide/tests/fleet_table.rs
+++ b/crates/decide/tests/fleet_table.rs
@@ -11,10 +11,11 @@
         service: "llm".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         data_centre: "dc-a".to_owned(),
+        version: "v1".into(),
         slots: 8,
         draining: false,
         cold_millis: None,
-        weights: BTreeMap::from([("m".to_owned(), version)]),
+        weights: BTreeMap::from([("m".to_owned(), version)]).into(),
     }
 }
 
@@ -49,7 +50,7 @@
     // A hold that is over is not extended.
     table.extend_holds(at(1), at(5_000));
     assert_eq!(leaving(&table, "i-1", at(2)), Some(true));
-    assert_eq!(table.sweep(at(3)), [EndpointKey::of("i-1")]);
+    assert_eq!(table.sweep(at(3)).gone, [EndpointKey::of("i-1")]);
     assert!(!table.apply_entry(entry("i-1", 1), Moment(0)));
     assert_eq!(leaving(&table, "i-1", at(4)), None);
 }
@@ -60,7 +61,7 @@
     table.apply_entry(entry("i-1", 1), Moment(0));
     table.miss_entry("i-1", Moment(0));
     assert_eq!(leaving(&table, "i-1", at(1)), Some(true));
-    assert_eq!(table.sweep(at(3)), [EndpointKey::of("i-1")]);
+    assert_eq!(table.sweep(at(3)).gone, [EndpointKey::of("i-1")]);
     assert!(table.apply_entry(entry("i-1", 1), at(4)));
     assert_eq!(leaving(&table, "i-1", at(4)), Some(false));
     // A late write of one that is gone lapses again before then.
--- a/crates/decide/tests/peer_loads.rs
+++ b/crates/decide/tests/peer_loads.rs
@@ -45,10 +45,11 @@
             service: "llm".to_owned(),
             address: "127.0.0.1:9".parse().unwrap(),
             data_centre: "dc-a".to_owned(),
+            version: "v1".into(),
             slots: 8,
             draining: false,
             cold_millis: None,
-            weights: BTreeMap::new(),
+            weights: BTreeMap::new().into(),
         };
         table.apply_entry(entry, Moment(0));
     }
--- a/crates/decide/tests/shared_rate.rs
+++ b/crates/decide/tests/shared_rate.rs
@@ -140,10 +140,11 @@
         service: SERVICE.to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         data_centre: "dc-a".to_owned(),
+        version: "v1".into(),
         slots: 8,
         draining: false,
         cold_millis,
-        weights: BTreeMap::new(),
+        weights: BTreeMap::new().into(),
     }
 }
 
--- /dev/null
+++ b/crates/decide/tests/table_memory.rs
@@ -0,0 +1,63 @@
+//! What the table of endpoints takes in memory at the size of thousands: a law in bytes a row.
+//!
+//! A process of its own, so that nothing else allocates meanwhile.
+
+use spanfold_decide::{EndpointEntry, FleetTable, LoadCount, LoadSource, PromptPart, VmKey};
+use spanfold_entity::Moment;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Endpoints: twice those of the largest deployment.
+const ROWS: usize = 20_000;
+/// Bytes that a row may take, its key and its id included. It took 2,600 with maps of its own for weights.
+const ROW_BYTES: usize = 1_100;
+/// Bytes that a row may take besides once work ran there and some parts are kept.
+const USED_BYTES: usize = 400;
+/// Bytes of a page of memory.
+const PAGE_BYTES: usize = 4_096;
+
+fn resident_bytes() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap();
+    statm.split(' ').nth(1).unwrap().parse::<usize>().unwrap() * PAGE_BYTES
+}
+
+/// An entry as it is decoded: nothing of it is shared with others.
+fn entry(number: usize) -> EndpointEntry {
+    EndpointEntry {
+        id: format!("i-{number:010x}"),
+        born_millis: Some(1_700_000_000_000 + number as u64),
+        service: "llm".to_owned(),
+        address: SocketAddr::from(([10, 1, (number >> 8) as u8, number as u8], 8_080)),
+        data_centre: format!("dc-{}", number % 5),
+        version: "v1".into(),
+        slots: 24,
+        draining: false,
+        cold_millis: Some(0),
+        weights: Arc::new(BTreeMap::from([("model-a".to_owned(), 1)])),
+    }
+}
+
+#[test]
+fn a_row_takes_a_bounded_part_of_a_small_vms_memory() {
+    let before = resident_bytes();
+    let mut table = FleetTable::default();
+    for number in 0..ROWS {
+        assert!(table.apply_entry(entry(number), Moment(1)));
+    }
+    let row_bytes = (resident_bytes() - before) / ROWS;
+    assert!(row_bytes <= ROW_BYTES, "{row_bytes} bytes a row");
+
+    let listed = resident_bytes();
+    let keys: Vec<_> = table.rows().map(|(key, _)| key).collect();
+    let parts: Vec<_> = (0..6).map(|number| PromptPart { key: number, tokens: 500 }).collect();
+    let load = LoadCount { running: 1, unread_tokens: 100, memory_tokens: 200 };
+    for (number, key) in keys.iter().enumerate() {
+        table.take(*key, load, &parts, number as u64);
+        let source = LoadSource::Vm(VmKey(number as u64 % 7));
+        table.apply_peer_loads(source, &[(*key, load)], Moment(2));
+        table.release(*key, load);
+    }
+    let used_bytes = resident_bytes().saturating_sub(listed) / ROWS;
+    assert!(used_bytes <= USED_BYTES, "{used_bytes} bytes more a row in use");
+}
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/order_task.rs
@@ -171,7 +171,7 @@
     let table = gateway.table();
     let mut states = Vec::new();
     for (key, row) in table.rows().filter(|(_, row)| !row.is_leaving(now)) {
-        for (model, version) in &row.entry.weights {
+        for (model, version) in row.entry.weights.iter() {
             let Some(named) = weights.get(&short_digest(model)) else { continue };
             states.push(EngineState {
                 key,
