What is held for callers that send or read slowly has a bound

Pieces on their way to a caller were counted, their bytes were not, and bodies were read whole however many came at once: 40 of 4 MB fill a VM of 160 MB.

Change: one count of bytes, a quarter of the VM's memory; where more would pass it, those that hold most end first: a body that is still read with 503 (not run, and when to come back), an answer by its connection. 64 KiB wait for one caller, then its endpoint is held up, and only that.

Tests: held_bytes over random histories, fleet::slow_callers.

--- a/crates/gateway/src/front_door.rs
+++ b/crates/gateway/src/front_door.rs
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Bytes read at once in any case: what the configuration allows for a head may be less.
 const READ_BYTES: usize = 32 << 10;
@@ -60,7 +60,9 @@
         return;
     }
     let limits = present_limits(&gateway);
-    let service = service_fn(|request| answer_caller(Arc::clone(&gateway), limits, request));
+    let cut = Arc::new(Notify::new());
+    let service =
+        service_fn(|request| answer_caller(Arc::clone(&gateway), limits, request, Arc::clone(&cut)));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout(limits))
@@ -74,11 +76,16 @@
             }
             return;
         }
+        // What waits for the caller goes with its connection, which it sees break.
+        () = cut.notified() => return,
         _ = closing.wait_for(|closing| *closing) => {}
     }
     connection.as_mut().graceful_shutdown();
     // How it ends is of no interest any more: the process is stopping.
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = cut.notified() => {}
+    }
 }
 
 /// Longest wait for the end of a head. The library counts from the end of the answer before, so that the idle time is part of
@@ -97,11 +104,12 @@
     gateway: Arc<Gateway>,
     limits: RequestLimits,
     request: Request<Incoming>,
+    cut: Arc<Notify>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     // The parser drops a length that follows a transfer coding: whether what comes next is a
     // request of its own cannot be known, so nothing more is read from such a connection.
     let coded = request.headers().contains_key(TRANSFER_ENCODING);
-    let mut response = relay(Arc::clone(&gateway), request).await;
+    let mut response = relay(Arc::clone(&gateway), request, cut).await;
     let present = present_limits(&gateway);
     // How much is read of a head and waited for stands from a connection's start on: after a change the
     // caller opens another one. Bodies are measured anew with each request.
--- a/crates/gateway/src/long_answer.rs
+++ b/crates/gateway/src/long_answer.rs
@@ -7,23 +7,19 @@
 use crate::clock::TimeIsUp;
 use crate::dispatch::ReceivedHead;
 use crate::flight::SendFlight;
+use crate::memory::{PieceFault, PieceSender, piece_channel};
 use crate::own_answer::{AnswerBody, BrokenAnswer};
 use crate::relay::answer_with;
 use crate::request_run::RequestRun;
-use crate::stream_relay::{Chunk, ChunkStream};
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use std::sync::Arc;
-use tokio::sync::mpsc;
-
-/// Pieces that wait for a caller who reads slowly; beyond them the endpoint is held up.
-const PIECES_WAITING: usize = 8;
 
 /// Answers with what has `begun`, and passes the rest on from a task of its own.
-pub(crate) fn pass_on_long(
+pub(crate) async fn pass_on_long(
     mut run: RequestRun,
     received: ReceivedHead,
     begun: Bytes,
@@ -33,10 +29,10 @@
     run.note_first();
     run.set_status(head.status.as_u16());
     run.end("broken off");
-    let (pieces, waiting) = mpsc::channel(PIECES_WAITING);
-    // The channel is empty and its receiver stands: this cannot fail.
-    let _ = pieces.try_send(Ok(Frame::data(begun)));
-    let mut response = answer_with(&head, StreamBody::new(ChunkStream(waiting)).boxed_unsync());
+    let (pieces, waiting) = piece_channel(run.gateway.memory.begin());
+    // The channel is empty and its receiver stands: this fails only for want of memory, as the next one will.
+    let _ = pieces.send(begun).await;
+    let mut response = answer_with(&head, StreamBody::new(waiting).boxed_unsync());
     if let Some(length) = head.headers.get(CONTENT_LENGTH) {
         response.headers_mut().insert(CONTENT_LENGTH, length.clone());
     }
@@ -48,7 +44,7 @@
     run: RequestRun,
     flight: SendFlight,
     body: Incoming,
-    pieces: mpsc::Sender<Chunk>,
+    pieces: PieceSender,
 }
 
 impl LongPump {
@@ -63,8 +59,7 @@
             }
         };
         self.flight.cut();
-        // If the caller is gone, there is nobody to tell.
-        let _ = self.pieces.send(Err(broken)).await;
+        self.pieces.break_off(broken).await;
     }
 
     /// Passes on what follows; tells how the request ended.
@@ -79,8 +74,13 @@
                 None => break,
                 Some(Ok(frame)) => {
                     let Ok(piece) = frame.into_data() else { continue };
-                    if self.pieces.send(Ok(Frame::data(piece))).await.is_err() {
-                        return Ok("caller left");
+                    match self.pieces.send(piece).await {
+                        Ok(()) => {}
+                        Err(PieceFault::CallerLeft) => return Ok("caller left"),
+                        Err(PieceFault::NoMemory) => {
+                            self.run.end_for_memory();
+                            return Err(BrokenAnswer("no memory for what waits".to_owned()));
+                        }
                     }
                 }
                 Some(Err(error)) => {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,12 +9,13 @@
 use crate::gateway::{CountGuard, Gateway};
 use crate::gateway_metrics::KindLabel;
 use crate::long_answer::pass_on_long;
+use crate::memory::{BodyFault, HeldGuard, read_held};
 use crate::own_answer::{AnswerBody, OwnAnswer};
-use crate::request_run::RequestRun;
+use crate::request_run::{CallerHold, RequestRun};
 use crate::request_ticket::{RequestTicket, is_hop_header, text};
 use crate::stream_relay;
 use bytes::{Bytes, BytesMut};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, HeaderMap};
 use hyper::http::request::Parts;
@@ -22,11 +23,14 @@
 use hyper::{Request, Response, StatusCode};
 use spanfold_entity::Moment;
 use std::sync::Arc;
+use tokio::sync::Notify;
 
 /// Endpoints that could not be connected to before a request is given up as not run.
 const CONNECT_FAILURES_MOST: usize = 4;
 /// When to come back if no endpoint takes work, in milliseconds; a random part is added.
 const NO_ENDPOINT_RETRY_MILLIS: u64 = 300;
+/// When to come back if memory ran out, in milliseconds: bodies that others send slowly take some seconds.
+const NO_MEMORY_RETRY_MILLIS: u64 = 2_000;
 /// When to come back after an endpoint's refusal, in milliseconds; a random part is added.
 const REFUSED_RETRY_MILLIS: u64 = 100;
 /// Answers up to this size are read whole before they are passed on, so that a broken one can be
@@ -34,7 +38,13 @@
 const WHOLE_ANSWER_BYTES: usize = 1 << 20;
 
 /// Serves one request of a caller.
-pub(crate) async fn relay(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+///
+/// `cut` ends the caller's connection.
+pub(crate) async fn relay(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+    cut: Arc<Notify>,
+) -> Response<AnswerBody> {
     gateway.until_fresh().await;
     let received = gateway.now();
     let (head, body) = request.into_parts();
@@ -46,7 +56,8 @@
         }
     };
     let open = CountGuard::new(&gateway, |gateway| &gateway.open_requests);
-    let body = match read_body(&gateway, body, ticket.limit).await {
+    let held = gateway.memory.begin();
+    let body = match read_body(&gateway, body, ticket.limit, &held).await {
         Ok(body) => body,
         Err(answer) => {
             log_unrouted(&gateway, &head, &answer);
@@ -55,7 +66,7 @@
     };
     gateway.count_request(&ticket.service);
     gateway.metrics.prompt_tokens.inc_by(u64::from(ticket.prompt_tokens));
-    let run = RequestRun::new(gateway, ticket, body, open);
+    let run = RequestRun::new(gateway, ticket, body, CallerHold { _open: open, _held: held, cut });
     serve(run).await
 }
 
@@ -67,15 +78,23 @@
         outcome = answer.reason; "request.refused");
 }
 
-async fn read_body(gateway: &Gateway, body: Incoming, limit: Moment) -> Result<Bytes, OwnAnswer> {
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    limit: Moment,
+    held: &HeldGuard,
+) -> Result<Bytes, OwnAnswer> {
     let most = gateway.routes().map_or(0, |table| table.config().limits.body_bytes);
-    let collected = Limited::new(body, most).collect();
-    match gateway.within(limit, collected).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+    match gateway.within(limit, read_held(body, most, held)).await {
+        Ok(Ok(content)) => Ok(content),
+        Ok(Err(BodyFault::TooLong)) => {
             Err(OwnAnswer::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"))
         }
-        Ok(Err(_)) => Err(OwnAnswer::plain(StatusCode::BAD_REQUEST, "the body broke off")),
+        Ok(Err(BodyFault::Broken)) => Err(OwnAnswer::plain(StatusCode::BAD_REQUEST, "the body broke off")),
+        Ok(Err(BodyFault::NoMemory)) => {
+            gateway.metrics.memory.ends.get_or_create(&KindLabel::new("body")).inc();
+            Err(OwnAnswer::not_run("no memory for its body", NO_MEMORY_RETRY_MILLIS))
+        }
         Err(TimeIsUp) => Err(OwnAnswer::plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
     }
 }
@@ -143,7 +162,7 @@
     }
     let bytes = match run.gateway.within(run.ticket.limit, read_answer(&mut received.body)).await {
         Ok(Ok(AnswerStart::Whole(bytes))) => bytes,
-        Ok(Ok(AnswerStart::Long(begun))) => return Ok(pass_on_long(run, received, begun)),
+        Ok(Ok(AnswerStart::Long(begun))) => return Ok(pass_on_long(run, received, begun).await),
         Ok(Err(_)) => {
             received.flight.learn(SendOutcome::Broken);
             run.note_broken(&received.flight);
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/request_run.rs
@@ -7,22 +7,35 @@
 use crate::flight::SendFlight;
 use crate::gateway::{CountGuard, Gateway};
 use crate::gateway_metrics::KindLabel;
+use crate::memory::HeldGuard;
 use crate::own_answer::{AnswerBody, OwnAnswer, full_body};
 use crate::relay::answer_with;
 use crate::request_ticket::RequestTicket;
 use crate::{
     EndpointEnding, EndpointKey, EndpointRow, PlacementChoice, QueueOrder, RequestIdentity, RequestKey,
-    short_digest,
+    TestDraw, short_digest,
 };
 use bytes::Bytes;
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::sync::Arc;
+use tokio::sync::Notify;
 
 /// Spread of the return time, in milliseconds, so that those refused together come back apart.
 const RETRY_SPREAD_MILLIS: u64 = 300;
 
+/// What a request holds of its caller's until it ends.
+#[derive(Debug)]
+pub(crate) struct CallerHold {
+    /// Counts it as open.
+    pub _open: CountGuard,
+    /// Counts its body.
+    pub _held: HeldGuard,
+    /// Ends the caller's connection.
+    pub cut: Arc<Notify>,
+}
+
 /// One request on its way, with what has been tried.
 #[derive(Debug)]
 pub(crate) struct RequestRun {
@@ -43,6 +56,8 @@
     pub waits_for_room: bool,
     /// What decides when it has its turn at an endpoint that takes few requests.
     pub queue_order: QueueOrder,
+    /// Whether it tests a new version of its service.
+    pub test_draw: TestDraw,
     pub first_at: Option<Moment>,
     /// An endpoint's own failure, to be passed on if nothing better comes.
     pub failure: Option<(Box<response::Parts>, Bytes)>,
@@ -52,7 +67,7 @@
     pub end_answer: Option<EndAnswer>,
     outcome: &'static str,
     status: u16,
-    _open: CountGuard,
+    hold: CallerHold,
 }
 
 impl Drop for RequestRun {
@@ -95,7 +110,7 @@
 }
 
 impl RequestRun {
-    pub(crate) fn new(gateway: Arc<Gateway>, ticket: RequestTicket, body: Bytes, open: CountGuard) -> Self {
+    pub(crate) fn new(gateway: Arc<Gateway>, ticket: RequestTicket, body: Bytes, hold: CallerHold) -> Self {
         let queue_order = QueueOrder {
             number: gateway.shares.next_number(),
             rank: ticket.priority,
@@ -115,13 +130,14 @@
             waited_micros: 0,
             waits_for_room: false,
             queue_order,
+            test_draw: TestDraw { number: rand::random(), has_slack: false },
             first_at: None,
             failure: None,
             key: None,
             end_answer: None,
             outcome: "caller left",
             status: 0,
-            _open: open,
+            hold,
         }
     }
 
@@ -239,6 +255,13 @@
         self.outcome = outcome;
     }
 
+    /// Marks that it ends because it held most when memory ran out.
+    pub(crate) fn end_for_memory(&mut self) {
+        self.gateway.metrics.memory.ends.get_or_create(&KindLabel::new("answer")).inc();
+        self.end("no memory for what waits");
+        self.hold.cut.notify_one();
+    }
+
     /// The final answer of a request that did not run, with a spread time to return.
     pub(crate) fn refuse(&mut self, reason: &'static str, base_millis: u64) -> Response<AnswerBody> {
         let spread = rand::random_range(0..RETRY_SPREAD_MILLIS);
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/stream_relay.rs
@@ -10,40 +10,22 @@
 use crate::dispatch::{ReceivedHead, SendResult};
 use crate::event_reader::{EventError, EventReader};
 use crate::flight::SendFlight;
+use crate::memory::{PieceFault, PieceSender, piece_channel};
 use crate::own_answer::{AnswerBody, BrokenAnswer};
 use crate::relay::{FailedAnswer, answer_with};
 use crate::request_run::RequestRun;
 use bytes::Bytes;
-use futures_core::Stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use hyper::http::response;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
-use std::pin::Pin;
-use std::task::{Context, Poll};
-use tokio::sync::mpsc;
 
-/// Chunks that wait for a caller who reads slowly; beyond them the engine is held up.
-const CHUNKS_WAITING: usize = 32;
 /// A resumable stream goes on elsewhere after this multiple of the longest pause in time.
 const STALL_FACTOR: u64 = 2;
 /// The shortest such pause, in milliseconds.
 const STALL_LEAST_MILLIS: u64 = 500;
 
-pub(crate) type Chunk = Result<Frame<Bytes>, BrokenAnswer>;
-
-/// The chunks of one answer, as a stream that hyper reads.
-pub(crate) struct ChunkStream(pub mpsc::Receiver<Chunk>);
-
-impl Stream for ChunkStream {
-    type Item = Chunk;
-
-    fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Chunk>> {
-        self.0.poll_recv(context)
-    }
-}
-
 /// Takes a stream's first event, answers with it, and passes the rest on from a task of its own.
 pub(crate) async fn take_stream(
     mut run: RequestRun,
@@ -72,16 +54,16 @@
     run.note_first();
     run.set_status(head.status.as_u16());
     run.end("broken off");
-    let (chunks, received) = mpsc::channel(CHUNKS_WAITING);
+    let (chunks, received) = piece_channel(run.gateway.memory.begin());
     let ended = first.is_none();
     if let Some(first) = first {
         observe_weights(&run, &flight, &first);
-        // The channel is empty and its receiver stands: this cannot fail.
-        let _ = chunks.try_send(Ok(Frame::data(first)));
+        // The channel is empty and its receiver stands: this fails only for want of memory, as the next one will.
+        let _ = chunks.send(first).await;
     }
     let pump = StreamPump { run, flight, reader, chunks };
     tokio::spawn(pump.pass_on(ended));
-    Ok(answer_with(&head, StreamBody::new(ChunkStream(received)).boxed_unsync()))
+    Ok(answer_with(&head, StreamBody::new(received).boxed_unsync()))
 }
 
 /// Applies a change of weights that an event tells.
@@ -107,7 +89,7 @@
     run: RequestRun,
     flight: SendFlight,
     reader: EventReader<Incoming>,
-    chunks: mpsc::Sender<Chunk>,
+    chunks: PieceSender,
 }
 
 /// What the next step of a stream brought.
@@ -128,9 +110,17 @@
             match self.step().await {
                 PumpStep::Events(events) => {
                     observe_weights(&self.run, &self.flight, &events);
-                    if self.chunks.send(Ok(Frame::data(events))).await.is_err() {
-                        self.run.end("caller left");
-                        return;
+                    match self.chunks.send(events).await {
+                        Ok(()) => {}
+                        Err(PieceFault::CallerLeft) => {
+                            self.run.end("caller left");
+                            return;
+                        }
+                        Err(PieceFault::NoMemory) => {
+                            self.run.end_for_memory();
+                            self.break_off("no memory for what waits").await;
+                            return;
+                        }
                     }
                 }
                 PumpStep::End => ended = true,
@@ -246,7 +236,6 @@
     }
 
     async fn break_off(&mut self, cause: &str) {
-        // If the caller is gone, there is nobody to tell.
-        let _ = self.chunks.send(Err(BrokenAnswer(cause.to_owned()))).await;
+        self.chunks.break_off(BrokenAnswer(cause.to_owned())).await;
     }
 }
