Moves of a service to another version, tested on a bounded share of its requests

Nothing read the order: engines of a bad version got as much as all others from their first entry on.

Change: each VM draws for each request whether it tests, so that equal shares add up on any list of VMs; answers of both versions are compared on each route, by CUSUM, for failures and for time; each VM stops by itself, one VM decides, under three conditions in the store.

--- a/crates/decide/examples/placement_cost.rs
+++ b/crates/decide/examples/placement_cost.rs
@@ -4,8 +4,8 @@
 
 use spanfold_decide::{
     DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, HomeRegions, KeptChange, KeptNews,
-    LoadCount, LoadSource, PlacementAsk, PromptPart, ServiceRow, ShareView, StoreSpec, VmKey, place,
-    salt_text,
+    LoadCount, LoadSource, PlacementAsk, PromptPart, ServiceRow, ShareView, StoreSpec, VersionSplit, VmKey,
+    place, salt_text,
 };
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -93,6 +93,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        versions: &VersionSplit::Any,
         homes: HomeRegions::default(),
         shares: ShareView::default(),
         draw: rand::random,
@@ -127,10 +128,11 @@
         service: "llm".to_owned(),
         address: "127.0.0.1:9".parse().expect("an address"),
         data_centre: format!("dc-{}", engine % size.data_centres),
+        version: "v1".into(),
         slots: 24,
         draining: false,
         cold_millis: None,
-        weights: BTreeMap::from([("m".to_owned(), 1)]),
+        weights: BTreeMap::from([("m".to_owned(), 1)]).into(),
     }
 }
 
--- a/crates/decide/src/admit/blocked_counts.rs
+++ b/crates/decide/src/admit/blocked_counts.rs
@@ -15,6 +15,8 @@
     pub evacuated: usize,
     /// They stand outside the regions of the request.
     pub elsewhere: usize,
+    /// The request may not go to their version while its service moves to another one.
+    pub version: usize,
     /// The request was sent to them before.
     pub tried: usize,
     /// They asked this VM for rest, or return from one.
@@ -34,6 +36,7 @@
             ("leaving", self.leaving),
             ("evacuated", self.evacuated),
             ("elsewhere", self.elsewhere),
+            ("of another version", self.version),
             ("tried", self.tried),
             ("resting", self.resting),
             ("limited", self.limited),
@@ -60,6 +63,8 @@
                 &mut counts.evacuated
             } else if !self.is_home(ask.homes, &row.entry.data_centre) {
                 &mut counts.elsewhere
+            } else if !ask.versions.allows(key, row) {
+                &mut counts.version
             } else if ask.exclude.contains(&key) {
                 &mut counts.tried
             } else if rests {
--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod blocked_counts;
+mod held_bytes;
 mod placement;
 mod retry_budget;
 mod share_queue;
@@ -9,6 +10,7 @@
 
 pub use admission::{AdmissionVerdict, AdmissionView, take_part};
 pub use blocked_counts::BlockedCounts;
+pub use held_bytes::{HeldBytes, HolderId};
 pub(crate) use placement::candidates;
 pub use placement::{PlacementAsk, PlacementChoice, ShareView, place, salt_text, salt_version};
 pub use retry_budget::{BudgetTerms, RetryBudget};
--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     ColdTerms, EndpointKey, EndpointRow, FleetTable, HomeRegions, LoadCount, PromptPart, RateTerms,
-    ShareRight, WantedWeights, short_digest,
+    ShareRight, VersionSplit, WantedWeights, short_digest,
 };
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
@@ -80,6 +80,8 @@
     pub wall: &'a str,
     /// Endpoints that this request was sent to already.
     pub exclude: &'a [EndpointKey],
+    /// Versions of endpoints that it may go to.
+    pub versions: &'a VersionSplit,
     /// What this VM may send to endpoints that take few requests.
     pub shares: ShareView<'a>,
     /// A random number in `0.0..1.0` for each candidate.
@@ -97,6 +99,7 @@
     ) -> bool {
         row.takes_work(now)
             && !self.exclude.contains(&key)
+            && self.versions.allows(key, row)
             && table.is_home(self.homes, &row.entry.data_centre)
     }
 }
--- a/crates/decide/src/admit/shared_rate.rs
+++ b/crates/decide/src/admit/shared_rate.rs
@@ -97,6 +97,17 @@
         }
     }
 
+    /// The terms of a number of requests that all VMs together may send once.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::RateTerms;
+    /// assert_eq!(RateTerms::of_count(20).count, 20);
+    /// ```
+    pub const fn of_count(count: u64) -> Self {
+        Self { count, window_millis: u64::MAX, senders_most: usize::MAX, needs_fresh_list: false }
+    }
+
     /// Requests a second that a part of the window's count comes to.
     pub fn per_s(&self, part: u64) -> f64 {
         part as f64 * MILLIS_PER_SECOND / self.window_millis as f64
@@ -196,7 +207,10 @@
         if terms.needs_fresh_list && !self.is_fresh {
             return 0;
         }
-        let Some(others) = self.senders(data_centre) else { return 0 };
+        self.senders(data_centre).map_or(0, |others| self.part_among(others, endpoint, terms))
+    }
+
+    fn part_among(&self, others: &[VmKey], endpoint: EndpointKey, terms: &RateTerms) -> u64 {
         let count = usize::try_from(terms.count).unwrap_or(usize::MAX);
         let senders = terms.senders_most.min(others.len() + 1).min(count);
         let own = rendezvous(self.own, endpoint);
@@ -208,6 +222,18 @@
         (count / senders + usize::from(place < rest)) as u64
     }
 
+    /// Requests that this VM may send of those that all VMs of all data centres share on these terms.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::{EndpointKey, RateTerms, ShareRight, VmKey};
+    /// let alone = ShareRight::alone(VmKey::of("vm-1"), "dc-a");
+    /// assert_eq!(alone.part_of_all(EndpointKey::of("a"), &RateTerms::of_count(20)), 20);
+    /// ```
+    pub fn part_of_all(&self, key: EndpointKey, terms: &RateTerms) -> u64 {
+        self.part_among(&self.all, key, terms)
+    }
+
     /// The right of a VM that knows of no other, with a fresh list.
     pub fn alone(own: VmKey, data_centre: &str) -> Self {
         Self {
--- a/crates/decide/src/fleet/store_position.rs
+++ b/crates/decide/src/fleet/store_position.rs
@@ -33,6 +33,18 @@
     pub const fn fencing(self) -> u64 {
         (self.era << REVISION_BITS) | self.revision
     }
+
+    /// The position that a fencing token was made of.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::StorePosition;
+    /// let at = StorePosition { era: 3, revision: 900 };
+    /// assert_eq!(StorePosition::of_fencing(at.fencing()), at);
+    /// ```
+    pub const fn of_fencing(token: u64) -> Self {
+        Self { era: token >> REVISION_BITS, revision: token & ((1 << REVISION_BITS) - 1) }
+    }
 }
 
 impl fmt::Display for StorePosition {
--- a/crates/decide/tests/admission.rs
+++ b/crates/decide/tests/admission.rs
@@ -7,8 +7,8 @@
 
 use spanfold_decide::{
     AdmissionVerdict, AdmissionView, DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable,
-    HomeRegions, LoadCount, PlacementAsk, PlacementChoice, PromptPart, ServiceRow, ShareView, place,
-    take_part,
+    HomeRegions, LoadCount, PlacementAsk, PlacementChoice, PromptPart, ServiceRow, ShareView, VersionSplit,
+    place, take_part,
 };
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, VecDeque};
@@ -52,10 +52,11 @@
                 service: "llm".to_owned(),
                 address: "127.0.0.1:9".parse().unwrap(),
                 data_centre: "dc-a".to_owned(),
+                version: "v1".into(),
                 slots: 64,
                 draining: false,
                 cold_millis: None,
-                weights: BTreeMap::new(),
+                weights: BTreeMap::new().into(),
             },
             Moment(0),
         );
@@ -79,6 +80,7 @@
         memory_part,
         wall: "shared",
         exclude: &[],
+        versions: &VersionSplit::Any,
         homes: HomeRegions::default(),
         shares: ShareView::default(),
         draw: || 0.0,
--- a/crates/decide/tests/endpoint_answers.rs
+++ b/crates/decide/tests/endpoint_answers.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 use spanfold_decide::{
     ColdTerms, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRest, FleetTable, HomeRegions,
-    PlacementAsk, RestChange, SendOutcome, SendReport, ShareView, VmKey, place,
+    PlacementAsk, RestChange, SendOutcome, SendReport, ShareView, VersionSplit, VmKey, place,
 };
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -24,10 +24,11 @@
         service: "desk".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         data_centre: "dc-a".to_owned(),
+        version: "v1".into(),
         slots,
         draining: false,
         cold_millis: Some(0),
-        weights: BTreeMap::new(),
+        weights: BTreeMap::new().into(),
     }
 }
 
@@ -51,6 +52,7 @@
         homes: HomeRegions::default(),
         wall: "shared",
         exclude,
+        versions: &VersionSplit::Any,
         shares: shares(),
         draw: || 0.5,
     }
@@ -152,7 +154,7 @@
                 table.learn_reported(VmKey(vm), &report, 0.5, at(now));
             }
             Step::Sweep => {
-                for key in table.sweep(at(now)) {
+                for key in table.sweep(at(now)).gone {
                     // Whoever returns after its row is gone has its rest behind it as far as this VM knows.
                     truth.rests.remove(&key);
                 }
--- a/crates/decide/tests/peer_book.rs
+++ b/crates/decide/tests/peer_book.rs
@@ -200,3 +200,36 @@
     assert!(!book.hear_passed(vm, 1, 9, at(2)));
     assert!(!book.hear(vm, 1, 8, at(2)));
 }
+
+#[test]
+fn vms_that_list_all_endpoints_do_not_grow_with_the_deployment() {
+    // VMs of one data centre of five, a twentieth of them with wide links, at 9 to 2,000 VMs.
+    for vms in [9_usize, 91, 300, 985, 2_000] {
+        let near: Vec<_> = (0..vms.div_ceil(5))
+            .map(|number| VmEntry {
+                name: format!("vm-{number:04}"),
+                address: std::net::SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 1)),
+                data_centre: "dc-a".into(),
+                incarnation: 1,
+                link_mbps: if number % 20 == 0 { 200 } else { 20 },
+            })
+            .collect();
+        let mut asked = std::collections::BTreeMap::new();
+        let mut listing = 0;
+        for own in &near {
+            let mut book = PeerBook::new(own.clone());
+            for other in &near {
+                book.list(other.clone());
+            }
+            let sources = book.copy_sources();
+            listing += usize::from(sources.is_empty());
+            for source in &sources {
+                *asked.entry(*source).or_insert(0.0) += 1.0 / sources.len() as f64;
+            }
+        }
+        assert!(listing <= 3, "{listing} of {} list", near.len());
+        // Nobody hands out more copies than its wide link carries in some seconds.
+        let most = asked.values().copied().fold(0.0, f64::max);
+        assert!(most <= 24.0, "{most} copies of one VM at {vms} VMs");
+    }
+}
--- a/crates/decide/tests/placement.rs
+++ b/crates/decide/tests/placement.rs
@@ -3,7 +3,7 @@
 use spanfold_decide::{
     DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, HomeRegions, KeptChange, KeptNews,
     LoadCount, LoadSource, PlacementAsk, PlacementChoice, PromptPart, SendOutcome, ServiceRow, ShareView,
-    StoreSpec, VmKey, WantedWeights, place,
+    StoreSpec, VersionSplit, VmKey, WantedWeights, place,
 };
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -18,10 +18,11 @@
         service: "llm".to_owned(),
         address: "127.0.0.1:9".parse().unwrap(),
         data_centre: data_centre.to_owned(),
+        version: "v1".into(),
         slots: 64,
         draining: false,
         cold_millis: None,
-        weights: BTreeMap::from([("m".to_owned(), version)]),
+        weights: BTreeMap::from([("m".to_owned(), version)]).into(),
     }
 }
 
@@ -74,6 +75,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        versions: &VersionSplit::Any,
         homes: HomeRegions::default(),
         shares: ShareView::default(),
         draw: || 0.0,
--- a/crates/decide/tests/told_health.rs
+++ b/crates/decide/tests/told_health.rs
@@ -4,7 +4,7 @@
 use rand::{Rng, SeedableRng};
 use spanfold_decide::{
     DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, HomeRegions, LoadCount,
-    PlacementAsk, PromptPart, SendOutcome, SendReport, ServiceRow, ShareView, VmKey, place,
+    PlacementAsk, PromptPart, SendOutcome, SendReport, ServiceRow, ShareView, VersionSplit, VmKey, place,
 };
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -30,10 +30,11 @@
             service: "llm".to_owned(),
             address: "127.0.0.1:9".parse().unwrap(),
             data_centre: "dc-a".to_owned(),
+            version: "v1".into(),
             slots: 24,
             draining: false,
             cold_millis: None,
-            weights: BTreeMap::new(),
+            weights: BTreeMap::new().into(),
         };
         table.apply_entry(entry, Moment(0));
     }
@@ -139,6 +140,7 @@
         memory_part: 1.0,
         wall: "shared",
         exclude: &[],
+        versions: &VersionSplit::Any,
         homes: HomeRegions::default(),
         shares: ShareView::default(),
         draw: || 0.0,
--- a/crates/declare/src/gateway_settings.rs
+++ b/crates/declare/src/gateway_settings.rs
@@ -21,6 +21,7 @@
         "vm" "data_centre" "" "the data centre that this VM stands in; required";
         "vm" "regions" "" "region of each data centre, as NAME:REGION, separated by commas; needed where homes are named";
         "vm" "link_mbps" "1000" "this VM's link in megabits a second; VMs with wide links pass on what others ask";
+        "vm" "memory_mb" "256" "this VM's memory in megabytes; a quarter of it is for bytes held for slow callers";
         "listen" "callers" "" "address for callers; required";
         "listen" "readiness" "" "address where the balancer asks for readiness; required";
         "listen" "metrics" "" "address for /metrics; required";
@@ -34,6 +35,8 @@
         "bounds" "retry_slack" "20" "second sends of all VMs in a window beyond the ratio";
         "bounds" "cold_overrun" "1" "multiple of what a cold endpoint bears that all VMs may send it in a second";
         "bounds" "cold_slack" "0" "requests in a second that all VMs may send it beyond that";
+        "bounds" "exposure_share" "0.1" "share of a service's requests that a bad new version may get";
+        "bounds" "exposure_slack" "50" "requests that a bad new version may get beyond that";
         "log" "level" "info" "error, warn, info, debug or trace";
     }
 }
@@ -46,6 +49,7 @@
     pub data_centre: String,
     pub regions: BTreeMap<String, String>,
     pub link_mbps: f64,
+    pub memory_mb: f64,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
@@ -59,6 +63,8 @@
     pub retry_slack: f64,
     pub cold_overrun: f64,
     pub cold_slack: f64,
+    pub exposure_share: f64,
+    pub exposure_slack: f64,
     pub log_level: String,
 }
 
@@ -70,6 +76,7 @@
             data_centre: String::new(),
             regions: BTreeMap::new(),
             link_mbps: 1_000.0,
+            memory_mb: 256.0,
             callers: unset,
             readiness: unset,
             metrics: unset,
@@ -83,6 +90,8 @@
             retry_slack: 20.0,
             cold_overrun: 1.0,
             cold_slack: 0.0,
+            exposure_share: 0.1,
+            exposure_slack: 50.0,
             log_level: "info".to_owned(),
         }
     }
@@ -124,6 +133,7 @@
                 reader.required("data_centre").clone_into(&mut self.data_centre);
                 self.regions = reader.with("regions", read_regions);
                 self.link_mbps = reader.number("link_mbps", self.link_mbps);
+                self.memory_mb = reader.number("memory_mb", self.memory_mb);
             }
             "listen" => {
                 self.callers = needed_address(reader, "callers");
@@ -141,6 +151,8 @@
                 self.retry_slack = reader.number("retry_slack", self.retry_slack);
                 self.cold_overrun = reader.number("cold_overrun", self.cold_overrun);
                 self.cold_slack = reader.number("cold_slack", self.cold_slack);
+                self.exposure_share = reader.number("exposure_share", self.exposure_share);
+                self.exposure_slack = reader.number("exposure_slack", self.exposure_slack);
             }
             "log" => {
                 self.log_level = word(reader, "level", &crate::settings::LEVELS, "info");
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,8 +4,8 @@
 //! function is pure, so that a stand-in and the real platform meet the same code.
 
 use crate::{
-    AnswerFacts, DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, StoreEvent, StoreItem,
-    StorePosition, WeightTarget,
+    AnswerFacts, DeploymentConfig, EndpointEntry, EngineReport, KeptNews, PromptPart, RolloutOrder,
+    RolloutPhase, StoreEvent, StoreItem, StorePosition, WeightTarget,
 };
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, StatusCode};
@@ -76,6 +76,10 @@
     pub weights: &'static str,
     /// Prefix of evacuated data centres; the data centre's name follows.
     pub evacuations: &'static str,
+    /// Prefix of orders to move a service to another version; the service's name follows.
+    pub rollouts: &'static str,
+    /// Prefix of what operators read of such moves; the service's name follows.
+    pub rollout_statuses: &'static str,
 }
 
 /// One call, ready to be sent.
@@ -301,6 +305,10 @@
     pub endpoint: fn(&str, &[u8]) -> Result<EndpointEntry, EntryError>,
     /// Reads a weight target.
     pub weights: fn(&[u8]) -> Result<WeightTarget, String>,
+    /// Reads an order to move a service to another version.
+    pub rollout: fn(&[u8]) -> Result<RolloutOrder, String>,
+    /// Writes what operators read of such a move: how far it has come, and to which version.
+    pub rollout_status: fn(RolloutPhase, &str) -> Vec<u8>,
     /// Reads the prompt's parts from their header.
     pub prompt_parts: fn(&str) -> Option<Vec<PromptPart>>,
     /// Reads tokens of the prompt and tokens that may be generated.
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,10 +13,11 @@
 use crate::outgoing_body::OutgoingBody;
 use crate::placed_note::PlacedNote;
 use crate::request_run::RequestRun;
+use crate::rollout::VersionedSend;
 use crate::salted_key;
 use crate::{
     AdmissionVerdict, EndpointKey, FleetTable, PlacementAsk, PlacementChoice, SendOutcome, ShareVerdict,
-    ShareView, salt_text, take_part,
+    ShareView, TestDraw, VersionSplit, salt_text, short_digest, take_part,
 };
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -183,14 +184,31 @@
             homes: routes.homes(&ticket.host, &ticket.path, ticket.account.as_deref()),
             wall: &ticket.wall,
             exclude: &self.tried,
+            versions: &VersionSplit::Any,
             shares,
             draw: rand::random,
         };
-        let choice = gateway.place(&ask).filter(|choice| self.has_turn(choice));
-        // Others go before it where endpoints take few: what is left are endpoints that take any number.
-        let rest = PlacementAsk { shares: ShareView { right: None, ..shares }, ..ask };
-        let Some(choice) = choice.or_else(|| gateway.place(&rest)) else { return self.wait_or_leave(&ask) };
-        match admission.map_or(AdmissionVerdict::Go, |view| view.admit(&choice, gateway.now())) {
+        // A second send tests nothing: it would be another request to a version that may be bad.
+        let mut draw = if self.tried.is_empty() { self.test_draw } else { TestDraw::NONE };
+        let splits = gateway.version_splits(&ticket.service, &mut draw);
+        self.test_draw.has_slack |= draw.has_slack;
+        let admit = |choice: &PlacementChoice| {
+            admission.map_or(AdmissionVerdict::Go, |view| view.admit(choice, gateway.now()))
+        };
+        let placed = splits.iter().find_map(|versions| {
+            let ask = PlacementAsk { versions, ..ask.clone() };
+            let choice = gateway.place(&ask).filter(|choice| self.has_turn(choice));
+            // Others go before it where endpoints take few: what is left are endpoints that take any number.
+            let rest = PlacementAsk { shares: ShareView { right: None, ..shares }, ..ask };
+            let choice = choice.or_else(|| gateway.place(&rest))?;
+            let verdict = admit(&choice);
+            // A test does not wait for room that other endpoints have.
+            let waits = matches!(versions, VersionSplit::Tested(..)) && verdict != AdmissionVerdict::Go;
+            (!waits).then_some((choice, verdict))
+        });
+        let ask = PlacementAsk { versions: splits.last().unwrap_or(&VersionSplit::Any), ..ask };
+        let Some((choice, verdict)) = placed else { return self.wait_or_leave(&ask) };
+        match verdict {
             AdmissionVerdict::Go if self.waits_for_room && !self.draws_room() => {
                 return Some(PlaceResult::Wait);
             }
@@ -224,12 +242,22 @@
         };
         gateway.note_placed(PlacedNote::new(&choice, &ticket.parts));
         gateway.metrics.kept_tokens.inc_by(choice.kept.kept_tokens + choice.kept.moved_tokens);
-        let flight = SendFlight::new(&gateway, &choice, (endpoint, address), moves);
+        let mut flight = SendFlight::new(&gateway, &choice, (endpoint, address), moves);
+        flight.versioned = self.versioned(choice.key);
         self.tried.push(choice.key);
         self.endpoint.clone_from(&flight.endpoint);
         Some(PlaceResult::Placed(Box::new(choice), Box::new(flight)))
     }
 
+    /// What the answer of an endpoint will tell of its version, while the service moves to another one.
+    fn versioned(&self, key: EndpointKey) -> Option<VersionedSend> {
+        let (gateway, service) = (&self.gateway, &self.ticket.service);
+        let target = gateway.rollout_target(service)?;
+        let table = gateway.table();
+        let route = short_digest(&self.ticket.route.name);
+        Some(VersionedSend::new(service, route, &target, table.row(key)?, gateway.now()))
+    }
+
     /// Whether the request may go where it was placed, or others that wait for that endpoint go before it.
     fn has_turn(&self, choice: &PlacementChoice) -> bool {
         let gateway = &self.gateway;
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/flight.rs
@@ -5,6 +5,7 @@
 
 use crate::endpoint_pool::EndpointConnection;
 use crate::gateway::Gateway;
+use crate::rollout::VersionedSend;
 use crate::{AnswerFacts, EndpointKey, LoadCount, PlacementChoice, SendOutcome, SendReport};
 use spanfold_entity::Moment;
 use std::net::SocketAddr;
@@ -31,6 +32,8 @@
     granted: Option<Duration>,
     /// Whether the endpoint ends the connection after its answer.
     ends_connection: bool,
+    /// What its answer tells of its endpoint's version, while its service moves to another one.
+    pub versioned: Option<VersionedSend>,
 }
 
 impl SendFlight {
@@ -56,6 +59,7 @@
             connection: None,
             granted: None,
             ends_connection: false,
+            versioned: None,
         }
     }
 
@@ -79,6 +83,9 @@
         }
         self.begun = true;
         let taken = self.gateway.now().micros_since(self.sent_at);
+        if let Some(send) = &mut self.versioned {
+            send.begin(taken, self.expected_micros);
+        }
         let pace = self.learn_pace(taken);
         self.gateway.note_send(SendReport {
             key: self.key,
@@ -133,6 +140,9 @@
     /// Learns from how the send went.
     pub(crate) fn learn(&self, outcome: SendOutcome) {
         self.gateway.table().learn(self.key, outcome, self.gateway.now());
+        if let Some(send) = &self.versioned {
+            self.gateway.observe_version(send, outcome);
+        }
         let is_served = matches!(outcome, SendOutcome::Answered | SendOutcome::Failed);
         if is_served && self.gateway.table().note_served(self.key, self.sent_at) {
             log::info!(endpoint = self.endpoint.as_str(); "endpoint.rested");
--- a/crates/gateway/src/gateway_status.rs
+++ b/crates/gateway/src/gateway_status.rs
@@ -1,6 +1,7 @@
 //! What a gateway tells operators of itself and of what it believes.
 
 use crate::gateway::Gateway;
+use crate::rollout::RolloutStatus;
 use crate::{EndpointKey, EndpointRow, RateTerms, ShareRight, StorePosition};
 use serde::Serialize;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -28,6 +29,8 @@
     rests: Vec<RestStatus>,
     /// Data centres whose endpoints get no work because the operator asked for that.
     evacuated: Vec<String>,
+    /// Moves of services to other versions.
+    rollouts: Vec<RolloutStatus>,
 }
 
 /// An endpoint that names a limit.
@@ -84,6 +87,7 @@
         let now = gateway.now();
         let configuration = gateway.routes().map(|table| table.config().version);
         let right = gateway.share_right();
+        let rollouts = RolloutStatus::all(gateway);
         let table = gateway.table();
         let limits = table.rows().filter_map(|(key, row)| LimitStatus::of(key, row, right.as_deref(), now));
         Self {
@@ -106,6 +110,7 @@
                 .collect(),
             rests: table.rows().filter_map(|(_, row)| RestStatus::of(row, now)).collect(),
             evacuated: table.evacuated(now).map(str::to_owned).collect(),
+            rollouts,
         }
     }
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -92,10 +92,12 @@
         if tells_all || place >= LEADS || far_count == 0 {
             let _ = (gateway.far_notes.take(), gateway.far_reports.take());
             let _ = (gateway.far_cases.take(), gateway.far_answers.take());
+            gateway.rollouts().sums.far.clear();
             tokio::time::sleep(NO_LEAD_PAUSE).await;
             continue;
         }
-        let message = PeerMessage::Load(gateway.next_stamp(), LoadDigest::of_data_centre(&gateway));
+        let message =
+            PeerMessage::Load(gateway.next_stamp(), LoadDigest::of_data_centre(&gateway, place == 0));
         let targets = gateway.peers().far_leads(place, now);
         tell(&gateway, &socket, &message, &targets).await;
         let rarely = if place == 0 { 1 } else { SECOND_LEAD_FACTOR };
@@ -117,10 +119,11 @@
         if targets.is_empty() || far_count == 0 {
             let _ = (gateway.passed_notes.take(), gateway.passed_reports.take());
             let _ = (gateway.passed_cases.take(), gateway.passed_answers.take());
+            gateway.rollouts().sums.passed.clear();
             tokio::time::sleep(NO_LEAD_PAUSE).await;
             continue;
         }
-        let message = PeerMessage::Load(gateway.next_stamp(), LoadDigest::of_elsewhere(&gateway));
+        let message = PeerMessage::Load(gateway.next_stamp(), LoadDigest::of_elsewhere(&gateway, place == 0));
         let bytes = tell(&gateway, &socket, &message, &targets).await;
         let rarely = if place == 0 { 1 } else { SECOND_LEAD_FACTOR };
         let usual = FAR_PAUSE * far_count as u32 * rarely;
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/load_digest.rs
@@ -12,7 +12,7 @@
 use crate::waiting_notes::NOTES_MOST;
 use crate::{
     EndpointKey, FleetTable, HeardVm, LEADS, LinkMoves, LoadCount, LoadSource, PeerBook, QuarantineNote,
-    VmKey, short_digest,
+    RouteCounts, SumKey, VmKey, short_digest,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -46,6 +46,8 @@
     cases: Vec<QuarantineNote>,
     /// What endpoints stated of themselves in answers.
     answers: Vec<AnswerNote>,
+    /// Answers of both versions of services that move to another one.
+    rollouts: Vec<(SumKey, RouteCounts)>,
     /// Engines that get no new work, and for how long, in microseconds.
     closed: Vec<(EndpointKey, u64)>,
     /// How long moves still take each store's link, in microseconds, and the pace that they have shown lately.
@@ -64,6 +66,7 @@
     reports: Vec<TellerReport>,
     cases: Vec<QuarantineNote>,
     answers: Vec<ObservedAnswer>,
+    rollouts: Vec<(SumKey, RouteCounts)>,
 }
 
 impl LoadDigest {
@@ -74,6 +77,7 @@
             reports: gateway.near_reports.take(),
             cases: gateway.near_cases.take(),
             answers: gateway.near_answers.take(),
+            rollouts: gateway.rollouts().sums.near.take(),
         };
         let now = gateway.now();
         let table = gateway.table();
@@ -83,13 +87,16 @@
     }
 
     /// What this VM, as a lead, has to tell of its data centre.
-    pub(crate) fn of_data_centre(gateway: &Gateway) -> Self {
+    ///
+    /// Sums of answers would count twice if both leads told them: the first one does.
+    pub(crate) fn of_data_centre(gateway: &Gateway, is_first: bool) -> Self {
         let near = gateway.peers().near_vms();
         let notes = DigestNotes {
             placed: gateway.far_notes.take(),
             reports: gateway.far_reports.take(),
             cases: gateway.far_cases.take(),
             answers: gateway.far_answers.take(),
+            rollouts: gateway.rollouts().sums.far.take_if(is_first),
         };
         let now = gateway.now();
         let table = gateway.table();
@@ -99,12 +106,13 @@
     }
 
     /// What this VM, as a lead, has to tell the VMs of its data centre of all others.
-    pub(crate) fn of_elsewhere(gateway: &Gateway) -> Self {
+    pub(crate) fn of_elsewhere(gateway: &Gateway, is_first: bool) -> Self {
         let notes = DigestNotes {
             placed: gateway.passed_notes.take(),
             reports: gateway.passed_reports.take(),
             cases: gateway.passed_cases.take(),
             answers: gateway.passed_answers.take(),
+            rollouts: gateway.rollouts().sums.passed.take_if(is_first),
         };
         let now = gateway.now();
         let heard = gateway.peers().far_heard(now);
@@ -120,6 +128,7 @@
         self.reports.splice(0..0, earlier.reports);
         self.cases.splice(0..0, earlier.cases);
         self.answers.splice(0..0, earlier.answers);
+        self.rollouts.extend(earlier.rollouts);
         self.placed.truncate(NOTES_MOST);
         self.reports.truncate(NOTES_MOST);
         self.cases.truncate(NOTES_MOST);
@@ -142,7 +151,7 @@
             DigestScope::DataCentre => 1,
             DigestScope::Elsewhere => 2,
         };
-        let DigestNotes { placed, reports, mut cases, answers } = notes;
+        let DigestNotes { placed, reports, mut cases, answers, rollouts } = notes;
         cases.extend(gateway.desk().quarantine.retell(audience, now));
         let loads = loads.into_iter();
         Self {
@@ -154,6 +163,7 @@
             reports,
             cases,
             answers: answers.iter().map(|heard| AnswerNote::of(heard, now)).collect(),
+            rollouts,
             closed: closed_engines(table, scope, now),
             moves,
             weights: seen_weights(table, scope, now),
@@ -221,7 +231,9 @@
         drop(table);
         gateway.apply_named_ages(&self.named);
         gateway.take_notes(&self.cases, self.scope, vm, is_lead);
-        gateway.apply_answer_notes(&self.answers, ForwardScope::of(self.scope, is_near, is_lead));
+        let forward = ForwardScope::of(self.scope, is_near, is_lead);
+        gateway.apply_answer_notes(&self.answers, forward);
+        gateway.add_rollout_sums(&self.rollouts, forward);
         if is_near {
             self.placed.iter().for_each(|note| gateway.far_notes.push(note.clone()));
             self.reports.iter().for_each(|report| gateway.report_far(*report));
@@ -245,14 +257,14 @@
         DigestScope::DataCentre => teller != CloseReporter::Far,
         DigestScope::Elsewhere => teller == CloseReporter::Far,
     };
-    let closed = table.rows().filter(|(_, row)| row.is_closing(now) && tells(row.closed_by));
+    let closed = table.changing().filter(|(_, row)| row.is_closing(now) && tells(row.closed_by));
     closed.map(|(key, row)| (key, row.closing_until.micros_since(now))).collect()
 }
 
 /// Weights that were seen at engines a short while ago, as far as a digest of `scope` tells of them.
 fn seen_weights(table: &FleetTable, scope: DigestScope, now: Moment) -> Vec<(EndpointKey, u64, u64)> {
     let lately = |at: Option<Moment>| at.is_some_and(|at| now < at.after_millis(WEIGHTS_TOLD_MILLIS));
-    let rows = table.rows().filter(|(_, row)| match scope {
+    let rows = table.changing().filter(|(_, row)| match scope {
         DigestScope::Vm => lately(row.weights_seen),
         DigestScope::DataCentre => lately(row.weights_seen) || lately(row.weights_told),
         DigestScope::Elsewhere => lately(row.weights_far),
--- a/crates/gateway/src/share_desk.rs
+++ b/crates/gateway/src/share_desk.rs
@@ -38,9 +38,18 @@
     /// This VM's right to send to endpoints that take few requests; none while there are none such, and while others may
     /// not know of this VM or it may not know of them.
     pub(crate) fn share_right(&self) -> Option<Arc<ShareRight>> {
+        if !self.table().is_any_limited(self.now()) {
+            return None;
+        }
+        self.sharing_right()
+    }
+
+    /// This VM's right to a part of what all VMs share; none while others may not know of this VM or it may not know of
+    /// them.
+    pub(crate) fn sharing_right(&self) -> Option<Arc<ShareRight>> {
         let now = self.now();
         let standing = *self.list_standing();
-        if !self.table().is_any_limited(now) || !standing.holds(now) {
+        if !standing.holds(now) {
             return None;
         }
         let mut known = self.shares.right.lock().unwrap_or_else(PoisonError::into_inner);
