VMs that start take all endpoints from another VM where there are many

Cause, by count: each of 985 VMs lists 11,000 entries in 22 pages, 5 GB together, 41 s of the store's link of 1,000 Mbit/s. A listing that takes longer than the 20 s of history that the store keeps is old when it is done: the watch from its position is answered that the history is gone, and all is listed again, while requests are served by what the first listing held.

Change: three VMs of each data centre list them in the store, the others take a copy (deflated, authenticated) from one that has a wide link, and go on from its position; without one they list as before. Listings are applied page by page, the configuration last; pages are read without a tree of values.

Tests: peer_book::vms_that_list_all_endpoints_do_not_grow_with_the_deployment at 9 to 2,000 VMs, fleet::endpoint_copies.

--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -1,11 +1,13 @@
 //! What is there: endpoints with their loads, VMs, routes, and the store's changes.
 
 mod deployment;
+mod endpoint_copy;
 mod endpoint_rest;
 mod endpoint_row;
 mod fleet_answers;
 mod fleet_limits;
 mod fleet_table;
+mod fleet_versions;
 mod home_regions;
 mod named_limit;
 mod news_history;
@@ -14,6 +16,7 @@
 pub(crate) mod peer_loads;
 mod route_table;
 mod send_report;
+mod shared_weights;
 mod store_event;
 mod store_position;
 pub(crate) mod told_health;
@@ -22,9 +25,12 @@
     AccountRow, ColdSpec, DeploymentConfig, EndpointEntry, EngineReport, EngineSpec, KeptChange, KeptNews,
     PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec, WeightTarget,
 };
+pub use endpoint_copy::{EndpointCopy, pack, unpack};
 pub use endpoint_rest::{EndpointRest, RestChange};
 pub use endpoint_row::{CloseReporter, EndpointRow, LoadCount, SendOutcome};
-pub use fleet_table::{EndpointKey, FleetTable, LinkMoves, LoadSource, VmKey, short_digest};
+pub use fleet_table::{
+    EndpointKey, FleetCounts, FleetSweep, FleetTable, LinkMoves, LoadSource, VmKey, short_digest,
+};
 pub use home_regions::HomeRegions;
 pub use named_limit::{LimitChange, LimitReport, NamedLimit};
 pub use news_history::NewsHistory;
@@ -32,5 +38,6 @@
 pub use peer_book::{HeardVm, LEADS, PeerBook, VmEntry};
 pub use route_table::{RouteTable, pick_target};
 pub use send_report::SendReport;
+pub(crate) use shared_weights::SharedWeights;
 pub use store_event::{StoreEvent, StoreItem};
 pub use store_position::StorePosition;
--- a/crates/decide/src/fleet/news_pieces.rs
+++ b/crates/decide/src/fleet/news_pieces.rs
@@ -4,13 +4,9 @@
 //! They are compressed: a configuration of thousands of routes repeats itself, and VMs with narrow links
 //! would otherwise need most of a second of their links for it, in which callers wait.
 
-use crate::{StoreEvent, StorePosition, VmKey};
-use flate2::Compression;
-use flate2::read::DeflateDecoder;
-use flate2::write::DeflateEncoder;
+use crate::{StoreEvent, StorePosition, VmKey, pack, unpack};
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
-use std::io::{Read, Write};
 
 /// Largest piece, in bytes: a link of 10 Mbit/s takes 13 ms for it.
 pub const PIECE_BYTES: usize = 16 << 10;
@@ -62,7 +58,7 @@
     if events.is_empty() {
         return Some(Vec::new());
     }
-    let packed = pack(events)?;
+    let packed = pack(&events)?;
     let count = packed.chunks(PIECE_BYTES).len() as u32;
     if count as usize > PIECES_LIMIT {
         return None;
@@ -71,19 +67,6 @@
     Some(pieces.map(|(content, place)| NewsPiece { place, count, content: content.to_vec() }).collect())
 }
 
-fn pack(events: &[StoreEvent]) -> Option<Vec<u8>> {
-    let plain = postcard::to_stdvec(events).ok()?;
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(&plain).ok()?;
-    encoder.finish().ok()
-}
-
-fn unpack(packed: &[u8]) -> Option<Vec<StoreEvent>> {
-    let mut plain = Vec::new();
-    DeflateDecoder::new(packed).take(CONTENT_LIMIT_BYTES).read_to_end(&mut plain).ok()?;
-    postcard::from_bytes(&plain).ok()
-}
-
 /// Pieces of one VM's news.
 #[derive(Debug)]
 struct OpenNews {
@@ -123,7 +106,7 @@
         }
         let pieces = self.0.remove(open).map(|news| news.pieces).unwrap_or_default();
         let packed: Vec<u8> = pieces.into_iter().flatten().flatten().collect();
-        unpack(&packed).map_or(NewsProgress::Unreadable, NewsProgress::Whole)
+        unpack(&packed, CONTENT_LIMIT_BYTES).map_or(NewsProgress::Unreadable, NewsProgress::Whole)
     }
 
     /// Forgets pieces of changes up to `position`: they are known.
--- a/crates/decide/src/fleet/peer_book.rs
+++ b/crates/decide/src/fleet/peer_book.rs
@@ -52,6 +52,11 @@
     pub link_mbps: u32,
 }
 
+/// VMs of a data centre that list all endpoints in the store: two may fail.
+const LISTERS: usize = 3;
+/// A link is wide if it is so many times as wide as this VM's.
+const WIDE_FACTOR: u32 = 2;
+
 impl VmEntry {
     /// Order in which the VMs of a data centre lead it: the widest link first.
     fn lead_order(&self) -> (Reverse<u32>, &str) {
@@ -325,6 +330,39 @@
         ahead.count()
     }
 
+    /// VMs that hand all endpoints to this one when it starts: those of its data centre that go before it as leads, the wide
+    /// ones alone if there are such. None if it is one of the few that list them in the store.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::{PeerBook, VmEntry};
+    /// let vm = |number: u16, link_mbps| VmEntry {
+    ///     name: format!("vm-{number}"),
+    ///     address: std::net::SocketAddr::from(([127, 0, 0, 1], number)),
+    ///     data_centre: "dc-a".into(),
+    ///     incarnation: 1,
+    ///     link_mbps,
+    /// };
+    /// let mut book = PeerBook::new(vm(5, 20));
+    /// (1..=4).for_each(|number| book.list(vm(number, 20)));
+    /// assert_eq!(book.copy_sources().len(), 4);
+    /// book.list(vm(9, 200));
+    /// assert_eq!(book.copy_sources(), [vm(9, 200).address]);
+    /// let mut first = PeerBook::new(vm(1, 20));
+    /// first.list(vm(2, 20));
+    /// assert!(first.copy_sources().is_empty());
+    /// ```
+    pub fn copy_sources(&self) -> Vec<SocketAddr> {
+        let near = self.rows.values().filter(|row| row.listed && self.is_near_row(row));
+        let ahead: Vec<_> = near.filter(|row| row.entry.lead_order() < self.own.lead_order()).collect();
+        if ahead.len() < LISTERS {
+            return Vec::new();
+        }
+        let is_wide = |row: &&&PeerRow| row.entry.link_mbps >= self.own.link_mbps.saturating_mul(WIDE_FACTOR);
+        let wide: Vec<_> = ahead.iter().filter(is_wide).map(|row| row.entry.address).collect();
+        if wide.is_empty() { ahead.iter().map(|row| row.entry.address).collect() } else { wide }
+    }
+
     /// Whether `vm`, of this data centre, goes before this one as a lead.
     pub fn leads_before(&self, vm: VmKey) -> bool {
         let row = self.rows.get(&vm);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,25 +11,29 @@
 //! | `admit` | where a request goes, whether it is refused, whether it is sent again |
 //! | `quarantine` | which requests are held back because endpoints end under them |
 //! | `weights` | which engine loads which weights next |
+//! | `rollout` | which share of a service's requests goes to a new version, and whether that is kept |
 
 mod admit;
 mod fleet;
 mod kept;
 mod quarantine;
+mod rollout;
 mod weights;
 
 pub use admit::{
-    AdmissionVerdict, AdmissionView, BlockedCounts, BudgetTerms, ColdTerms, ListStanding, PlacementAsk,
-    PlacementChoice, QueueOrder, RateTerms, RecentSends, RetryBudget, ShareOutlook, ShareQueue, ShareRight,
-    ShareVerdict, ShareView, place, salt_text, salt_version, take_part,
+    AdmissionVerdict, AdmissionView, BlockedCounts, BudgetTerms, ColdTerms, HeldBytes, HolderId,
+    ListStanding, PlacementAsk, PlacementChoice, QueueOrder, RateTerms, RecentSends, RetryBudget,
+    ShareOutlook, ShareQueue, ShareRight, ShareVerdict, ShareView, place, salt_text, salt_version, take_part,
 };
+pub(crate) use fleet::SharedWeights;
 pub use fleet::{
-    AccountRow, CloseReporter, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EndpointRest,
-    EndpointRow, EngineReport, EngineSpec, FleetTable, HeardVm, HomeRegions, KeptChange, KeptNews, LEADS,
-    LimitChange, LimitReport, LinkMoves, LoadCount, LoadSource, NamedLimit, NewsAssembly, NewsHistory,
-    NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook, PromptPart, RequestLimits, RestChange,
-    RouteKind, RouteRow, RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight, StoreEvent,
-    StoreItem, StorePosition, StoreSpec, VmEntry, VmKey, WeightTarget, cut_news, pick_target, short_digest,
+    AccountRow, CloseReporter, ColdSpec, DeploymentConfig, EndpointCopy, EndpointEntry, EndpointKey,
+    EndpointRest, EndpointRow, EngineReport, EngineSpec, FleetCounts, FleetSweep, FleetTable, HeardVm,
+    HomeRegions, KeptChange, KeptNews, LEADS, LimitChange, LimitReport, LinkMoves, LoadCount, LoadSource,
+    NamedLimit, NewsAssembly, NewsHistory, NewsPiece, NewsProgress, PIECE_BYTES, PIECES_LIMIT, PeerBook,
+    PromptPart, RequestLimits, RestChange, RouteKind, RouteRow, RouteTable, SendOutcome, SendReport,
+    ServiceRow, ServiceWeight, StoreEvent, StoreItem, StorePosition, StoreSpec, VmEntry, VmKey, WeightTarget,
+    cut_news, pack, pick_target, short_digest, unpack,
 };
 pub use kept::{
     BookTeller, KeptParts, KeptPlan, KeptRow, NewsRhythm, StoreRow, ToldBooks, old_parts, salted_key,
@@ -39,6 +43,11 @@
     IdentityKey, KeyTextError, QuarantineChange, QuarantineNote, RequestIdentity, RequestKey,
     RequestQuarantine,
 };
+pub use rollout::{
+    AnswerCounts, ExposureTerms, RolloutAnswer, RolloutBook, RolloutEvidence, RolloutOrder, RolloutPhase,
+    RolloutReason, RolloutRecord, RolloutRun, RolloutStep, RolloutSums, RouteCounts, StoredStatus, SumKey,
+    TestDraw, VersionSplit, WaitingSums,
+};
 pub use weights::{
     DeskStep, EngineState, HolderRecord, HolderStanding, NamedVersion, NamedWeights, NamingRecord,
     NamingTime, WantedWeights, WeightDesk,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -12,8 +12,9 @@
 use crate::gateway_metrics::KindLabel;
 use crate::news_teller::{NewsTeller, ToldChanges};
 use crate::peer_message::PeerKey;
+use crate::store::fetch_copy;
 use crate::store_news::{NewsBody, StoreNews};
-use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreView};
+use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreListing, StoreView};
 use crate::{
     NewsAssembly, NewsHistory, NewsProgress, StoreEvent, StorePosition, StoreRefusal, StoreReply,
     StoreTransaction, VmKey, WireCall,
@@ -34,6 +35,10 @@
 const WATCH_MARGIN: Duration = Duration::from_millis(500);
 /// A listing whose answer has not begun by then has failed.
 const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pages that each VM lists for itself: the endpoints of small deployments fit into them, and need no other VM.
+const PAGES_DIRECT: usize = 1;
+/// VMs that start together know one another after so long, in milliseconds: each writes its entry first.
+const SETTLE_MILLIS: u64 = 1_000;
 /// Pause after a watch that brought changes, in milliseconds: one call then brings a burst of them.
 const GATHER_MILLIS: u64 = 150;
 /// First pause after a failed call, in milliseconds, doubled with each further one.
@@ -82,7 +87,6 @@
     let mut follower = StoreFollower {
         link: CallLink::new(gateway.settings.store),
         teller: NewsTeller::new(Arc::clone(&gateway), socket),
-        gateway,
         view,
         position: StorePosition::default(),
         news_at: Moment(0),
@@ -93,8 +97,11 @@
         history: NewsHistory::default(),
         assembly: NewsAssembly::default(),
         is_asking: false,
+        has_copied: false,
+        started_at: gateway.now(),
         watches: 0,
         failures: 0,
+        gateway,
     };
     loop {
         if follower.list_all().await {
@@ -105,6 +112,33 @@
     }
 }
 
+/// How far a listing has come.
+#[derive(Debug, Default)]
+struct ListWalk {
+    /// The last key that was listed.
+    after: Option<String>,
+    is_over: bool,
+    /// The lowest position of its parts: all changes up to there are in it.
+    lowest: Option<StorePosition>,
+    listing: StoreListing,
+}
+
+impl ListWalk {
+    fn note(&mut self, position: StorePosition) {
+        self.lowest = Some(self.lowest.map_or(position, |lowest| lowest.min(position)));
+    }
+
+    /// Whether the last key has a prefix, so that more of it may follow.
+    fn is_among(&self, prefix: &str) -> bool {
+        self.after.as_ref().is_some_and(|key| key.starts_with(prefix))
+    }
+}
+
+/// The first text that follows all keys with a prefix, which ends with a slash.
+fn past_prefix(prefix: &str) -> String {
+    format!("{}0", prefix.trim_end_matches('/'))
+}
+
 struct StoreFollower {
     gateway: Arc<Gateway>,
     teller: NewsTeller,
@@ -128,6 +162,10 @@
     assembly: NewsAssembly,
     /// Whether this VM, though not the first one, goes on asking because those before it brought no news.
     is_asking: bool,
+    /// Whether the last listing holds a copy of another VM.
+    has_copied: bool,
+    /// When this process began to follow the store.
+    started_at: Moment,
     /// Watches that were answered.
     watches: usize,
     failures: u32,
@@ -255,32 +293,69 @@
 
     /// Lists everything; false if a call failed, or the store was restored meanwhile.
     async fn list_all(&mut self) -> bool {
-        let mut lowest: Option<StorePosition> = None;
-        let mut listed = Vec::new();
-        let mut after: Option<String> = None;
-        loop {
-            let call = (self.gateway.dialect.store.range)("", after.as_deref());
-            let read = self.gateway.dialect.store.read_range;
-            let Some(Ok(page)) = self.call("list", &call, Instant::now() + LIST_TIMEOUT, read).await else {
-                return false;
-            };
-            if lowest.is_some_and(|lowest| lowest.era != page.position.era) {
+        let mut walk = ListWalk { listing: self.view.begin_listing(), ..ListWalk::default() };
+        // A copy may be too old to go on from: what follows it is then listed in the store.
+        let mut may_copy = !std::mem::take(&mut self.has_copied);
+        for pages in 1.. {
+            if !self.list_page(&mut walk).await {
                 return false;
             }
-            lowest = Some(lowest.map_or(page.position, |lowest| lowest.min(page.position)));
-            after = page.items.last().map(|item| item.key.clone());
-            listed.extend(page.items);
-            if !page.more {
+            if walk.is_over {
                 break;
             }
+            if may_copy && pages >= PAGES_DIRECT && walk.is_among(self.gateway.dialect.keys.endpoints) {
+                may_copy = false;
+                if !self.list_around(&mut walk).await {
+                    return false;
+                }
+                if walk.is_over {
+                    break;
+                }
+            }
         }
-        let lowest = lowest.unwrap_or_default();
-        let events = self.view.changes_to(listed, lowest);
-        self.view.apply_all(&events, "list");
+        let lowest = walk.lowest.unwrap_or_default();
+        self.view.end_listing(walk.listing, lowest);
         self.answered(lowest);
         true
     }
 
+    /// Lists what follows the endpoints, and takes these from another VM. If none gives them, the walk goes on among them.
+    async fn list_around(&mut self, walk: &mut ListWalk) -> bool {
+        // Whoever starts together with others knows those that may give them only after a while.
+        self.gateway.until(self.started_at.after_millis(SETTLE_MILLIS)).await;
+        let resumed = walk.after.replace(past_prefix(self.gateway.dialect.keys.endpoints));
+        while !walk.is_over {
+            if !self.list_page(walk).await {
+                return false;
+            }
+        }
+        if let Some(copy) = fetch_copy(&self.gateway).await {
+            walk.note(copy.position);
+            self.view.take_copy(copy);
+            self.has_copied = true;
+        } else {
+            (walk.after, walk.is_over) = (resumed, false);
+        }
+        true
+    }
+
+    /// Lists one page and applies it.
+    async fn list_page(&mut self, walk: &mut ListWalk) -> bool {
+        let call = (self.gateway.dialect.store.range)("", walk.after.as_deref());
+        let read = self.gateway.dialect.store.read_range;
+        let Some(Ok(page)) = self.call("list", &call, Instant::now() + LIST_TIMEOUT, read).await else {
+            return false;
+        };
+        if walk.lowest.is_some_and(|lowest| lowest.era != page.position.era) {
+            return false;
+        }
+        walk.note(page.position);
+        walk.after = page.items.last().map(|item| item.key.clone()).or(walk.after.take());
+        walk.is_over = !page.more;
+        self.view.take_page(page.items, &mut walk.listing);
+        true
+    }
+
     /// Waits for changes once; false if everything must be listed anew.
     async fn watch_once(&mut self, told: &mut mpsc::Receiver<ToldNews>) -> bool {
         // Who only catches up does not wait: the news go on coming from another VM.
@@ -370,6 +445,7 @@
 
     fn set_position(&mut self, position: StorePosition) {
         self.position = position;
+        self.gateway.set_applied_position(position);
         self.assembly.forget_until(position);
         self.gateway.metrics.store_revision.set(position.revision as i64);
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,16 +7,18 @@
 use crate::end_watch::EndWatch;
 use crate::endpoint_pool::EndpointPool;
 use crate::gateway_metrics::GatewayMetrics;
+use crate::memory::MemoryDesk;
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::placed_note::PlacedNote;
 use crate::quarantine_desk::QuarantineDesk;
 use crate::share_desk::ShareDesk;
+use crate::store::CopyDesk;
 use crate::store_era::StoreEra;
 use crate::waiting_notes::WaitingNotes;
 use crate::{
     BudgetTerms, EndpointRow, FleetTable, IdentityKey, ListStanding, NamedVersion, NamedWeights,
-    PlacementAsk, PlacementChoice, QuarantineNote, RetryBudget, RouteTable, SendReport, VmEntry, VmKey,
-    WantedWeights, WeightTarget, WireDialect, place, short_digest,
+    PlacementAsk, PlacementChoice, QuarantineNote, RetryBudget, RolloutBook, RouteTable, SendReport,
+    StorePosition, VmEntry, VmKey, WantedWeights, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -89,6 +91,10 @@
     pub desk: Mutex<QuarantineDesk>,
     /// This VM's part of what endpoints take that take few requests, and who waits for it.
     pub shares: ShareDesk,
+    /// What is held for callers that send or read slowly.
+    pub memory: MemoryDesk,
+    /// Moves of services to other versions.
+    pub rollouts: Mutex<RolloutBook>,
     /// What endpoints stated in answers that the VMs of this data centre have not received.
     pub near_answers: WaitingNotes<ObservedAnswer>,
     /// The same for other data centres.
@@ -107,6 +113,10 @@
     pub passed_cases: WaitingNotes<QuarantineNote>,
     /// Sends that broke, until it is known whether their endpoints ended.
     pub ends: EndWatch,
+    /// Copies of all endpoints that this VM hands out.
+    pub copies: CopyDesk,
+    /// All changes of the store up to here are applied; the default before the first listing.
+    applied: Mutex<StorePosition>,
     /// Which era of the store is known.
     pub era: StoreEra,
     /// Authenticates what VMs tell one another; none until the store told it.
@@ -131,6 +141,7 @@
             slack: settings.retry_slack,
             window_millis: settings.retry_window_s * 1_000,
         };
+        let memory = MemoryDesk::new(settings.memory_mb);
         let incarnation = rand::random::<u64>() | 1;
         let peers = PeerBook::new(VmEntry {
             name: settings.name.clone(),
@@ -168,6 +179,8 @@
             passed_reports: WaitingNotes::default(),
             desk: Mutex::default(),
             shares: ShareDesk::default(),
+            memory,
+            rollouts: Mutex::default(),
             near_answers: WaitingNotes::default(),
             far_answers: WaitingNotes::default(),
             passed_answers: WaitingNotes::default(),
@@ -177,6 +190,8 @@
             far_cases: WaitingNotes::default(),
             passed_cases: WaitingNotes::default(),
             ends: EndWatch::default(),
+            copies: CopyDesk::default(),
+            applied: Mutex::default(),
             era: StoreEra::default(),
             peer_key: RwLock::default(),
             sequence: AtomicU64::new(0),
@@ -419,6 +434,16 @@
         *self.stopping.borrow()
     }
 
+    /// How far the store's changes are applied here; the default before the first listing.
+    pub(crate) fn applied_position(&self) -> StorePosition {
+        *self.applied.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that all changes of the store up to `position` are applied.
+    pub(crate) fn set_applied_position(&self, position: StorePosition) {
+        *self.applied.lock().unwrap_or_else(PoisonError::into_inner) = position;
+    }
+
     /// Whether this VM can serve: it knows a configuration and at least one endpoint.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_stopping() && self.routes().is_some() && self.table().rows().next().is_some()
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -5,8 +5,8 @@
 use crate::lease_keeper::OrderRight;
 use crate::store_view::OrdersView;
 use crate::{
-    WireDialect, clock, digest_relay, follow, free_task, front_door, gossip, kept_digest, kept_task,
-    lease_keeper, naming_task, operator_port, order_task, quarantine_task,
+    FleetSweep, WireDialect, clock, digest_relay, follow, free_task, front_door, gossip, kept_digest,
+    kept_task, lease_keeper, naming_task, operator_port, order_task, quarantine_task, rollout, store,
 };
 use spanfold_declare::GatewaySettings;
 use std::net::SocketAddr;
@@ -76,6 +76,10 @@
         // With port zero the system chose one, and that is the one to tell.
         settings.peers = socket.local_addr().unwrap_or(settings.peers);
         let addresses = [&callers, &readiness, &metrics].map(local);
+        // The port of messages between VMs, by TCP: large answers go there.
+        let copies = listen(settings.peers).await.inspect_err(|error| {
+            log::warn!(cause:% = error; "copies.unavailable");
+        });
         let socket = Arc::new(socket);
         let gateway = Arc::new(Gateway::new(settings, dialect, clock));
         let closing = watch::channel(false).0;
@@ -91,6 +95,7 @@
             tokio::spawn(lease_keeper::keep_lease(share(), orders_view, right)),
             tokio::spawn(order_task::order_weights(share(), right_view.clone())),
             tokio::spawn(naming_task::keep_namings(share(), right_view.clone())),
+            tokio::spawn(rollout::decide_rollouts(share(), right_view.clone())),
             tokio::spawn(quarantine_task::judge_holds(share())),
             tokio::spawn(quarantine_task::write_holds(share())),
             tokio::spawn(free_task::free_old_parts(share(), right_view)),
@@ -104,6 +109,10 @@
             tokio::spawn(front_door::serve_callers(share(), callers, closing.subscribe())),
             tokio::spawn(sweep(share())),
         ];
+        let mut tasks = tasks;
+        if let Ok(copies) = copies {
+            tasks.push(tokio::spawn(operator_port::serve_operators(share(), copies, store::answer_copy)));
+        }
         let name = gateway.settings.name.as_str();
         log::info!(name, incarnation = gateway.incarnation; "gateway.started");
         Ok(Self { gateway, closing, tasks, addresses })
@@ -168,7 +177,9 @@
         tokio::time::sleep(SWEEP_PAUSE).await;
         let now = gateway.now();
         gateway.repeat_answers(turn);
-        let (gone, doubted, evacuated) = {
+        store::sweep_copies(&gateway);
+        gateway.metrics.memory.held_bytes.set(gateway.memory.total() as i64);
+        let (swept, evacuated) = {
             let mut table = gateway.table();
             for data_centre in table.end_lapsed_evacuations(now) {
                 log::warn!(data_centre = data_centre.as_str(), source = "a restored store"; "evacuation.ended");
@@ -176,18 +187,16 @@
             for endpoint in table.end_lapsed_limits(now) {
                 log::warn!(endpoint = endpoint.as_str(); "limit.lapsed");
             }
-            let gone = table.sweep(now);
-            let doubted = table.rows().filter(|(_, row)| row.is_doubted()).count();
-            let gauges = &gateway.metrics.fleet;
-            gauges.cold_endpoints.set(table.cold_count(now) as i64);
-            gauges.limited_endpoints.set(table.limited_count() as i64);
-            gauges.leaving_endpoints.set(table.departed_count() as i64);
-            gauges.resting_endpoints.set(table.resting_count(now) as i64);
-            (gone, doubted, table.evacuated(now).count())
+            (table.sweep(now), table.evacuated(now).count())
         };
+        let FleetSweep { gone, counts } = swept;
         let gauges = &gateway.metrics.fleet;
+        gauges.cold_endpoints.set(counts.cold as i64);
+        gauges.limited_endpoints.set(counts.limited as i64);
+        gauges.leaving_endpoints.set(counts.departed as i64);
+        gauges.resting_endpoints.set(counts.resting as i64);
+        gauges.doubted_endpoints.set(counts.doubted as i64);
         gauges.evacuated_data_centres.set(evacuated as i64);
-        gauges.doubted_endpoints.set(doubted as i64);
         for key in gone {
             gateway.pool.forget(key);
         }
--- a/crates/gateway/src/gateway_metrics.rs
+++ b/crates/gateway/src/gateway_metrics.rs
@@ -69,6 +69,24 @@
     }
 }
 
+/// What is held for callers that send or read slowly.
+#[derive(Debug)]
+pub(crate) struct MemoryMetrics {
+    /// Bytes held.
+    pub held_bytes: Gauge,
+    /// Requests ended because they held most when memory ran out, by what they held.
+    pub ends: Family<KindLabel, Counter>,
+}
+
+impl MemoryMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self { held_bytes: Gauge::default(), ends: Family::default() };
+        registry.register("held_bytes", "Bytes held for slow callers", metrics.held_bytes.clone());
+        registry.register("memory_ends", "Requests ended for want of memory", metrics.ends.clone());
+        metrics
+    }
+}
+
 /// Messages between VMs, by kind.
 #[derive(Debug)]
 pub(crate) struct PeerCounters {
@@ -139,6 +157,12 @@
     pub departures: Family<KindLabel, Counter>,
     /// Answers that asked for a rest, by what was said.
     pub rests: Family<KindLabel, Counter>,
+    /// Copies of all endpoints that VMs asked this one for, by answer.
+    pub endpoint_copies: Family<KindLabel, Counter>,
+    /// What is held for callers that send or read slowly.
+    pub memory: MemoryMetrics,
+    /// Moves of services to other versions, by what became of them here.
+    pub rollouts: Family<KindLabel, Counter>,
     /// Endpoints that get less work than others.
     pub fleet: FleetGauges,
 }
@@ -150,21 +174,16 @@
         let sends = Family::<KindLabel, Counter>::default();
         let store_calls = Family::<KindLabel, Counter>::default();
         let orders = Family::<KindLabel, Counter>::default();
-        // From 2 ms, doubling, to about 8 s: from a plain answer to a late first event.
-        let first_event_seconds = Histogram::new(exponential_buckets(0.002, 2.0, 13));
+        let first_event_seconds = first_event_histogram();
         let (prompt_tokens, kept_tokens) = (Counter::default(), Counter::default());
         let peers = PeerCounters::register(&mut registry);
         let (configuration_version, open_requests) = (Gauge::default(), Gauge::default());
-        let (store_revision, told_revision) = (Gauge::default(), Gauge::default());
+        let (store_revision, told_revision) = <(Gauge, Gauge)>::default();
         registry.register("store_revision", "Revision of the store that is applied", store_revision.clone());
         registry.register("told_revision", "Newest revision that this VM was told of", told_revision.clone());
         let (store_era, odd_eras) = (Gauge::default(), Family::<KindLabel, Counter>::default());
         registry.register("store_era", "How often the store was restored from a copy", store_era.clone());
-        registry.register(
-            "odd_eras",
-            "Answers of the store of no era, or of one that is over",
-            odd_eras.clone(),
-        );
+        registry.register("odd_eras", "Answers of the store of no era, or an old one", odd_eras.clone());
         registry.register("answers", "Ended requests, by outcome", answers.clone());
         registry.register("sends", "Sends to endpoints, by outcome", sends.clone());
         registry.register("store_calls", "Calls to the platform's store, by kind", store_calls.clone());
@@ -212,6 +231,11 @@
         let (departures, rests) = (Family::<KindLabel, Counter>::default(), Family::default());
         registry.register("departures", "Departures of endpoints, by source", departures.clone());
         registry.register("rests", "Answers that asked for a rest, by what was said", rests.clone());
+        let memory = MemoryMetrics::register(&mut registry);
+        let (endpoint_copies, rollouts) =
+            <(Family<KindLabel, Counter>, Family<KindLabel, Counter>)>::default();
+        registry.register("endpoint_copies", "Copies of all endpoints asked for", endpoint_copies.clone());
+        registry.register("rollouts", "Moves of services to other versions, by step", rollouts.clone());
         let fleet = FleetGauges::register(&mut registry);
         Self {
             registry,
@@ -237,6 +261,9 @@
             limit_reports,
             departures,
             rests,
+            endpoint_copies,
+            memory,
+            rollouts,
             fleet,
         }
     }
@@ -249,3 +276,8 @@
         text
     }
 }
+
+/// From 2 ms, doubling, to about 8 s: from a plain answer to a late first event.
+fn first_event_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(0.002, 2.0, 13))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 mod lease_keeper;
 mod load_digest;
 mod long_answer;
+mod memory;
 mod naming_task;
 mod news_teller;
 mod operator_port;
@@ -48,7 +49,9 @@
 mod relay;
 mod request_run;
 mod request_ticket;
+mod rollout;
 mod share_desk;
+mod store;
 mod store_era;
 mod store_link;
 mod store_news;
@@ -68,17 +71,19 @@
 pub use gateway_metrics::KindLabel;
 pub use spanfold_decide::{
     AccountRow, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EngineReport, EngineSpec, KeptChange,
-    KeptNews, PromptPart, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreEvent,
-    StoreItem, StorePosition, StoreSpec, WeightTarget, salt_text,
+    KeptNews, PromptPart, RequestLimits, RolloutOrder, RolloutPhase, RouteKind, RouteRow, ServiceRow,
+    ServiceWeight, StoreEvent, StoreItem, StorePosition, StoreSpec, WeightTarget, salt_text,
 };
 pub(crate) use spanfold_decide::{
-    AdmissionVerdict, AdmissionView, BookTeller, BudgetTerms, CloseReporter, ColdTerms, DeskStep,
-    EndingReport, EndpointEnding, EndpointRow, EngineState, FleetTable, HeardVm, HeldRequest, HoldPhase,
-    HolderRecord, HolderStanding, IdentityKey, KeptRow, LEADS, LimitChange, LimitReport, LinkMoves,
-    ListStanding, LoadCount, LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory,
-    NewsPiece, NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice,
-    QuarantineChange, QuarantineNote, QueueOrder, RateTerms, RequestIdentity, RequestKey, RequestQuarantine,
-    RestChange, RetryBudget, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict,
-    ShareView, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pick_target, place,
-    salted_key, short_digest, take_part,
+    AdmissionVerdict, AdmissionView, AnswerCounts, BookTeller, BudgetTerms, CloseReporter, ColdTerms,
+    DeskStep, EndingReport, EndpointCopy, EndpointEnding, EndpointRow, EngineState, ExposureTerms,
+    FleetSweep, FleetTable, HeardVm, HeldBytes, HeldRequest, HoldPhase, HolderId, HolderRecord,
+    HolderStanding, IdentityKey, KeptRow, LEADS, LimitChange, LimitReport, LinkMoves, ListStanding,
+    LoadCount, LoadSource, NamedVersion, NamedWeights, NamingRecord, NewsAssembly, NewsHistory, NewsPiece,
+    NewsProgress, NewsRhythm, PIECE_BYTES, PeerBook, PlacementAsk, PlacementChoice, QuarantineChange,
+    QuarantineNote, QueueOrder, RateTerms, RequestIdentity, RequestKey, RequestQuarantine, RestChange,
+    RetryBudget, RolloutAnswer, RolloutBook, RolloutReason, RolloutRecord, RolloutRun, RolloutStep,
+    RouteCounts, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView,
+    SumKey, TestDraw, VersionSplit, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pack,
+    pick_target, place, salted_key, short_digest, take_part, unpack,
 };
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -9,12 +9,13 @@
 use crate::lease_keeper::{ORDERS_KEY, VM_PREFIX};
 use crate::quarantine_desk::StoredHold;
 use crate::quarantine_task::HOLD_PREFIX;
+use crate::rollout::RECORD_PREFIX;
 use crate::{
-    EndpointEnding, EndpointEntry, EntryError, RequestKey, RouteTable, StoreEvent, StoreItem, StorePosition,
-    VmEntry, short_digest,
+    EndpointCopy, EndpointEnding, EndpointEntry, EntryError, RequestKey, RouteTable, StoreEvent, StoreItem,
+    StorePosition, VmEntry, short_digest,
 };
 use spanfold_entity::Moment;
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
@@ -40,24 +41,41 @@
     pub holder: Option<(HolderRecord, StorePosition)>,
 }
 
+/// What is known of a key.
+#[derive(Clone, Copy, Debug)]
+struct KeyRow {
+    /// Its last change.
+    position: StorePosition,
+    /// The last listing that held it.
+    listing: u32,
+}
+
+/// What a listing leaves for its end.
+#[derive(Debug, Default)]
+pub(crate) struct StoreListing {
+    configuration: Option<StoreItem>,
+}
+
 /// The store's items as far as this VM knows them.
 #[derive(Debug)]
 pub(crate) struct StoreView {
     gateway: Arc<Gateway>,
     orders: watch::Sender<OrdersView>,
     /// Each known key's last change.
-    positions: HashMap<String, StorePosition>,
+    keys: HashMap<String, KeyRow>,
+    /// Number of the listing under way, or of the last one.
+    listing: u32,
     /// When the configuration in force was written.
     configuration_at: StorePosition,
 }
 
 impl StoreView {
     pub(crate) fn new(gateway: Arc<Gateway>, orders: watch::Sender<OrdersView>) -> Self {
-        Self { gateway, orders, positions: HashMap::new(), configuration_at: StorePosition::default() }
+        Self { gateway, orders, keys: HashMap::new(), listing: 0, configuration_at: StorePosition::default() }
     }
 
     pub(crate) fn holds(&self, key: &str) -> bool {
-        self.positions.contains_key(key)
+        self.keys.contains_key(key)
     }
 
     /// Whether other VMs need not be told of a change: a configuration that came later is in force.
@@ -67,14 +85,73 @@
         event.key() == self.gateway.dialect.keys.configuration && event.position() < self.configuration_at
     }
 
-    /// The changes that lead from what is known to a whole listing at `position`.
-    pub(crate) fn changes_to(&self, listed: Vec<StoreItem>, position: StorePosition) -> Vec<StoreEvent> {
-        let present: HashSet<&str> = listed.iter().map(|item| item.key.as_str()).collect();
-        let gone = self.positions.keys().filter(|key| !present.contains(key.as_str()));
-        let gone = gone.map(|key| StoreEvent::Removed { key: key.clone(), position });
-        let mut events: Vec<_> = gone.collect();
-        events.extend(listed.into_iter().map(StoreEvent::Written));
-        events
+    /// Begins a listing, which is taken page by page: thousands of items at once take more memory than all that is kept of
+    /// them.
+    pub(crate) fn begin_listing(&mut self) -> StoreListing {
+        self.listing += 1;
+        StoreListing::default()
+    }
+
+    /// Takes a page of a listing. The configuration waits for the end: requests are served once it is in force, and all else
+    /// is known by then.
+    pub(crate) fn take_page(&mut self, page: Vec<StoreItem>, listing: &mut StoreListing) {
+        for item in page {
+            if item.key == self.gateway.dialect.keys.configuration {
+                if let Some(row) = self.keys.get_mut(&item.key) {
+                    row.listing = self.listing;
+                }
+                listing.configuration = Some(item);
+            } else {
+                self.written(&item);
+            }
+        }
+    }
+
+    /// Takes all endpoints as another VM knows them: that counts as listed up to its position.
+    pub(crate) fn take_copy(&mut self, copy: EndpointCopy) {
+        let prefix = self.gateway.dialect.keys.endpoints;
+        let position = copy.position;
+        for entry in copy.entries {
+            if self.note_key(&format!("{prefix}{}", entry.id), position) {
+                self.endpoint_known(entry, position);
+            }
+        }
+        for id in copy.unreadable {
+            if self.note_key(&format!("{prefix}{id}"), position) {
+                self.endpoint_unreadable(&id, &EntryError::Bytes("another VM could not read it".to_owned()));
+            }
+        }
+    }
+
+    /// Notes that a key is listed and was written at `position`; whether that is news.
+    fn note_key(&mut self, key: &str, position: StorePosition) -> bool {
+        let row = KeyRow { position, listing: self.listing };
+        match self.keys.get_mut(key) {
+            Some(known) if known.position >= position => {
+                known.listing = self.listing;
+                false
+            }
+            Some(known) => {
+                *known = row;
+                true
+            }
+            None => {
+                self.keys.insert(key.to_owned(), row);
+                true
+            }
+        }
+    }
+
+    /// Ends a whole listing at `position`: what it did not hold is gone.
+    pub(crate) fn end_listing(&mut self, listing: StoreListing, position: StorePosition) {
+        let gone = self.keys.iter().filter(|(_, row)| row.listing != self.listing);
+        let gone: Vec<_> = gone.map(|(key, _)| key.clone()).collect();
+        for key in gone {
+            self.removed(&key, position, "list");
+        }
+        if let Some(item) = listing.configuration {
+            self.written(&item);
+        }
     }
 
     /// Takes changes that `source` told.
@@ -88,10 +165,9 @@
     }
 
     fn written(&mut self, item: &StoreItem) {
-        if self.positions.get(&item.key).is_some_and(|known| *known >= item.position) {
+        if !self.note_key(&item.key, item.position) {
             return;
         }
-        self.positions.insert(item.key.clone(), item.position);
         let keys = self.gateway.dialect.keys;
         if item.key == keys.configuration {
             self.configuration_written(item);
@@ -101,6 +177,12 @@
             self.weights_written(item);
         } else if let Some(data_centre) = item.key.strip_prefix(keys.evacuations) {
             self.evacuation_written(data_centre, item.position);
+        } else if let Some(service) = item.key.strip_prefix(keys.rollouts) {
+            self.gateway.order_rollout(service, item);
+        } else if item.key.starts_with(RECORD_PREFIX) {
+            self.gateway.record_rollout(item);
+        } else if let Some(service) = item.key.strip_prefix(keys.rollout_statuses) {
+            self.gateway.rollouts().note_status(service, &item.value, item.position);
         } else if item.key.starts_with(VM_PREFIX) {
             match serde_json::from_slice::<VmEntry>(&item.value) {
                 Ok(entry) => self.gateway.peers().list_at(entry, self.gateway.now()),
@@ -146,6 +228,14 @@
             Ok(entry) => entry,
             Err(fault) => return self.endpoint_unreadable(id, &fault),
         };
+        self.endpoint_known(entry, item.position);
+    }
+
+    /// Takes an entry that could be read.
+    fn endpoint_known(&self, entry: EndpointEntry, position: StorePosition) {
+        let id = entry.id.clone();
+        let id = id.as_str();
+        self.gateway.note_version(&entry);
         let (service, draining) = (entry.service.clone(), entry.draining);
         let (key, at) = (entry.key(), entry.address);
         let (is_readable_again, is_changed) = {
@@ -153,12 +243,12 @@
             (table.clear_unreadable(id), table.apply_entry(entry, self.gateway.now()))
         };
         if is_readable_again {
-            log::info!(endpoint = id, position:% = item.position; "endpoint.readable");
+            log::info!(endpoint = id, position:%; "endpoint.readable");
         }
         if is_changed {
             let (service, address) = (service.as_str(), at.to_string());
             let address = address.as_str();
-            log::info!(endpoint = id, service, address, draining, position:% = item.position; "endpoint.entry");
+            log::info!(endpoint = id, service, address, draining, position:%; "endpoint.entry");
             self.gateway.note_started_at(at, key);
         }
     }
@@ -239,11 +329,11 @@
     }
 
     fn removed(&mut self, key: &str, position: StorePosition, source: &str) {
-        if self.positions.get(key).is_some_and(|known| *known >= position) {
+        if self.keys.get(key).is_some_and(|known| known.position >= position) {
             return;
         }
         // What a copy lacks was not taken away: it is written again.
-        let is_lost = self.positions.remove(key).is_some_and(|known| known.era < position.era);
+        let is_lost = self.keys.remove(key).is_some_and(|known| known.position.era < position.era);
         let now = self.gateway.now();
         if let Some(id) = key.strip_prefix(self.gateway.dialect.keys.endpoints) {
             let held_until = self.gateway.hold_until();
@@ -260,6 +350,15 @@
             } else if self.gateway.table().end_evacuation(data_centre) {
                 log::warn!(data_centre, source; "evacuation.ended");
             }
+        } else if let Some(service) = key.strip_prefix(self.gateway.dialect.keys.rollouts) {
+            // One that a copy lacks was not taken back: it ends with its time.
+            if !is_lost {
+                self.gateway.withdraw_rollout(service);
+            }
+        } else if let Some(service) = key.strip_prefix(RECORD_PREFIX) {
+            self.gateway.rollouts().records_at.remove(service);
+        } else if let Some(service) = key.strip_prefix(self.gateway.dialect.keys.rollout_statuses) {
+            self.gateway.rollouts().statuses.remove(service);
         } else if let Some(name) = key.strip_prefix(VM_PREFIX) {
             self.gateway.peers().unlist(name, now);
             log::info!(vm = name; "vm.unlisted");
