Changes of the store reach a large data centre through VMs that pass them on

Cause: the watching VM tells 196 others directly. 16 KiB to each take its half link of 200 Mbit/s 0.26 s; 10,000 entries are 0.9 MB deflated, 57 pieces, 15 s; what would take over 0.8 s is not told at all, and each VM fetches it, with a call of its own.

Each message is passed on once. And many changes together are one line in the log, not one for each endpoint at each VM.

--- a/crates/decide/src/fleet/peer_book.rs
+++ b/crates/decide/src/fleet/peer_book.rs
@@ -59,7 +59,7 @@
 
 impl VmEntry {
     /// Order in which the VMs of a data centre lead it: the widest link first.
-    fn lead_order(&self) -> (Reverse<u32>, &str) {
+    pub(super) fn lead_order(&self) -> (Reverse<u32>, &str) {
         (Reverse(self.link_mbps), self.name.as_str())
     }
 }
@@ -249,6 +249,16 @@
         self.rows.values().filter(|row| self.is_near_row(row)).map(|row| row.entry.address).collect()
     }
 
+    /// The other VMs of this data centre.
+    pub(super) fn near_entries(&self) -> impl Iterator<Item = &VmEntry> {
+        self.rows.values().filter(|row| self.is_near_row(row)).map(|row| &row.entry)
+    }
+
+    /// A VM of this data centre.
+    pub(super) fn near_entry(&self, vm: VmKey) -> Option<&VmEntry> {
+        self.rows.get(&vm).filter(|row| self.is_near_row(row)).map(|row| &row.entry)
+    }
+
     /// Whether a VM stands in this data centre.
     pub fn is_near(&self, vm: VmKey) -> bool {
         self.rows.get(&vm).is_some_and(|row| self.is_near_row(row))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::placed_note::PlacedNote;
 use crate::quarantine_desk::QuarantineDesk;
+use crate::relayed_news::RelayedNews;
 use crate::share_desk::ShareDesk;
 use crate::store::CopyDesk;
 use crate::store_era::StoreEra;
@@ -93,6 +94,8 @@
     pub shares: ShareDesk,
     /// What is held for callers that send or read slowly.
     pub memory: MemoryDesk,
+    /// Which news of others this VM has passed on.
+    pub relayed: RelayedNews,
     /// Moves of services to other versions.
     pub rollouts: Mutex<RolloutBook>,
     /// What endpoints stated in answers that the VMs of this data centre have not received.
@@ -180,6 +183,7 @@
             desk: Mutex::default(),
             shares: ShareDesk::default(),
             memory,
+            relayed: RelayedNews::default(),
             rollouts: Mutex::default(),
             near_answers: WaitingNotes::default(),
             far_answers: WaitingNotes::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -154,6 +154,11 @@
         gateway.metrics.peers.bytes.get_or_create(&kind).inc_by(length as u64);
         let Some(message) = message else { continue };
         let stamp = message.stamp();
+        if let PeerMessage::Store(_, told) = &message
+            && told.is_spread
+        {
+            pass_on_news(&gateway, &socket, stamp, bytes).await;
+        }
         match message {
             // A follower that is so far behind notices the gap and asks the store itself.
             PeerMessage::Store(_, told) => drop(news.try_send((stamp.vm, StoreWord::News(told)))),
@@ -165,6 +170,20 @@
     }
 }
 
+/// Passes on what a VM tells all of its data centre, if this VM does that, each message once.
+async fn pass_on_news(gateway: &Gateway, socket: &UdpSocket, stamp: PeerStamp, bytes: &[u8]) {
+    if !gateway.relayed.note(stamp) {
+        return;
+    }
+    let targets = gateway.peers().relay_targets(stamp.vm);
+    for address in &targets {
+        // One that cannot be sent is as good as a lost one: who misses it asks.
+        let _ = socket.send_to(bytes, address).await;
+    }
+    let kind = KindLabel::new("relayed");
+    gateway.metrics.peers.bytes_sent.get_or_create(&kind).inc_by((bytes.len() * targets.len()) as u64);
+}
+
 /// Takes what a VM tells itself, and has it passed on if this VM does that.
 fn take_digest(gateway: &Gateway, stamp: PeerStamp, digest: &LoadDigest) {
     let now = gateway.now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 mod quarantine_desk;
 mod quarantine_task;
 mod relay;
+mod relayed_news;
 mod request_run;
 mod request_ticket;
 mod rollout;
@@ -84,6 +85,6 @@
     QuarantineNote, QueueOrder, RateTerms, RequestIdentity, RequestKey, RequestQuarantine, RestChange,
     RetryBudget, RolloutAnswer, RolloutBook, RolloutReason, RolloutRecord, RolloutRun, RolloutStep,
     RouteCounts, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView,
-    SumKey, TestDraw, VersionSplit, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news, old_parts, pack,
-    pick_target, place, salted_key, short_digest, take_part, unpack,
+    SpreadPlan, SumKey, TestDraw, VersionSplit, VmEntry, VmKey, WantedWeights, WeightDesk, cut_news,
+    old_parts, pack, pick_target, place, salted_key, short_digest, take_part, unpack,
 };
--- a/crates/gateway/src/news_teller.rs
+++ b/crates/gateway/src/news_teller.rs
@@ -6,9 +6,8 @@
 use crate::gossip;
 use crate::peer_message::PeerMessage;
 use crate::store_news::{NewsPlan, StoreNews};
-use crate::{StoreEvent, StorePosition, VmKey};
+use crate::{SpreadPlan, StoreEvent, StorePosition, VmKey};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
@@ -45,8 +44,8 @@
 
     /// Tells all VMs of this data centre; returns when the last piece is on its way.
     pub(crate) async fn tell_near(&self, changes: &ToldChanges) {
-        let targets = self.gateway.peers().near_addresses();
-        tell(&self.gateway, &self.socket, changes, &targets).await;
+        let spread = self.gateway.peers().spread_plan();
+        tell(&self.gateway, &self.socket, changes, (&spread, true)).await;
     }
 
     /// Asks another VM for the changes after `position`: that costs nothing, and the store may be out of reach.
@@ -67,24 +66,30 @@
     pub(crate) fn answer(&mut self, vm: VmKey, changes: ToldChanges) {
         let Some(target) = self.gateway.peers().address_of(vm) else { return };
         let (gateway, socket) = (Arc::clone(&self.gateway), Arc::clone(&self.socket));
-        let answer = tokio::spawn(async move { tell(&gateway, &socket, &changes, &[target]).await });
+        let spread = SpreadPlan { targets: vec![target], ..SpreadPlan::default() };
+        let answer = tokio::spawn(async move { tell(&gateway, &socket, &changes, (&spread, false)).await });
         self.answers.insert(vm, answer);
     }
 }
 
-async fn tell(gateway: &Gateway, socket: &UdpSocket, changes: &ToldChanges, targets: &[SocketAddr]) {
-    if targets.is_empty() {
+async fn tell(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    changes: &ToldChanges,
+    (spread, is_spread): (&SpreadPlan, bool),
+) {
+    if spread.targets.is_empty() {
         return;
     }
     let ToldChanges { from, to, ref events, age_micros } = *changes;
-    let plan = NewsPlan::new(events, targets.len(), gateway.settings.link_mbps);
+    let plan = NewsPlan::new(events, spread, gateway.settings.link_mbps);
     let pause_micros = plan.pause.as_micros() as u64;
     for (place, body) in plan.bodies.into_iter().enumerate() {
         if place > 0 {
             tokio::time::sleep(plan.pause).await;
         }
         let trouble_micros = gateway.store_trouble_age();
-        let news = StoreNews { from, to, body, pause_micros, age_micros, trouble_micros };
-        gossip::tell(gateway, socket, &PeerMessage::Store(gateway.next_stamp(), news), targets).await;
+        let news = StoreNews { from, to, body, is_spread, pause_micros, age_micros, trouble_micros };
+        gossip::tell(gateway, socket, &PeerMessage::Store(gateway.next_stamp(), news), &spread.targets).await;
     }
 }
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peer_message.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the messages' form; others are ignored.
-const FORM: u8 = 16;
+const FORM: u8 = 17;
 /// Bytes of the authentication code at the end of a datagram.
 const CODE_BYTES: usize = 16;
 
--- a/crates/gateway/src/store_news.rs
+++ b/crates/gateway/src/store_news.rs
@@ -4,7 +4,7 @@
 //! piece, does not take them; it asks, in the end the store itself, which loses nothing. So a lost
 //! datagram costs one call.
 
-use crate::{NewsPiece, PIECE_BYTES, StoreEvent, StorePosition, cut_news};
+use crate::{NewsPiece, PIECE_BYTES, SpreadPlan, StoreEvent, StorePosition, cut_news};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -25,6 +25,8 @@
     pub to: StorePosition,
     /// The changes.
     pub body: NewsBody,
+    /// Whether it is for all VMs of the data centre, so that some of them pass it on.
+    pub is_spread: bool,
     /// When the next piece follows if there is one, in microseconds.
     pub pause_micros: u64,
     /// How long ago the store told them, in microseconds.
@@ -52,9 +54,10 @@
 }
 
 impl NewsPlan {
-    /// How a VM with a link of `link_mbps` tells `targets` others of `events`.
-    pub(crate) fn new(events: &[StoreEvent], targets: usize, link_mbps: f64) -> Self {
-        let pause = piece_pause(targets, link_mbps);
+    /// How a VM with a link of `link_mbps` tells others of `events`.
+    pub(crate) fn new(events: &[StoreEvent], spread: &SpreadPlan, link_mbps: f64) -> Self {
+        let relayed = piece_pause(spread.relayed_count, spread.relay_mbps);
+        let pause = piece_pause(spread.targets.len(), link_mbps).max(relayed);
         let is_told = |pieces: &Vec<_>| pieces.len() <= 1 || pause * pieces.len() as u32 <= TELL_LIMIT;
         let bodies = match cut_news(events).filter(is_told) {
             None => vec![NewsBody::TooLarge],
@@ -67,6 +70,9 @@
 
 /// Time in which a VM sends one piece to each of `targets` over its part of the link.
 fn piece_pause(targets: usize, link_mbps: f64) -> Duration {
+    if targets == 0 {
+        return PIECE_PAUSE;
+    }
     let micros = (targets * PIECE_BYTES * 8) as f64 / (link_mbps.max(1.0) * LINK_SHARE);
     PIECE_PAUSE.max(Duration::from_micros(micros as u64))
 }
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store_view.rs
@@ -41,6 +41,9 @@
     pub holder: Option<(HolderRecord, StorePosition)>,
 }
 
+/// From so many changes together on, endpoints are logged as one line: each line takes as long as the change itself.
+const BULK_LEAST: usize = 64;
+
 /// What is known of a key.
 #[derive(Clone, Copy, Debug)]
 struct KeyRow {
@@ -65,13 +68,25 @@
     keys: HashMap<String, KeyRow>,
     /// Number of the listing under way, or of the last one.
     listing: u32,
+    /// Whether many changes are taken together.
+    is_bulk: bool,
+    /// Endpoints that these brought.
+    bulk_count: usize,
     /// When the configuration in force was written.
     configuration_at: StorePosition,
 }
 
 impl StoreView {
     pub(crate) fn new(gateway: Arc<Gateway>, orders: watch::Sender<OrdersView>) -> Self {
-        Self { gateway, orders, keys: HashMap::new(), listing: 0, configuration_at: StorePosition::default() }
+        Self {
+            gateway,
+            orders,
+            keys: HashMap::new(),
+            listing: 0,
+            is_bulk: false,
+            bulk_count: 0,
+            configuration_at: StorePosition::default(),
+        }
     }
 
     pub(crate) fn holds(&self, key: &str) -> bool {
@@ -92,9 +107,18 @@
         StoreListing::default()
     }
 
+    /// Logs how many endpoints many changes brought, in place of a line for each.
+    fn end_bulk(&mut self, source: &str) {
+        let (is_bulk, endpoints) = (std::mem::take(&mut self.is_bulk), std::mem::take(&mut self.bulk_count));
+        if is_bulk && endpoints > 0 {
+            log::info!(endpoints, source; "endpoint.entries");
+        }
+    }
+
     /// Takes a page of a listing. The configuration waits for the end: requests are served once it is in force, and all else
     /// is known by then.
     pub(crate) fn take_page(&mut self, page: Vec<StoreItem>, listing: &mut StoreListing) {
+        self.is_bulk = page.len() >= BULK_LEAST;
         for item in page {
             if item.key == self.gateway.dialect.keys.configuration {
                 if let Some(row) = self.keys.get_mut(&item.key) {
@@ -105,12 +129,14 @@
                 self.written(&item);
             }
         }
+        self.end_bulk("list");
     }
 
     /// Takes all endpoints as another VM knows them: that counts as listed up to its position.
     pub(crate) fn take_copy(&mut self, copy: EndpointCopy) {
         let prefix = self.gateway.dialect.keys.endpoints;
         let position = copy.position;
+        self.is_bulk = copy.entries.len() >= BULK_LEAST;
         for entry in copy.entries {
             if self.note_key(&format!("{prefix}{}", entry.id), position) {
                 self.endpoint_known(entry, position);
@@ -121,6 +147,7 @@
                 self.endpoint_unreadable(&id, &EntryError::Bytes("another VM could not read it".to_owned()));
             }
         }
+        self.end_bulk("another VM");
     }
 
     /// Notes that a key is listed and was written at `position`; whether that is news.
@@ -156,12 +183,14 @@
 
     /// Takes changes that `source` told.
     pub(crate) fn apply_all(&mut self, events: &[StoreEvent], source: &str) {
+        self.is_bulk = events.len() >= BULK_LEAST;
         for event in events {
             match event {
                 StoreEvent::Written(item) => self.written(item),
                 StoreEvent::Removed { key, position } => self.removed(key, *position, source),
             }
         }
+        self.end_bulk(source);
     }
 
     fn written(&mut self, item: &StoreItem) {
@@ -223,7 +252,7 @@
         }
     }
 
-    fn endpoint_written(&self, id: &str, item: &StoreItem) {
+    fn endpoint_written(&mut self, id: &str, item: &StoreItem) {
         let entry = match self.read_endpoint(id, &item.value) {
             Ok(entry) => entry,
             Err(fault) => return self.endpoint_unreadable(id, &fault),
@@ -232,7 +261,7 @@
     }
 
     /// Takes an entry that could be read.
-    fn endpoint_known(&self, entry: EndpointEntry, position: StorePosition) {
+    fn endpoint_known(&mut self, entry: EndpointEntry, position: StorePosition) {
         let id = entry.id.clone();
         let id = id.as_str();
         self.gateway.note_version(&entry);
@@ -245,7 +274,10 @@
         if is_readable_again {
             log::info!(endpoint = id, position:%; "endpoint.readable");
         }
-        if is_changed {
+        if is_changed && self.is_bulk {
+            self.bulk_count += 1;
+            self.gateway.note_started_at(at, key);
+        } else if is_changed {
             let (service, address) = (service.as_str(), at.to_string());
             let address = address.as_str();
             log::info!(endpoint = id, service, address, draining, position:%; "endpoint.entry");
