--- a/crates/gateway/tests/pages.rs
+++ b/crates/gateway/tests/pages.rs
@@ -12,9 +12,7 @@
     let folder = root().join("crates/gateway/src");
     let daemon = ["main.rs", "logging.rs"].map(|file| root().join("crates/spanfoldd/src").join(file));
     let mut text: String = daemon.iter().map(|path| std::fs::read_to_string(path).unwrap()).collect();
-    for entry in std::fs::read_dir(folder).unwrap() {
-        text.push_str(&std::fs::read_to_string(entry.unwrap().path()).unwrap());
-    }
+    visit(&folder, &mut |_, content| text.push_str(content));
     text
 }
 
