VMs that start together take leases as long as their places ask for

Cause: a lease's length follows the VM's place in the order of names, and VMs that start together know nobody: each took itself for the first one, and kept that lease for as long as it ran.

Change: until a VM knows those that started with it, 2 s, it takes a long lease and does not seek the right to order engines; the first four take a short one then. And a VM that lacks changes waits for others' answer in proportion to how many may lack them too, before it asks the store. In its room: store/.

--- a/crates/decide/src/fleet/peer_book.rs
+++ b/crates/decide/src/fleet/peer_book.rs
@@ -249,6 +249,11 @@
         self.rows.values().filter(|row| self.is_near_row(row)).map(|row| row.entry.address).collect()
     }
 
+    /// How many other VMs this data centre has.
+    pub fn near_count(&self) -> usize {
+        self.near_entries().count()
+    }
+
     /// The other VMs of this data centre.
     pub(super) fn near_entries(&self) -> impl Iterator<Item = &VmEntry> {
         self.rows.values().filter(|row| self.is_near_row(row)).map(|row| &row.entry)
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -7,14 +7,14 @@
 //! the store itself when that is over. The lead's time is zero; if it falls silent or is cut off from
 //! the store, the next one's time runs out first, and its answers are news for those behind it.
 
-use crate::call_link::{CallAnswer, CallLink, CallReply};
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
-use crate::news_teller::{NewsTeller, ToldChanges};
-use crate::peer_message::PeerKey;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::peers::peer_message::PeerKey;
+use crate::store::call_link::{CallAnswer, CallLink, CallReply};
 use crate::store::fetch_copy;
-use crate::store_news::{NewsBody, StoreNews};
-use crate::store_view::{OrdersView, PEER_KEY_KEY, StoreListing, StoreView};
+use crate::store::news_teller::{NewsTeller, ToldChanges};
+use crate::store::store_news::{NewsBody, StoreNews};
+use crate::store::store_view::{OrdersView, PEER_KEY_KEY, StoreListing, StoreView};
 use crate::{
     NewsAssembly, NewsHistory, NewsProgress, StoreEvent, StorePosition, StoreRefusal, StoreReply,
     StoreTransaction, VmKey, WireCall,
@@ -55,6 +55,10 @@
 /// A VM that lacks changes asks the store for them if no other VM told them for this long, in
 /// milliseconds: several round trips between VMs.
 const CATCH_UP_MILLIS: u64 = 150;
+/// Of more VMs in a data centre than these, several miss the same change at once, and the one that told it answers one after
+/// the other: each is waited for by so many milliseconds more.
+const CATCH_UP_VMS: usize = 30;
+const CATCH_UP_STEP_MILLIS: u64 = 3;
 /// The next piece of news is waited for this much longer at most, in microseconds, whatever its teller says.
 const PIECE_PAUSE_LIMIT_MICROS: u64 = 800_000;
 /// It asks other VMs again with what they tell later than this, in milliseconds.
@@ -209,7 +213,10 @@
         } else {
             self.news_at.after_millis(TURN_MILLIS + TURN_STEP_MILLIS * place)
         };
-        let catch_up = self.behind_since.map_or(Moment::NEVER, |since| since.after_millis(CATCH_UP_MILLIS));
+        let catch_up = self.behind_since.map_or(Moment::NEVER, |since| {
+            let beyond = self.gateway.peers().near_count().saturating_sub(CATCH_UP_VMS) as u64;
+            since.after_millis(CATCH_UP_MILLIS + CATCH_UP_STEP_MILLIS * beyond)
+        });
         turn.min(catch_up).max(self.rest_until)
     }
 
--- a/crates/gateway/src/lease_keeper.rs
+++ b/crates/gateway/src/store/lease_keeper.rs
@@ -5,8 +5,8 @@
 //! says later. The store ends the lease of a VM that died, and with it both keys.
 
 use crate::gateway::Gateway;
-use crate::store_link::StoreLink;
-use crate::store_view::OrdersView;
+use crate::store::store_link::StoreLink;
+use crate::store::store_view::OrdersView;
 use crate::{HolderRecord, HolderStanding};
 use crate::{StoreDecoder, StorePosition, StoreRefusal, StoreTransaction, WireCall};
 use spanfold_entity::Moment;
@@ -22,6 +22,8 @@
 
 /// VMs that take a free right one soon after the other; the others do so only if none of these does.
 const CANDIDATES: usize = 4;
+/// VMs that start together know one another after so long, in milliseconds.
+const RANK_KNOWN_MILLIS: u64 = 2_000;
 /// Time for which a candidate asks its lease, in milliseconds: a dead holder is replaced soon after.
 const CANDIDATE_LEASE_MILLIS: u64 = 2_500;
 /// Pause between a candidate's renewals: two may fail before the right lapses.
@@ -51,8 +53,14 @@
 }
 
 impl LeaseTerms {
-    /// The terms for the VM at place `rank` in the order of names.
-    const fn for_rank(rank: usize) -> Self {
+    /// The terms for the VM at place `rank` in the order of names; none while it is not known.
+    ///
+    /// VMs that start together know nobody: each would take itself for the first one, and renew as often, for as long as it
+    /// runs.
+    const fn for_rank(rank: Option<usize>) -> Self {
+        let Some(rank) = rank else {
+            return Self { lease_millis: LONG_LEASE_MILLIS, renew_pause: LONG_RENEW_PAUSE };
+        };
         if rank < CANDIDATES {
             Self { lease_millis: CANDIDATE_LEASE_MILLIS, renew_pause: CANDIDATE_RENEW_PAUSE }
         } else {
@@ -83,14 +91,15 @@
         lease: None,
         safe_until: Moment(0),
         free_since: None,
-        terms: LeaseTerms::for_rank(0),
+        terms: LeaseTerms::for_rank(None),
+        known_at: gateway.now().after_millis(RANK_KNOWN_MILLIS),
         failures: 0,
         right,
         gateway,
     };
     let mut renew_at = Instant::now();
     while !keeper.gateway.is_stopping() {
-        if keeper.lose_old_lease() {
+        if keeper.lose_old_lease() || (keeper.failures == 0 && keeper.needs_shorter_lease()) {
             renew_at = Instant::now();
         }
         if Instant::now() >= renew_at {
@@ -123,6 +132,8 @@
     free_since: Option<Moment>,
     /// Terms of the present lease.
     terms: LeaseTerms,
+    /// From then on it knows the VMs that started with it.
+    known_at: Moment,
     /// Failed calls in a row.
     failures: u32,
     right: watch::Sender<OrderRight>,
@@ -139,6 +150,17 @@
         is_old
     }
 
+    /// This VM's place in the order of names; none while it does not know those that started with it.
+    fn rank(&self) -> Option<usize> {
+        (self.gateway.now() >= self.known_at).then(|| self.gateway.peers().own_rank())
+    }
+
+    /// Whether the present lease is longer than that of a VM that may take the right: it takes a new one first.
+    fn needs_shorter_lease(&self) -> bool {
+        let wanted = LeaseTerms::for_rank(self.rank());
+        self.lease.is_some() && wanted.lease_millis < self.terms.lease_millis
+    }
+
     fn lose_lease(&mut self, reason: &str) {
         if let Some(lease) = self.lease.take() {
             log::warn!(lease = lease.id, reason; "lease.lost");
@@ -150,7 +172,7 @@
     async fn renew(&mut self) -> Duration {
         let asked_at = self.gateway.now();
         let dialect = self.gateway.dialect.store;
-        if let Some(lease) = self.lease {
+        if let Some(lease) = self.lease.filter(|_| !self.needs_shorter_lease()) {
             match self.call("renew", &(dialect.renew)(lease.id), dialect.read_renew).await {
                 Some(Ok(ttl_millis)) => {
                     self.failures = 0;
@@ -163,7 +185,7 @@
             }
         }
         let asked_at = self.gateway.now();
-        self.terms = LeaseTerms::for_rank(self.gateway.peers().own_rank());
+        self.terms = LeaseTerms::for_rank(self.rank());
         let call = (dialect.grant)(self.terms.lease_millis);
         let Some(Ok(grant)) = self.call("grant", &call, dialect.read_grant).await else {
             return self.failure_pause();
@@ -210,6 +232,10 @@
     /// Takes the right to order engines if nobody holds it, or an earlier process of this VM does.
     async fn seek_right(&mut self, view: &OrdersView) {
         let Some(lease) = self.lease else { return };
+        // Its lease may be too long for that, until its place is known.
+        if self.rank().is_none() {
+            return;
+        }
         let now = self.gateway.now();
         if now >= self.safe_until {
             return;
