--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -5,9 +5,14 @@
 mod endpoint_rest;
 mod endpoint_row;
 mod fleet_answers;
+mod fleet_entries;
+mod fleet_keys;
 mod fleet_limits;
+mod fleet_loads;
+mod fleet_stores;
 mod fleet_table;
 mod fleet_versions;
+mod fleet_weights;
 mod home_regions;
 mod named_limit;
 mod news_history;
@@ -29,9 +34,8 @@
 pub use endpoint_copy::{EndpointCopy, pack, unpack};
 pub use endpoint_rest::{EndpointRest, RestChange};
 pub use endpoint_row::{CloseReporter, EndpointRow, LoadCount, SendOutcome};
-pub use fleet_table::{
-    EndpointKey, FleetCounts, FleetSweep, FleetTable, LinkMoves, LoadSource, VmKey, short_digest,
-};
+pub use fleet_keys::{EndpointKey, LinkMoves, LoadSource, VmKey, short_digest};
+pub use fleet_table::{FleetCounts, FleetSweep, FleetTable};
 pub use home_regions::HomeRegions;
 pub use named_limit::{LimitChange, LimitReport, NamedLimit};
 pub use news_history::NewsHistory;
--- a/crates/gateway/src/answer_handler.rs
+++ b/crates/gateway/src/endpoints/answer_handler.rs
@@ -5,8 +5,8 @@
 //! repeated, so that a lost message costs little.
 
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
-use crate::load_digest::DigestScope;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::peers::load_digest::DigestScope;
 use crate::{AnswerFacts, EndpointKey, HeaderField, LimitChange, LimitReport, RestChange};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
--- a/crates/gateway/src/end_watch.rs
+++ b/crates/gateway/src/endpoints/end_watch.rs
@@ -4,7 +4,7 @@
 //! counts as ended if its address refuses connections, if another one starts there, or if its entry goes while the store
 //! is well. What had said that it leaves was expected to end, and does not count.
 
-use crate::endpoint_pool::open_stream;
+use crate::endpoints::endpoint_pool::open_stream;
 use crate::gateway::Gateway;
 use crate::{EndingReport, EndpointEnding, EndpointKey, RequestKey};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
--- a/crates/gateway/src/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -5,7 +5,7 @@
 //! wanted any more. The latest used connection is taken first, so that spare ones grow old.
 
 use crate::EndpointKey;
-use crate::outgoing_body::{BodyMark, OutgoingBody, WRITE_BUFFER_BYTES};
+use crate::requests::outgoing_body::{BodyMark, OutgoingBody, WRITE_BUFFER_BYTES};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
--- /dev/null
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -0,0 +1,6 @@
+//! What endpoints say of themselves, and the connections to them.
+
+pub(crate) mod answer_facts;
+pub(crate) mod answer_handler;
+pub(crate) mod end_watch;
+pub(crate) mod endpoint_pool;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,21 +1,21 @@
 //! What the tasks of one gateway share.
 
 use crate::PeerBook;
-use crate::answer_handler::ObservedAnswer;
 use crate::clock::GatewayClock;
-use crate::digest_relay::DigestRelay;
-use crate::end_watch::EndWatch;
-use crate::endpoint_pool::EndpointPool;
-use crate::gateway_metrics::GatewayMetrics;
+use crate::endpoints::answer_handler::ObservedAnswer;
+use crate::endpoints::end_watch::EndWatch;
+use crate::endpoints::endpoint_pool::EndpointPool;
 use crate::memory::MemoryDesk;
-use crate::peer_message::{PeerKey, PeerMessage, PeerStamp};
-use crate::placed_note::PlacedNote;
-use crate::quarantine_desk::QuarantineDesk;
-use crate::relayed_news::RelayedNews;
-use crate::share_desk::ShareDesk;
+use crate::operators::gateway_metrics::GatewayMetrics;
+use crate::peers::digest_relay::DigestRelay;
+use crate::peers::peer_message::{PeerKey, PeerMessage, PeerStamp};
+use crate::peers::placed_note::PlacedNote;
+use crate::peers::relayed_news::RelayedNews;
+use crate::peers::waiting_notes::WaitingNotes;
+use crate::quarantine::quarantine_desk::QuarantineDesk;
+use crate::requests::share_desk::ShareDesk;
 use crate::store::CopyDesk;
-use crate::store_era::StoreEra;
-use crate::waiting_notes::WaitingNotes;
+use crate::store::store_era::StoreEra;
 use crate::{
     BudgetTerms, EndpointRow, FleetTable, IdentityKey, ListStanding, NamedVersion, NamedWeights,
     PlacementAsk, PlacementChoice, QuarantineNote, RetryBudget, RolloutBook, RouteTable, SendReport,
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -2,12 +2,15 @@
 
 use crate::clock::GatewayClock;
 use crate::gateway::Gateway;
-use crate::lease_keeper::OrderRight;
-use crate::store_view::OrdersView;
-use crate::{
-    FleetSweep, WireDialect, clock, digest_relay, follow, free_task, front_door, gossip, kept_digest,
-    kept_task, lease_keeper, naming_task, operator_port, order_task, quarantine_task, rollout, store,
-};
+use crate::operators::operator_port;
+use crate::orders::{free_task, naming_task, order_task};
+use crate::peers::{digest_relay, gossip, kept_digest, kept_task};
+use crate::quarantine::quarantine_task;
+use crate::requests::front_door;
+use crate::store::lease_keeper::OrderRight;
+use crate::store::store_view::OrdersView;
+use crate::store::{follow, lease_keeper};
+use crate::{FleetSweep, WireDialect, clock, rollout, store};
 use spanfold_declare::GatewaySettings;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,66 +10,30 @@
 //! - [`RetryBudget`] bounds second sends; [`WeightDesk`] decides which engine loads weights next.
 //! - [`EventReader`] cuts streams into whole events.
 
-mod answer_facts;
-mod answer_handler;
-mod call_link;
 mod clock;
 mod dialect;
-mod digest_relay;
-mod dispatch;
-mod end_watch;
-mod endpoint_pool;
-mod era_watch;
-mod event_reader;
-mod flight;
-mod follow;
-mod free_task;
-mod front_door;
+mod endpoints;
 mod gateway;
 mod gateway_daemon;
-mod gateway_metrics;
-mod gateway_status;
-mod gossip;
-mod kept_digest;
-mod kept_task;
-mod lease_keeper;
-mod load_digest;
-mod long_answer;
 mod memory;
-mod naming_task;
-mod news_teller;
-mod operator_port;
-mod order_task;
-mod outgoing_body;
-mod own_answer;
-mod peer_message;
-mod placed_note;
-mod quarantine_desk;
-mod quarantine_task;
-mod relay;
-mod relayed_news;
-mod request_run;
-mod request_ticket;
+mod operators;
+mod orders;
+mod peers;
+mod quarantine;
+mod requests;
 mod rollout;
-mod share_desk;
 mod store;
-mod store_era;
-mod store_link;
-mod store_news;
-mod store_view;
-mod stream_relay;
-mod waiting_notes;
 
-pub use answer_facts::{AnswerFacts, FaultKind, HeaderFault, HeaderField};
 pub use clock::GatewayClock;
 pub use dialect::{
     EngineDialect, EntryError, HeaderNames, KeptDialect, LeaseGrant, OrderOutcome, RangePage, StoreDecoder,
     StoreDialect, StoreKeys, StoreRefusal, StoreReply, StoreTransaction, ValueDialect, WatchPage,
     WeightOrder, WireCall, WireDialect,
 };
-pub use event_reader::{EventError, EventReader};
+pub use endpoints::answer_facts::{AnswerFacts, FaultKind, HeaderFault, HeaderField};
 pub use gateway_daemon::{GatewayDaemon, GatewayError};
-pub use gateway_metrics::KindLabel;
+pub use operators::gateway_metrics::KindLabel;
+pub use requests::event_reader::{EventError, EventReader};
 pub use spanfold_decide::{
     AccountRow, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey, EngineReport, EngineSpec, KeptChange,
     KeptNews, PromptPart, RequestLimits, RolloutOrder, RolloutPhase, RouteKind, RouteRow, ServiceRow,
--- a/crates/gateway/src/memory/chunk_channel.rs
+++ b/crates/gateway/src/memory/chunk_channel.rs
@@ -4,7 +4,7 @@
 //! beyond it the endpoint is held up, and only this one, since each answer has a connection of its own.
 
 use super::HeldGuard;
-use crate::own_answer::BrokenAnswer;
+use crate::requests::own_answer::BrokenAnswer;
 use bytes::Bytes;
 use futures_core::Stream;
 use hyper::body::Frame;
--- a/crates/gateway/src/operator_port.rs
+++ b/crates/gateway/src/operators/operator_port.rs
@@ -3,10 +3,10 @@
 //! Invariant: what changes anything is answered at the metrics address only; the readiness address is the balancer's.
 
 use crate::RequestKey;
-use crate::front_door::ACCEPT_PAUSE;
 use crate::gateway::Gateway;
-use crate::gateway_status::GatewayStatus;
-use crate::own_answer::{AnswerBody, full_body};
+use crate::operators::gateway_status::GatewayStatus;
+use crate::requests::front_door::ACCEPT_PAUSE;
+use crate::requests::own_answer::{AnswerBody, full_body};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
--- a/crates/gateway/src/free_task.rs
+++ b/crates/gateway/src/orders/free_task.rs
@@ -6,10 +6,10 @@
 //! that ran ended before their engine changed: no move can be under way from a part that is freed.
 //! Which parts those are is decided by [`old_parts`].
 
-use crate::call_link::{CallLink, CallReply};
 use crate::gateway::Gateway;
-use crate::lease_keeper::OrderRight;
 use crate::old_parts;
+use crate::store::call_link::{CallLink, CallReply};
+use crate::store::lease_keeper::OrderRight;
 use crate::{EndpointKey, StoreSpec};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
--- a/crates/gateway/src/naming_task.rs
+++ b/crates/gateway/src/orders/naming_task.rs
@@ -7,9 +7,9 @@
 //! Invariant: a record is written only over the one that was read, so that what it told before is in it.
 
 use crate::gateway::Gateway;
-use crate::lease_keeper::OrderRight;
-use crate::order_task::read_report;
-use crate::store_link::StoreLink;
+use crate::orders::order_task::read_report;
+use crate::store::lease_keeper::OrderRight;
+use crate::store::store_link::StoreLink;
 use crate::{EndpointKey, NamingRecord, StoreItem, StorePosition, StoreTransaction};
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/gateway/src/order_task.rs
+++ b/crates/gateway/src/orders/order_task.rs
@@ -3,12 +3,12 @@
 //! Invariant: no engine's silence holds up another's order: calls to engines are under way beside one another, and
 //! each is cut when the right ends.
 
-use crate::answer_handler::{AnswerSource, DepartureSource};
-use crate::call_link::CallLink;
 use crate::dialect::{OrderOutcome, WeightOrder};
+use crate::endpoints::answer_handler::{AnswerSource, DepartureSource};
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
-use crate::lease_keeper::OrderRight;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::store::call_link::CallLink;
+use crate::store::lease_keeper::OrderRight;
 use crate::{DeskStep, EngineState, WeightDesk};
 use crate::{EndpointKey, EngineReport, short_digest};
 use hyper::StatusCode;
--- a/crates/gateway/src/digest_relay.rs
+++ b/crates/gateway/src/peers/digest_relay.rs
@@ -8,9 +8,9 @@
 //! never replaces a newer one. The second lead passes on only while the first one does not.
 
 use crate::gateway::Gateway;
-use crate::gossip::{pass_pause, tell};
-use crate::load_digest::LoadDigest;
-use crate::peer_message::{PeerMessage, PeerStamp};
+use crate::peers::gossip::{pass_pause, tell};
+use crate::peers::load_digest::LoadDigest;
+use crate::peers::peer_message::{PeerMessage, PeerStamp};
 use crate::{LEADS, VmKey};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -9,12 +9,12 @@
 //! where its kind is defined.
 
 use crate::LEADS;
-use crate::digest_relay::{TELL_PAUSE, relays};
-use crate::follow::{StoreWord, ToldNews};
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
-use crate::load_digest::{DigestScope, LoadDigest};
-use crate::peer_message::{PeerMessage, PeerStamp};
+use crate::operators::gateway_metrics::KindLabel;
+use crate::peers::digest_relay::{TELL_PAUSE, relays};
+use crate::peers::load_digest::{DigestScope, LoadDigest};
+use crate::peers::peer_message::{PeerMessage, PeerStamp};
+use crate::store::follow::{StoreWord, ToldNews};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gateway/src/kept_digest.rs
+++ b/crates/gateway/src/peers/kept_digest.rs
@@ -6,8 +6,8 @@
 //! engine has are freed, and nobody asks for those.
 
 use crate::gateway::Gateway;
-use crate::gossip;
-use crate::peer_message::PeerMessage;
+use crate::peers::gossip;
+use crate::peers::peer_message::PeerMessage;
 use crate::{BookTeller, KeptRow};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
--- a/crates/gateway/src/kept_task.rs
+++ b/crates/gateway/src/peers/kept_task.rs
@@ -5,9 +5,9 @@
 //! Invariant: after a gap, a new incarnation or a silence the whole listing is read before changes
 //! are followed again, so the book never claims a part that the store has not told.
 
-use crate::call_link::{CallLink, CallReply};
 use crate::gateway::Gateway;
-use crate::kept_digest::{askers, asks_stores};
+use crate::peers::kept_digest::{askers, asks_stores};
+use crate::store::call_link::{CallLink, CallReply};
 use crate::{EndpointKey, KeptNews, NewsRhythm, StoreSpec, WireCall};
 use hyper::StatusCode;
 use std::collections::HashMap;
--- a/crates/gateway/src/load_digest.rs
+++ b/crates/gateway/src/peers/load_digest.rs
@@ -5,11 +5,11 @@
 //! only what VMs say of themselves is summed.
 
 use crate::CloseReporter;
-use crate::answer_handler::{AnswerNote, ForwardScope, ObservedAnswer};
+use crate::endpoints::answer_handler::{AnswerNote, ForwardScope, ObservedAnswer};
 use crate::gateway::{Gateway, TellerReport};
-use crate::peer_message::PeerStamp;
-use crate::placed_note::PlacedNote;
-use crate::waiting_notes::NOTES_MOST;
+use crate::peers::peer_message::PeerStamp;
+use crate::peers::placed_note::PlacedNote;
+use crate::peers::waiting_notes::NOTES_MOST;
 use crate::{
     EndpointKey, FleetTable, HeardVm, LEADS, LinkMoves, LoadCount, LoadSource, PeerBook, QuarantineNote,
     RouteCounts, SumKey, VmKey, short_digest,
--- a/crates/gateway/src/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -5,9 +5,9 @@
 //! the whole deployment: VMs trust one another, and what they say is no secret from the network.
 //! UDP and not QUIC: a message replaces the one before, or its loss is noticed by what it builds on.
 
-use crate::kept_digest::KeptDigest;
-use crate::load_digest::LoadDigest;
-use crate::store_news::StoreNews;
+use crate::peers::kept_digest::KeptDigest;
+use crate::peers::load_digest::LoadDigest;
+use crate::store::store_news::StoreNews;
 use crate::{StorePosition, VmKey};
 use serde::{Deserialize, Serialize};
 
--- a/crates/gateway/src/relayed_news.rs
+++ b/crates/gateway/src/peers/relayed_news.rs
@@ -3,7 +3,7 @@
 //! Invariant: a message is passed on once, also where VMs disagree on who passes on: none goes round.
 
 use crate::VmKey;
-use crate::peer_message::PeerStamp;
+use crate::peers::peer_message::PeerStamp;
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 
--- a/crates/gateway/src/quarantine_desk.rs
+++ b/crates/gateway/src/quarantine/quarantine_desk.rs
@@ -7,10 +7,10 @@
 //! Invariant: whoever learns something new tells it on, so that each note goes once through the leads to every VM; what
 //! was lost on the way is told again in turn.
 
-use crate::end_watch::{BrokenSend, millis};
+use crate::endpoints::end_watch::{BrokenSend, millis};
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
-use crate::load_digest::DigestScope;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::peers::load_digest::DigestScope;
 use crate::{
     EndingReport, EndpointEnding, HeldRequest, HoldPhase, QuarantineChange, QuarantineNote, RequestKey,
 };
--- a/crates/gateway/src/quarantine_task.rs
+++ b/crates/gateway/src/quarantine/quarantine_task.rs
@@ -4,9 +4,9 @@
 //! when the hold is over, and nobody has to live for that.
 
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
-use crate::quarantine_desk::StoredHold;
-use crate::store_link::StoreLink;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::quarantine::quarantine_desk::StoredHold;
+use crate::store::store_link::StoreLink;
 use crate::{HeldRequest, HoldPhase, RequestKey, StoreRefusal, StoreTransaction};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::sync::Arc;
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -3,16 +3,16 @@
 //! Invariant: after each send it is known whether the request may have run. It has not if no byte left this process or the
 //! endpoint refused it.
 
-use crate::answer_facts::{AnswerFacts, AnswerOrigin};
-use crate::answer_handler::AnswerSource;
 use crate::clock::TimeIsUp;
-use crate::endpoint_pool::{EndpointConnection, ExchangeError};
-use crate::flight::SendFlight;
+use crate::endpoints::answer_facts::{AnswerFacts, AnswerOrigin};
+use crate::endpoints::answer_handler::AnswerSource;
+use crate::endpoints::endpoint_pool::{EndpointConnection, ExchangeError};
 use crate::gateway::CountGuard;
-use crate::gateway_metrics::KindLabel;
-use crate::outgoing_body::OutgoingBody;
-use crate::placed_note::PlacedNote;
-use crate::request_run::RequestRun;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::peers::placed_note::PlacedNote;
+use crate::requests::flight::SendFlight;
+use crate::requests::outgoing_body::OutgoingBody;
+use crate::requests::request_run::RequestRun;
 use crate::rollout::VersionedSend;
 use crate::salted_key;
 use crate::{
--- a/crates/gateway/src/flight.rs
+++ b/crates/gateway/src/requests/flight.rs
@@ -3,7 +3,7 @@
 //! Invariant: whatever way a send ends, also by being dropped because the caller left, its load is
 //! given back once and its connection is cut unless the answer was whole.
 
-use crate::endpoint_pool::EndpointConnection;
+use crate::endpoints::endpoint_pool::EndpointConnection;
 use crate::gateway::Gateway;
 use crate::rollout::VersionedSend;
 use crate::{AnswerFacts, EndpointKey, LoadCount, PlacementChoice, SendOutcome, SendReport};
--- a/crates/gateway/src/front_door.rs
+++ b/crates/gateway/src/requests/front_door.rs
@@ -2,8 +2,8 @@
 
 use crate::RequestLimits;
 use crate::gateway::{CountGuard, Gateway};
-use crate::own_answer::AnswerBody;
-use crate::relay::relay;
+use crate::requests::own_answer::AnswerBody;
+use crate::requests::relay::relay;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
--- a/crates/gateway/src/long_answer.rs
+++ b/crates/gateway/src/requests/long_answer.rs
@@ -5,12 +5,12 @@
 
 use crate::SendOutcome;
 use crate::clock::TimeIsUp;
-use crate::dispatch::ReceivedHead;
-use crate::flight::SendFlight;
 use crate::memory::{PieceFault, PieceSender, piece_channel};
-use crate::own_answer::{AnswerBody, BrokenAnswer};
-use crate::relay::answer_with;
-use crate::request_run::RequestRun;
+use crate::requests::dispatch::ReceivedHead;
+use crate::requests::flight::SendFlight;
+use crate::requests::own_answer::{AnswerBody, BrokenAnswer};
+use crate::requests::relay::answer_with;
+use crate::requests::request_run::RequestRun;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -5,15 +5,15 @@
 
 use crate::SendOutcome;
 use crate::clock::TimeIsUp;
-use crate::dispatch::{ReceivedHead, SendResult};
 use crate::gateway::{CountGuard, Gateway};
-use crate::gateway_metrics::KindLabel;
-use crate::long_answer::pass_on_long;
 use crate::memory::{BodyFault, HeldGuard, read_held};
-use crate::own_answer::{AnswerBody, OwnAnswer};
-use crate::request_run::{CallerHold, RequestRun};
-use crate::request_ticket::{RequestTicket, is_hop_header, text};
-use crate::stream_relay;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::requests::dispatch::{ReceivedHead, SendResult};
+use crate::requests::long_answer::pass_on_long;
+use crate::requests::own_answer::{AnswerBody, OwnAnswer};
+use crate::requests::request_run::{CallerHold, RequestRun};
+use crate::requests::request_ticket::{RequestTicket, is_hop_header, text};
+use crate::requests::stream_relay;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- a/crates/gateway/src/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -3,14 +3,14 @@
 //! Invariant: each request writes one line when it ends, with the inputs of its last decision, also if
 //! its caller left.
 
-use crate::end_watch::{BrokenEndpoint, BrokenSend, EndAnswer, millis};
-use crate::flight::SendFlight;
+use crate::endpoints::end_watch::{BrokenEndpoint, BrokenSend, EndAnswer, millis};
 use crate::gateway::{CountGuard, Gateway};
-use crate::gateway_metrics::KindLabel;
 use crate::memory::HeldGuard;
-use crate::own_answer::{AnswerBody, OwnAnswer, full_body};
-use crate::relay::answer_with;
-use crate::request_ticket::RequestTicket;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::requests::flight::SendFlight;
+use crate::requests::own_answer::{AnswerBody, OwnAnswer, full_body};
+use crate::requests::relay::answer_with;
+use crate::requests::request_ticket::RequestTicket;
 use crate::{
     EndpointEnding, EndpointKey, EndpointRow, PlacementChoice, QueueOrder, RequestIdentity, RequestKey,
     TestDraw, short_digest,
--- a/crates/gateway/src/request_ticket.rs
+++ b/crates/gateway/src/requests/request_ticket.rs
@@ -4,8 +4,8 @@
 //! may set; headers that only the system sets are gone.
 
 use crate::gateway::Gateway;
-use crate::own_answer::OwnAnswer;
 use crate::pick_target;
+use crate::requests::own_answer::OwnAnswer;
 use crate::{AccountRow, AdmissionView, HeaderNames, PromptPart, RouteKind, RouteRow};
 use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
--- a/crates/gateway/src/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -5,15 +5,15 @@
 //! answer. A stream that cannot go on is broken off visibly: it never looks complete.
 
 use crate::SendOutcome;
-use crate::answer_handler::AnswerSource;
 use crate::clock::TimeIsUp;
-use crate::dispatch::{ReceivedHead, SendResult};
-use crate::event_reader::{EventError, EventReader};
-use crate::flight::SendFlight;
+use crate::endpoints::answer_handler::AnswerSource;
 use crate::memory::{PieceFault, PieceSender, piece_channel};
-use crate::own_answer::{AnswerBody, BrokenAnswer};
-use crate::relay::{FailedAnswer, answer_with};
-use crate::request_run::RequestRun;
+use crate::requests::dispatch::{ReceivedHead, SendResult};
+use crate::requests::event_reader::{EventError, EventReader};
+use crate::requests::flight::SendFlight;
+use crate::requests::own_answer::{AnswerBody, BrokenAnswer};
+use crate::requests::relay::{FailedAnswer, answer_with};
+use crate::requests::request_run::RequestRun;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
--- a/crates/gateway/src/rollout/rollout_desk.rs
+++ b/crates/gateway/src/rollout/rollout_desk.rs
@@ -3,9 +3,9 @@
 //! Invariant: the book of roll-outs is locked before the table of endpoints, never after it.
 
 use super::versioned_send::VersionedSend;
-use crate::answer_handler::ForwardScope;
+use crate::endpoints::answer_handler::ForwardScope;
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
+use crate::operators::gateway_metrics::KindLabel;
 use crate::{
     EndpointEntry, ExposureTerms, RolloutBook, RolloutPhase, RolloutRecord, RouteCounts, SendOutcome,
     StoreItem, SumKey, TestDraw, VersionSplit,
--- a/crates/gateway/src/rollout/rollout_task.rs
+++ b/crates/gateway/src/rollout/rollout_task.rs
@@ -6,8 +6,8 @@
 
 use super::RECORD_PREFIX;
 use crate::gateway::Gateway;
-use crate::lease_keeper::{ORDERS_KEY, OrderRight};
-use crate::store_link::StoreLink;
+use crate::store::lease_keeper::{ORDERS_KEY, OrderRight};
+use crate::store::store_link::StoreLink;
 use crate::{
     RolloutPhase, RolloutReason, RolloutRecord, RolloutRun, RolloutStep, StoreItem, StorePosition,
     StoreRefusal, StoreTransaction,
--- a/crates/gateway/src/call_link.rs
+++ b/crates/gateway/src/store/call_link.rs
@@ -8,7 +8,7 @@
 //! would fail each time, and a repeated call begins at the first byte again.
 
 use crate::WireCall;
-use crate::endpoint_pool::open_stream;
+use crate::endpoints::endpoint_pool::open_stream;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
--- a/crates/gateway/src/store/copy_client.rs
+++ b/crates/gateway/src/store/copy_client.rs
@@ -1,8 +1,8 @@
 //! Takes a copy of all endpoints from another VM of this data centre.
 
 use super::copy_port::{CODE_BYTES, CODE_HEADER, COPY_PATH, CodeUse, NONCE_HEADER, copy_code};
-use crate::call_link::CallLink;
 use crate::gateway::Gateway;
+use crate::store::call_link::CallLink;
 use crate::{EndpointCopy, WireCall, unpack};
 use hyper::Method;
 use hyper::header::HeaderName;
--- a/crates/gateway/src/store/copy_port.rs
+++ b/crates/gateway/src/store/copy_port.rs
@@ -3,9 +3,9 @@
 //! Invariant: only a VM that knows the deployment's peer key gets one, and it can tell that the answer is to its own question.
 
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
-use crate::own_answer::{AnswerBody, full_body};
-use crate::peer_message::PeerKey;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::peers::peer_message::PeerKey;
+use crate::requests::own_answer::{AnswerBody, full_body};
 use crate::{EndpointCopy, StorePosition, pack};
 use bytes::Bytes;
 use hyper::body::Incoming;
--- a/crates/gateway/src/era_watch.rs
+++ b/crates/gateway/src/store/era_watch.rs
@@ -4,7 +4,7 @@
 //! was listed, leases, the right to order engines, conditions of writes.
 
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
+use crate::operators::gateway_metrics::KindLabel;
 use hyper::header::HeaderMap;
 
 impl Gateway {
--- a/crates/gateway/src/news_teller.rs
+++ b/crates/gateway/src/store/news_teller.rs
@@ -3,9 +3,9 @@
 //! Invariant: pieces of one telling leave in order and no faster than this VM's link and its hearers' allow.
 
 use crate::gateway::Gateway;
-use crate::gossip;
-use crate::peer_message::PeerMessage;
-use crate::store_news::{NewsPlan, StoreNews};
+use crate::peers::gossip;
+use crate::peers::peer_message::PeerMessage;
+use crate::store::store_news::{NewsPlan, StoreNews};
 use crate::{SpreadPlan, StoreEvent, StorePosition, VmKey};
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/gateway/src/store_link.rs
+++ b/crates/gateway/src/store/store_link.rs
@@ -1,8 +1,8 @@
 //! Calls to the platform's store by tasks that make one call after the other.
 
-use crate::call_link::CallLink;
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::store::call_link::CallLink;
 use crate::{StoreDecoder, StoreRefusal, StoreReply, WireCall};
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gateway/src/store_view.rs
+++ b/crates/gateway/src/store/store_view.rs
@@ -5,11 +5,11 @@
 
 use crate::HolderRecord;
 use crate::gateway::Gateway;
-use crate::gateway_metrics::KindLabel;
-use crate::lease_keeper::{ORDERS_KEY, VM_PREFIX};
-use crate::quarantine_desk::StoredHold;
-use crate::quarantine_task::HOLD_PREFIX;
+use crate::operators::gateway_metrics::KindLabel;
+use crate::quarantine::quarantine_desk::StoredHold;
+use crate::quarantine::quarantine_task::HOLD_PREFIX;
 use crate::rollout::RECORD_PREFIX;
+use crate::store::lease_keeper::{ORDERS_KEY, VM_PREFIX};
 use crate::{
     EndpointCopy, EndpointEnding, EndpointEntry, EntryError, RequestKey, RouteTable, StoreEvent, StoreItem,
     StorePosition, VmEntry, short_digest,
