--- a/crates/decide/tests/table_memory.rs
+++ b/crates/decide/tests/table_memory.rs
@@ -10,7 +10,7 @@
 
 /// Endpoints: twice those of the largest deployment.
 const ROWS: usize = 20_000;
-/// Bytes that a row may take, its key and its id included. It took 2,600 with maps of its own for weights.
+/// Bytes that a row may take, its key and its id included.
 const ROW_BYTES: usize = 1_100;
 /// Bytes that a row may take besides once work ran there and some parts are kept.
 const USED_BYTES: usize = 400;
