--- a/crates/decide/src/rollout/rollout_order.rs
+++ b/crates/decide/src/rollout/rollout_order.rs
@@ -85,7 +85,7 @@
             Self::Widening => "widening",
             Self::Moving => "moving",
             Self::Succeeded => "succeeded",
-            Self::RolledBack => "rolled_back",
+            Self::RolledBack => "reverted",
         }
     }
 }
--- a/crates/gateway/src/orders/naming_task.rs
+++ b/crates/gateway/src/orders/naming_task.rs
@@ -2,7 +2,7 @@
 //!
 //! VMs tell one another for how long a version has been named, but once every VM that knew has ended, the store tells
 //! those that start the newest version and not its age. So the one holder writes down each naming's time, and
-//! a new holder reads it; the others hear of it with the holder's loads.
+//! a new holder reads it; the others receive it with the holder's load digests.
 //!
 //! Invariant: a record is written only over the one that was read, so that what it told before is in it.
 
--- a/crates/gateway/src/peers/kept_digest.rs
+++ b/crates/gateway/src/peers/kept_digest.rs
@@ -1,6 +1,6 @@
 //! What the lead of a data centre tells the others of the stores of kept cache.
 //!
-//! Invariant: what is told was told by the store itself, in the incarnation that is named. Changes may
+//! Invariant: a digest repeats only what the store itself reported, in the incarnation that it names. Changes may
 //! get lost on the way; since whole books follow in turn, a part is missed for some seconds at most,
 //! which costs reading it. That a part was freed may be missed, too: only parts of weights that no
 //! engine has are freed, and nobody asks for those.
--- a/crates/gateway/src/peers/load_digest.rs
+++ b/crates/gateway/src/peers/load_digest.rs
@@ -40,7 +40,7 @@
     pub scope: DigestScope,
     loads: Vec<(EndpointKey, u32, u64, u64)>,
     placed: Vec<PlacedNote>,
-    /// How sends went that others must hear of, and which VM says so.
+    /// Outcomes of sends that concern other VMs, each with the VM that observed it.
     reports: Vec<TellerReport>,
     /// Requests under which endpoints end.
     cases: Vec<QuarantineNote>,
--- a/crates/gateway/src/rollout/rollout_task.rs
+++ b/crates/gateway/src/rollout/rollout_task.rs
@@ -141,7 +141,7 @@
         }
     }
 
-    /// Learns what stands in place of what this VM knew.
+    /// Applies the items that the store holds in place of those that the write expected.
     fn reread(&self, service: &str, items: &[StoreItem], (record_key, status_key): (&str, &str)) {
         let find = |key: &str| items.iter().find(|item| item.key == key);
         match find(record_key) {
--- a/crates/kernel/src/world.rs
+++ b/crates/kernel/src/world.rs
@@ -187,7 +187,7 @@
 
     /// Whether the endpoint at `index` may get new work, as far as this VM can know.
     ///
-    /// What this VM has not probed itself it knows from the last words of those who have; they
+    /// For an endpoint that this VM has not probed, the last reports of VMs that have decide; they
     /// count for a while after a VM's death, until its successor has probed.
     pub fn may_get_work(&self, index: EndpointIndex, now: Moment) -> bool {
         let row = &self.endpoints[index];
--- a/crates/policy/src/cell.rs
+++ b/crates/policy/src/cell.rs
@@ -1,7 +1,7 @@
 //! Fair share, placement, import and export at the homes of cells.
 //!
 //! Invariant: a request that was asked for ends at this home by a grant, a refusal, or the asker's
-//! word that it has ended; asking twice gives the same answer twice. A request that cannot meet
+//! report that it has ended; asking twice gives the same answer twice. A request that cannot meet
 //! its deadline is refused as soon as that is known, and is told when to come back.
 
 use crate::cell_state::{CellState, GrantedRequest, PIECE_GUESS, RequestKey, StoreLink, WaitingRequest};
