--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,9 +17,10 @@
 use crate::store::SnapshotCache;
 use crate::store::store_era::StoreEra;
 use crate::{
-    BudgetTerms, EndpointRow, FleetTable, IdentityKey, ListMembership, PlacementChoice, PlacementRequest,
-    PublishedVersion, PublishedWeights, QuarantineMessage, RequiredWeights, RetryBudget, RolloutTable,
-    RouteTable, SendReport, StorePosition, VmEntry, VmKey, WeightTarget, WireDialect, place, short_digest,
+    BudgetTerms, EndpointRow, FleetTable, IdentityKey, ListMembership, PathState, PlacementChoice,
+    PlacementRequest, PublishedVersion, PublishedWeights, QuarantineMessage, RequiredWeights, RetryBudget,
+    RolloutTable, RouteTable, SendReport, StorePosition, VmEntry, VmKey, WeightTarget, WireDialect, place,
+    short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -134,6 +135,8 @@
     /// Sequence number of the last message to other VMs.
     pub sequence: AtomicU64,
     pub stopping: watch::Sender<bool>,
+    /// Whether this VM has a path to the endpoints.
+    pub path: watch::Sender<PathState>,
     /// Moment of the last failed call to the store, in microseconds; zero if none has failed.
     store_failed_at: AtomicU64,
     pub open_requests: AtomicU64,
@@ -207,6 +210,7 @@
             peer_key: RwLock::default(),
             sequence: AtomicU64::new(0),
             stopping: watch::channel(false).0,
+            path: watch::channel(PathState::Open).0,
             store_failed_at: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
             waiting_prompts: AtomicU64::new(0),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -45,7 +45,7 @@
     ColdTerms, CordonSource, CrashReport, EndpointCrash, EndpointRow, EndpointSnapshot, EngineState,
     ExposureTerms, FleetSweep, FleetTable, HeldBytes, IdentityKey, IndexReporter, LEADERS_PER_DATA_CENTRE,
     LeaseHolder, LeaseOwnership, LimitChange, LimitReport, LinkTransfers, ListMembership, LoadCount,
-    LoadSource, MAX_FRAGMENT_BYTES, PeerHeartbeat, PeerTable, PlacementChoice, PlacementRequest,
+    LoadSource, MAX_FRAGMENT_BYTES, PathState, PeerHeartbeat, PeerTable, PlacementChoice, PlacementRequest,
     PollSchedule, PropagationPlan, PublicationRecord, PublishedVersion, PublishedWeights, QuarantineChange,
     QuarantineMessage, QuarantinePhase, QuarantinedRequest, QueueEntry, RateTerms, ReassemblyProgress,
     RequestIdentity, RequestKey, RequestQuarantine, RequiredWeights, ReservationId, RetryBudget,
--- a/crates/gateway/src/operators/gateway_status.rs
+++ b/crates/gateway/src/operators/gateway_status.rs
@@ -19,6 +19,8 @@
     /// Position of the store up to which this VM has applied all changes.
     store: StorePosition,
     endpoints: usize,
+    /// Whether this VM reaches endpoints: `open`, `pooled_only` or `cut`.
+    path: &'static str,
     /// Cold endpoints, which take less load than warm ones.
     cold_endpoints: usize,
     /// Endpoints that reported a limit.
@@ -101,6 +103,7 @@
                 revision: gateway.metrics.store_revision.get() as u64,
             },
             endpoints: table.rows().count(),
+            path: gateway.path.borrow().label(),
             cold_endpoints: table.cold_count(now),
             limits: limits.collect(),
             leaving: table
