LOST: a silent engine keeps its stream until another has accepted it

Callers saw: the answer of a resumable stream was aborted after some of its events although its engine was sound.

Cause: after twice the gap objective without an event (0.5 s at least) the connection to the engine was closed first, and the stream then sent to another engine once. A refusal, a limit, a failure, silence or the lack of another engine there, and a stream without event ids, ended the caller's answer.

Evidence: silent_endpoints::a_silent_stream_goes_on_if_the_other_engine, six ways in which the other engine does not accept; the same beside nine kinds of change of the configuration.

Now the stream is offered to another engine while the first one keeps it. The offer is accepted with the other engine's head: only then is the first one disconnected, at once, and its reader dropped, so that no event comes twice and no bytes of two runs mix. If the first one goes on before, the offer is withdrawn. Offers count as sends, draw on the budget of second sends, and are repeated with a delay that doubles. A silence is recorded as one, no longer as a broken connection, and is taken back when the engine goes on.

--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -465,7 +465,8 @@
             .is_none_or(|row| !row.has_announced_departure() && !row.backoff.is_backing_off(now))
     }
 
-    fn record_sent(&mut self) {
+    /// Records a send that may have reached its endpoint and has no answer.
+    pub(crate) fn record_sent(&mut self) {
         self.sends += 1;
         self.may_have_run = true;
     }
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -1,8 +1,10 @@
 //! Forwards an engine's events, and resumes at another engine where the route allows it.
 //!
 //! Invariant: the caller receives the first engine's head and every event once and whole, in order. The
-//! head is sent with the first event, so that until then another engine may still answer. A stream that
-//! cannot be resumed is visibly aborted: it never looks complete.
+//! head is sent with the first event, so that until then another engine may still answer. An engine that is
+//! silent keeps its stream until another one has accepted it, and is then disconnected at once: a refusal,
+//! a limit or silence elsewhere ends nothing. A stream that cannot be resumed is visibly aborted: it never
+//! looks complete.
 
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
@@ -20,11 +22,15 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
+use std::pin::pin;
 
-/// A resumable stream is resumed elsewhere after this multiple of its objective for the gap between events.
+/// A resumable stream is offered to another engine after this multiple of its objective for the gap between
+/// events.
 const STALL_TIMEOUT_FACTOR: u64 = 2;
 /// Minimum stall timeout.
 const MIN_STALL_TIMEOUT_MILLIS: u64 = 500;
+/// Bound of the doublings of the delay between offers of one stalled stream.
+const MAX_OFFER_DELAY_DOUBLINGS: u32 = 4;
 
 /// Answers with a stream's first event, and forwards the others from a task of its own.
 pub(crate) async fn forward_stream(
@@ -61,7 +67,7 @@
         // The channel is empty and its receiver exists: only lack of memory fails it, and the next send, too.
         let _ = chunks.send(first).await;
     }
-    let forwarder = StreamForwarder { run, flight, reader, chunks };
+    let forwarder = StreamForwarder { run, flight, reader, chunks, failed_offers: 0 };
     tokio::spawn(forwarder.forward(has_ended));
     Ok(answer_with(&head, StreamBody::new(stream).boxed_unsync()))
 }
@@ -91,6 +97,18 @@
     flight: SendFlight,
     reader: EventReader<Incoming>,
     chunks: ChunkSender,
+    /// Times that no other engine accepted the stream since its last event.
+    failed_offers: u32,
+}
+
+/// How an offer of a silent engine's stream to another engine ended.
+enum OfferEnd {
+    /// The silent engine went on, or ended the stream. The offer is withdrawn.
+    WentOn(Option<Bytes>),
+    /// The other engine answered or failed; meanwhile the silent one may have broken off.
+    Decided { accepted: Option<Box<ReceivedHead>>, broken: Option<EventError> },
+    /// The caller left.
+    CallerLeft,
 }
 
 /// What the next step of a stream yielded.
@@ -108,9 +126,17 @@
     async fn forward(mut self, has_ended: bool) {
         let mut has_ended = has_ended;
         while !has_ended {
-            match self.step().await {
+            let step = match self.step().await {
+                StreamStep::Stalled => self.offer().await,
+                step => step,
+            };
+            match step {
                 StreamStep::Events(events) => {
                     observe_weights(&self.run, &self.flight, &events);
+                    if self.failed_offers > 0 {
+                        self.failed_offers = 0;
+                        self.flight.record_outcome(SendOutcome::Answered);
+                    }
                     match self.chunks.send(events).await {
                         Ok(()) => {}
                         Err(ChunkFault::CallerLeft) => {
@@ -135,16 +161,14 @@
                     return;
                 }
                 StreamStep::Broke(cause) => {
-                    self.run.record_broken(&self.flight);
-                    if !self.resume_or_abort(&cause).await {
-                        return;
-                    }
-                }
-                StreamStep::Stalled => {
-                    if !self.resume_or_abort("it stalled").await {
+                    self.record_broken(&cause);
+                    if !self.resume().await {
+                        self.abort(&cause).await;
                         return;
                     }
                 }
+                // It goes on at whichever engine has it now.
+                StreamStep::Stalled => {}
             }
         }
         self.flight.complete();
@@ -152,16 +176,11 @@
         self.run.set_outcome("answered");
     }
 
-    /// Resumes elsewhere after a failure, or aborts the answer; returns whether it resumed.
-    async fn resume_or_abort(&mut self, cause: &str) -> bool {
+    fn record_broken(&mut self, cause: &str) {
+        self.run.record_broken(&self.flight);
         self.flight.record_outcome(SendOutcome::Broken);
         log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(), cause;
             "stream.broke");
-        let is_resumed = self.resume().await;
-        if !is_resumed {
-            self.abort(cause).await;
-        }
-        is_resumed
     }
 
     async fn step(&mut self) -> StreamStep {
@@ -172,7 +191,6 @@
             next = self.reader.next() => match next {
                 Ok(Some(events)) => StreamStep::Events(events),
                 Ok(None) => StreamStep::End,
-                Err(EventError::Partial) => StreamStep::Broke("it ended within an event".to_owned()),
                 Err(error) => StreamStep::Broke(error.to_string()),
             },
             () = self.chunks.closed() => StreamStep::CallerLeft,
@@ -185,58 +203,139 @@
     /// Returns when a stream counts as stalled; never if no other engine may resume it.
     fn stall_deadline(&self) -> Moment {
         let route = &self.run.context.route;
-        if !route.resumable || self.run.sends >= route.attempts {
+        if !route.resumable || self.reader.last_id().is_none() || self.run.sends >= route.attempts {
             return Moment::NEVER;
         }
         let timeout_millis = (route.gap_millis * STALL_TIMEOUT_FACTOR).max(MIN_STALL_TIMEOUT_MILLIS);
-        self.run.gateway.now().after_millis(timeout_millis)
+        self.run.gateway.now().after_millis(offer_delay_millis(timeout_millis, self.failed_offers))
     }
 
-    /// Resumes at another engine after the last whole event.
+    /// Offers a stalled stream to another engine.
+    async fn offer(&mut self) -> StreamStep {
+        self.failed_offers += 1;
+        self.flight.record_outcome(SendOutcome::Silent);
+        log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(),
+            offers = self.failed_offers; "stream.stalled");
+        if !self.run.may_send_again() {
+            return StreamStep::Stalled;
+        }
+        let last_id = self.reader.last_id().cloned();
+        let caller_left = self.chunks.closed();
+        match offer_stream(&mut self.run, &mut self.reader, last_id.as_ref(), caller_left).await {
+            OfferEnd::WentOn(Some(events)) => StreamStep::Events(events),
+            OfferEnd::WentOn(None) => StreamStep::End,
+            OfferEnd::CallerLeft => StreamStep::CallerLeft,
+            OfferEnd::Decided { accepted: Some(received), broken } => {
+                if let Some(error) = broken {
+                    self.record_broken(&error.to_string());
+                }
+                self.go_on_at(*received);
+                StreamStep::Stalled
+            }
+            OfferEnd::Decided { accepted: None, broken: Some(error) } => StreamStep::Broke(error.to_string()),
+            OfferEnd::Decided { accepted: None, broken: None } => StreamStep::Stalled,
+        }
+    }
+
+    /// Resumes a broken stream at another engine after the last whole event; returns whether one accepted it.
     async fn resume(&mut self) -> bool {
-        let Some(last_id) = self.reader.last_id().cloned() else { return false };
-        if !self.run.context.route.resumable || !self.run.may_send_again() {
+        self.flight.abort();
+        let last_id = self.reader.last_id().cloned();
+        if last_id.is_none() || !self.run.context.route.resumable || !self.run.may_send_again() {
             return false;
         }
-        // The first engine must not run beside the second.
-        self.flight.abort();
-        let started_at = self.run.gateway.now();
-        let result = tokio::select! {
-            result = self.run.send_once(Some(&last_id)) => result,
+        let received = tokio::select! {
+            received = send_to_another(&mut self.run, last_id.as_ref()) => received,
             () = self.chunks.closed() => None,
         };
-        let is_resumed = match result {
-            Some(SendResult::Answer(received)) if received.head.status.is_success() => {
-                let ReceivedHead { body, mut flight, .. } = *received;
-                flight.record_answer_start();
-                self.flight = flight;
-                self.reader = EventReader::after(body, last_id);
-                true
-            }
-            Some(SendResult::Answer(received)) => {
-                log::warn!(request = self.run.context.id_text(), endpoint = self.run.endpoint.as_str(),
-                    status = received.head.status.as_u16(); "resume.refused");
-                false
-            }
-            Some(
-                SendResult::NotSent
-                | SendResult::Replaced
-                | SendResult::Refused
-                | SendResult::Lost(_)
-                | SendResult::Late(_)
-                | SendResult::Limited(_)
-                | SendResult::Quarantined
-                | SendResult::OutOfTime,
-            )
-            | None => false,
+        let Some(received) = received else { return false };
+        self.go_on_at(*received);
+        true
+    }
+
+    /// Continues the stream at the engine that accepted it.
+    fn go_on_at(&mut self, received: ReceivedHead) {
+        let ReceivedHead { body, mut flight, .. } = received;
+        // The previous engine must not run beside it.
+        self.flight.abort();
+        flight.record_answer_start();
+        self.flight = flight;
+        self.failed_offers = 0;
+        self.reader = match self.reader.last_id().cloned() {
+            Some(last_id) => EventReader::after(body, last_id),
+            None => EventReader::new(body),
         };
-        let elapsed_micros = self.run.gateway.now().micros_since(started_at);
-        log::info!(request = self.run.context.id_text(), endpoint = self.run.endpoint.as_str(),
-            went_on = is_resumed, took_ms = elapsed_micros / MICROS_PER_MILLI; "stream.resumed");
-        is_resumed
     }
 
     async fn abort(&mut self, cause: &str) {
         self.chunks.abort(BrokenAnswer(cause.to_owned())).await;
     }
 }
+
+/// Returns the delay before the next offer, which doubles with each one that failed.
+fn offer_delay_millis(timeout_millis: u64, failed_offers: u32) -> u64 {
+    timeout_millis << failed_offers.min(MAX_OFFER_DELAY_DOUBLINGS)
+}
+
+/// Offers the stream of a silent engine to another one, from the event after `last_id`.
+///
+/// The offer is withdrawn if the silent engine goes on before the other one has accepted it.
+async fn offer_stream(
+    run: &mut RequestRun,
+    reader: &mut EventReader<Incoming>,
+    last_id: Option<&Bytes>,
+    caller_left: impl Future<Output = ()>,
+) -> OfferEnd {
+    let (endpoint, choice, tried) = (run.endpoint.clone(), run.choice.clone(), run.tried.len());
+    let mut broken = None;
+    let end = {
+        let mut offer = pin!(send_to_another(run, last_id));
+        let mut caller_left = pin!(caller_left);
+        loop {
+            tokio::select! {
+                biased;
+                next = reader.next(), if broken.is_none() => match next {
+                    Ok(events) => break OfferEnd::WentOn(events),
+                    Err(error) => broken = Some(error),
+                },
+                () = caller_left.as_mut() => break OfferEnd::CallerLeft,
+                accepted = offer.as_mut() => break OfferEnd::Decided { accepted, broken },
+            }
+        }
+    };
+    if matches!(end, OfferEnd::WentOn(_)) && run.tried.len() > tried {
+        run.record_sent();
+    }
+    if !matches!(end, OfferEnd::Decided { accepted: Some(_), .. }) {
+        (run.endpoint, run.choice) = (endpoint, choice);
+    }
+    end
+}
+
+/// Sends a stream to another engine; returns its head if the engine accepted it.
+async fn send_to_another(run: &mut RequestRun, last_id: Option<&Bytes>) -> Option<Box<ReceivedHead>> {
+    let started_at = run.gateway.now();
+    let accepted = match run.send_once(last_id).await {
+        Some(SendResult::Answer(received)) if received.head.status.is_success() => Some(received),
+        Some(SendResult::Answer(received)) => {
+            log::warn!(request = run.context.id_text(), endpoint = run.endpoint.as_str(),
+                status = received.head.status.as_u16(); "resume.refused");
+            None
+        }
+        Some(
+            SendResult::NotSent
+            | SendResult::Replaced
+            | SendResult::Refused
+            | SendResult::Lost(_)
+            | SendResult::Late(_)
+            | SendResult::Limited(_)
+            | SendResult::Quarantined
+            | SendResult::OutOfTime,
+        )
+        | None => None,
+    };
+    let elapsed_micros = run.gateway.now().micros_since(started_at);
+    log::info!(request = run.context.id_text(), endpoint = run.endpoint.as_str(),
+        went_on = accepted.is_some(), took_ms = elapsed_micros / MICROS_PER_MILLI; "stream.resumed");
+    accepted
+}
