LOST: a broken stream is resumed at a further engine if the next declines

Callers saw: the answer of a resumable stream was aborted although the route's attempts, the budget and the deadline allowed another try.

Cause: after a break the stream was sent to one other engine, once. If its connection was refused (several engines crash at once) or it turned the request away, the answer was aborted.

Attempts count engines that were reached, as for a first event; each try draws on the budget of second sends.

--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -101,12 +101,21 @@
     failed_offers: u32,
 }
 
+/// The response of another engine to a stream.
+enum OfferResponse {
+    Accepted(Box<ReceivedHead>),
+    /// This engine does not continue it.
+    Declined,
+    /// No engine takes it.
+    NoEngine,
+}
+
 /// How an offer of a silent engine's stream to another engine ended.
 enum OfferEnd {
     /// The silent engine went on, or ended the stream. The offer is withdrawn.
     WentOn(Option<Bytes>),
-    /// The other engine answered or failed; meanwhile the silent one may have broken off.
-    Decided { accepted: Option<Box<ReceivedHead>>, broken: Option<EventError> },
+    /// The other engine responded; meanwhile the silent one may have broken off.
+    Decided { response: OfferResponse, broken: Option<EventError> },
     /// The caller left.
     CallerLeft,
 }
@@ -225,32 +234,40 @@
             OfferEnd::WentOn(Some(events)) => StreamStep::Events(events),
             OfferEnd::WentOn(None) => StreamStep::End,
             OfferEnd::CallerLeft => StreamStep::CallerLeft,
-            OfferEnd::Decided { accepted: Some(received), broken } => {
+            OfferEnd::Decided { response: OfferResponse::Accepted(received), broken } => {
                 if let Some(error) = broken {
                     self.record_broken(&error.to_string());
                 }
                 self.go_on_at(*received);
                 StreamStep::Stalled
             }
-            OfferEnd::Decided { accepted: None, broken: Some(error) } => StreamStep::Broke(error.to_string()),
-            OfferEnd::Decided { accepted: None, broken: None } => StreamStep::Stalled,
+            OfferEnd::Decided { broken: Some(error), .. } => StreamStep::Broke(error.to_string()),
+            OfferEnd::Decided { broken: None, .. } => StreamStep::Stalled,
         }
     }
 
-    /// Resumes a broken stream at another engine after the last whole event; returns whether one accepted it.
+    /// Resumes a broken stream after the last whole event; returns whether another engine accepted it.
     async fn resume(&mut self) -> bool {
         self.flight.abort();
         let last_id = self.reader.last_id().cloned();
-        if last_id.is_none() || !self.run.context.route.resumable || !self.run.may_send_again() {
+        if last_id.is_none() || !self.run.context.route.resumable {
             return false;
         }
-        let received = tokio::select! {
-            received = send_to_another(&mut self.run, last_id.as_ref()) => received,
-            () = self.chunks.closed() => None,
-        };
-        let Some(received) = received else { return false };
-        self.go_on_at(*received);
-        true
+        while self.run.may_send_again() {
+            let response = tokio::select! {
+                response = send_to_another(&mut self.run, last_id.as_ref()) => response,
+                () = self.chunks.closed() => return false,
+            };
+            match response {
+                OfferResponse::Accepted(received) => {
+                    self.go_on_at(*received);
+                    return true;
+                }
+                OfferResponse::Declined => {}
+                OfferResponse::NoEngine => return false,
+            }
+        }
+        false
     }
 
     /// Continues the stream at the engine that accepted it.
@@ -299,43 +316,42 @@
                     Err(error) => broken = Some(error),
                 },
                 () = caller_left.as_mut() => break OfferEnd::CallerLeft,
-                accepted = offer.as_mut() => break OfferEnd::Decided { accepted, broken },
+                response = offer.as_mut() => break OfferEnd::Decided { response, broken },
             }
         }
     };
     if matches!(end, OfferEnd::WentOn(_)) && run.tried.len() > tried {
         run.record_sent();
     }
-    if !matches!(end, OfferEnd::Decided { accepted: Some(_), .. }) {
+    if !matches!(end, OfferEnd::Decided { response: OfferResponse::Accepted(_), .. }) {
         (run.endpoint, run.choice) = (endpoint, choice);
     }
     end
 }
 
-/// Sends a stream to another engine; returns its head if the engine accepted it.
-async fn send_to_another(run: &mut RequestRun, last_id: Option<&Bytes>) -> Option<Box<ReceivedHead>> {
+/// Sends a stream to another engine, from the event after `last_id`.
+async fn send_to_another(run: &mut RequestRun, last_id: Option<&Bytes>) -> OfferResponse {
     let started_at = run.gateway.now();
-    let accepted = match run.send_once(last_id).await {
-        Some(SendResult::Answer(received)) if received.head.status.is_success() => Some(received),
+    let response = match run.send_once(last_id).await {
+        Some(SendResult::Answer(received)) if received.head.status.is_success() => {
+            OfferResponse::Accepted(received)
+        }
         Some(SendResult::Answer(received)) => {
             log::warn!(request = run.context.id_text(), endpoint = run.endpoint.as_str(),
                 status = received.head.status.as_u16(); "resume.refused");
-            None
+            OfferResponse::Declined
+        }
+        Some(SendResult::NotSent | SendResult::Replaced | SendResult::Refused | SendResult::Lost(_)) => {
+            OfferResponse::Declined
         }
         Some(
-            SendResult::NotSent
-            | SendResult::Replaced
-            | SendResult::Refused
-            | SendResult::Lost(_)
-            | SendResult::Late(_)
-            | SendResult::Limited(_)
-            | SendResult::Quarantined
-            | SendResult::OutOfTime,
+            SendResult::Late(_) | SendResult::Limited(_) | SendResult::Quarantined | SendResult::OutOfTime,
         )
-        | None => None,
+        | None => OfferResponse::NoEngine,
     };
     let elapsed_micros = run.gateway.now().micros_since(started_at);
     log::info!(request = run.context.id_text(), endpoint = run.endpoint.as_str(),
-        went_on = accepted.is_some(), took_ms = elapsed_micros / MICROS_PER_MILLI; "stream.resumed");
-    accepted
+        went_on = matches!(response, OfferResponse::Accepted(_)),
+        took_ms = elapsed_micros / MICROS_PER_MILLI; "stream.resumed");
+    response
 }
