LOST: log requests that were read whole and get no whole answer

Callers saw a connection end without an answer, and the logs could not say so: request.ended gives "broken off" or "caller left" for a caller that left, an endpoint that broke off, a stop, and a stream that this VM withdrew alike.

Each caller's connection now keeps a record of its request in hand, from the head until the answer's last byte is handed to hyper. When the connection ends before that, a counter counts the request by cause and request.unanswered names endpoint, sends, cause, the configuration at the start and now, and the milliseconds since that took effect. A caller that left first is counted without a line. If hyper ends the connection for no reason of the caller's, the cause is "closed here".

endpoint.broke, stream.broke and answer.broke give the operating system's reason, which the library reports as "connection error", and which side ended the connection. It is taken from the stream beneath hyper, because the body's error may be read before the connection's task has returned its own.

configuration.in_force names the version before and the open requests, and configuration_since_seconds when it took effect. `spanfold losses` counts unanswered requests by cause, those near a change apart.

Before, the lines and the counter did not exist. Not tested: a connection that times out, which needs a cut path.

--- a/crates/gateway/src/endpoints/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -5,6 +5,7 @@
 //! most recently used connection is taken first, so that spare ones expire.
 
 use crate::EndpointKey;
+use crate::endpoints::observed_stream::{ConnectionEnd, EndRecord, EndSide, ObservedStream, cause_text};
 use crate::requests::outgoing_body::{BodyProgress, OutgoingBody, WRITE_BUFFER_BYTES};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -39,9 +40,9 @@
     /// No byte of the request left this process.
     #[error("not sent: {0}")]
     NotSent(String),
-    /// The request was sent; it may have run.
+    /// The request was sent; it may have run. Contains the cause and who ended the connection, if known.
     #[error("no answer: {0}")]
-    Lost(String),
+    Lost(String, Option<EndSide>),
     /// No byte of the request left this process: the endpoint stopped taking requests meanwhile.
     #[error("withdrawn before it was sent")]
     Withdrawn,
@@ -57,6 +58,14 @@
     has_long_body: bool,
     /// Progress of its current request's body.
     progress: BodyProgress,
+    end: EndRecord,
+}
+
+impl EndpointConnection {
+    /// Returns how the connection ended, as the operating system reported it.
+    pub(crate) fn end(&self) -> Option<ConnectionEnd> {
+        self.end.end()
+    }
 }
 
 impl Drop for EndpointConnection {
@@ -99,7 +108,7 @@
             };
             if let Err(error) = connection.sender.ready().await {
                 if connection.is_new {
-                    return Err(ExchangeError::NotSent(error.to_string()));
+                    return Err(ExchangeError::NotSent(cause_text(&error, connection.end())));
                 }
                 continue;
             }
@@ -111,8 +120,14 @@
                 Ok(response) => return Ok((response, connection)),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if !connection.is_new => request = unsent,
-                    Some(_) => return Err(ExchangeError::NotSent(error.error().to_string())),
-                    None => return Err(ExchangeError::Lost(error.error().to_string())),
+                    Some(_) => {
+                        return Err(ExchangeError::NotSent(cause_text(error.error(), connection.end())));
+                    }
+                    None => {
+                        let end = connection.end();
+                        let cause = cause_text(error.error(), end);
+                        return Err(ExchangeError::Lost(cause, end.map(|end| end.side)));
+                    }
                 },
             }
         }
@@ -181,6 +196,8 @@
         // each probe. How long a body may take is decided by the request's own deadline.
         SockRef::from(&stream).set_tcp_user_timeout(None).map_err(not_sent)?;
     }
+    let stream = ObservedStream::new(stream);
+    let end = stream.record();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(WRITE_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -188,7 +205,14 @@
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     // The exchange that uses the connection reports its result.
     let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-    Ok(EndpointConnection { sender, driver, is_new: true, has_long_body, progress: BodyProgress::default() })
+    Ok(EndpointConnection {
+        sender,
+        driver,
+        is_new: true,
+        has_long_body,
+        progress: BodyProgress::default(),
+        end,
+    })
 }
 
 /// Opens a TCP connection that detects an unreachable peer by itself.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -137,6 +137,8 @@
     pub stopping: watch::Sender<bool>,
     /// Whether this VM has a path to the endpoints.
     pub path: watch::Sender<PathState>,
+    /// When the configuration in force took effect, in microseconds; zero before the first one.
+    configured_at: AtomicU64,
     /// Moment of the last failed call to the store, in microseconds; zero if none has failed.
     store_failed_at: AtomicU64,
     pub open_requests: AtomicU64,
@@ -211,6 +213,7 @@
             sequence: AtomicU64::new(0),
             stopping: watch::channel(false).0,
             path: watch::channel(PathState::Open).0,
+            configured_at: AtomicU64::new(0),
             store_failed_at: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
             waiting_prompts: AtomicU64::new(0),
@@ -262,9 +265,16 @@
         }
         self.table().set_services(table.config());
         *routes = Some(Arc::new(table));
+        self.configured_at.store(self.now().0, Ordering::Relaxed);
         true
     }
 
+    /// Returns the microseconds since the configuration in force took effect, if there is one.
+    pub(crate) fn configuration_age_micros(&self) -> Option<u64> {
+        let configured_at = self.configured_at.load(Ordering::Relaxed);
+        (configured_at != 0).then(|| self.now().micros_since(Moment(configured_at)))
+    }
+
     /// Locks the table of endpoints; the lock is not held across an await.
     pub(crate) fn table(&self) -> MutexGuard<'_, FleetTable> {
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -6,7 +6,7 @@
 use crate::orders::{order_task, publication_task, release_task};
 use crate::peers::{cache_digest, cache_index_task, digest_relay, gossip};
 use crate::quarantine::quarantine_task;
-use crate::requests::accept_loop;
+use crate::requests::accept_loop::{self, ListenerState};
 use crate::store::lease_keeper::OrderRight;
 use crate::store::store_view::OrdersView;
 use crate::store::{follow, lease_keeper};
@@ -47,7 +47,7 @@
 #[derive(Debug)]
 pub struct GatewayDaemon {
     gateway: Arc<Gateway>,
-    close_connections: watch::Sender<bool>,
+    listener_state: watch::Sender<ListenerState>,
     tasks: Vec<tokio::task::JoinHandle<()>>,
     addresses: [SocketAddr; 3],
 }
@@ -85,7 +85,7 @@
         });
         let socket = Arc::new(socket);
         let gateway = Arc::new(Gateway::new(settings, dialect, clock));
-        let close_connections = watch::channel(false).0;
+        let listener_state = watch::channel(ListenerState::Serving).0;
         let (orders, orders_view) = watch::channel(OrdersView::default());
         let (right, right_view) = watch::channel(OrderRight::default());
         let (updates, received_updates) = mpsc::channel(MAX_PENDING_UPDATES);
@@ -113,7 +113,7 @@
                 operator_port::answer_readiness,
             )),
             tokio::spawn(operator_port::serve_operators(handle(), metrics, operator_port::answer_management)),
-            tokio::spawn(accept_loop::serve_callers(handle(), callers, close_connections.subscribe())),
+            tokio::spawn(accept_loop::serve_callers(handle(), callers, listener_state.subscribe())),
             tokio::spawn(sweep(handle())),
         ];
         let mut tasks = tasks;
@@ -126,7 +126,7 @@
         }
         let name = gateway.settings.name.as_str();
         log::info!(name, incarnation = gateway.incarnation; "gateway.started");
-        Ok(Self { gateway, close_connections, tasks, addresses })
+        Ok(Self { gateway, listener_state, tasks, addresses })
     }
 
     /// Returns the address for callers.
@@ -158,7 +158,7 @@
         log::info!(name = self.gateway.settings.name.as_str(); "gateway.stopping");
         self.gateway.stopping.send_replace(true);
         tokio::time::sleep_until(begun + BALANCER_DRAIN_DELAY).await;
-        self.close_connections.send_replace(true);
+        self.listener_state.send_replace(ListenerState::Draining);
         loop {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             let open = self.gateway.open_requests.load(Ordering::SeqCst)
@@ -171,6 +171,11 @@
         }
         // The last bytes of the last answers may still be in transmission.
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        if self.gateway.caller_connections.load(Ordering::SeqCst) > 0 {
+            // Their requests are logged before the process exits.
+            self.listener_state.send_replace(ListenerState::Closed);
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
         self.kill();
     }
 }
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -89,6 +89,33 @@
     }
 }
 
+/// The configuration in force, and what requests lost around its changes.
+#[derive(Debug)]
+pub(crate) struct ConfigurationMetrics {
+    /// Version in force.
+    pub version: Gauge,
+    /// When the version took effect, in seconds since 1970.
+    pub since_seconds: Gauge,
+    /// Requests that were read whole and have no whole answer, by cause.
+    pub unanswered: Family<KindLabel, Counter>,
+}
+
+impl ConfigurationMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self {
+            version: Gauge::default(),
+            since_seconds: Gauge::default(),
+            unanswered: Family::default(),
+        };
+        registry.register("configuration_version", "Version in force", metrics.version.clone());
+        let since_seconds = metrics.since_seconds.clone();
+        registry.register("configuration_since_seconds", "When the version took effect", since_seconds);
+        let unanswered = metrics.unanswered.clone();
+        registry.register("unanswered", "Requests without a whole answer, by cause", unanswered);
+        metrics
+    }
+}
+
 /// Counters of messages between VMs, by kind of message.
 #[derive(Debug)]
 pub(crate) struct PeerCounters {
@@ -131,7 +158,7 @@
     pub first_event_seconds: Histogram,
     pub prompt_tokens: Counter,
     pub kept_tokens: Counter,
-    pub configuration_version: Gauge,
+    pub configuration: ConfigurationMetrics,
     /// Revision of the store up to which this VM has applied all changes.
     pub store_revision: Gauge,
     /// Era of the store: counts its restorations from a backup.
@@ -180,7 +207,8 @@
         let first_event_seconds = first_event_histogram();
         let (prompt_tokens, kept_tokens) = (Counter::default(), Counter::default());
         let peers = PeerCounters::register(&mut registry);
-        let (configuration_version, open_requests) = (Gauge::default(), Gauge::default());
+        let configuration = ConfigurationMetrics::register(&mut registry);
+        let open_requests = Gauge::default();
         let (store_revision, told_revision) = <(Gauge, Gauge)>::default();
         registry.register("store_revision", "Revision of the store that is applied", store_revision.clone());
         registry.register("told_revision", "Newest revision that this VM was told of", told_revision.clone());
@@ -198,7 +226,6 @@
         );
         registry.register("prompt_tokens", "Prompt tokens sent to engines", prompt_tokens.clone());
         registry.register("kept_tokens", "Of these, tokens believed kept there", kept_tokens.clone());
-        registry.register("configuration_version", "Version in force", configuration_version.clone());
         let unreadable_entries = Family::<KindLabel, Counter>::default();
         registry.register(
             "unreadable_entries",
@@ -249,7 +276,7 @@
             first_event_seconds,
             prompt_tokens,
             kept_tokens,
-            configuration_version,
+            configuration,
             store_revision,
             store_era,
             odd_eras,
--- a/crates/gateway/src/requests/accept_loop.rs
+++ b/crates/gateway/src/requests/accept_loop.rs
@@ -2,7 +2,9 @@
 
 use crate::RequestLimits;
 use crate::gateway::{CountGuard, Gateway};
-use crate::requests::own_answer::AnswerBody;
+use crate::requests::answer_record::{
+    ConnectionRecord, RecordedBody, UnansweredCause, classify_end, recorded,
+};
 use crate::requests::relay::relay;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HeaderValue, TRANSFER_ENCODING};
@@ -24,22 +26,31 @@
 /// Delay after a failed accept, as when descriptors ran out.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Serves callers until `stopping`. Then it accepts nothing new, and kept-alive connections close after
-/// their current request.
+/// The state of the listener for callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum ListenerState {
+    Serving,
+    /// Nothing new is accepted, and kept-alive connections close after their current request.
+    Draining,
+    /// All connections are closed.
+    Closed,
+}
+
+/// Serves callers until `state` leaves [`ListenerState::Serving`].
 pub(crate) async fn serve_callers(
     gateway: Arc<Gateway>,
     listener: TcpListener,
-    mut stopping: watch::Receiver<bool>,
+    mut state: watch::Receiver<ListenerState>,
 ) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopping.wait_for(|stopping| *stopping) => return,
+            _ = state.wait_for(|state| *state >= ListenerState::Draining) => return,
         };
         match accepted {
             Ok((stream, _)) => {
                 let guard = CountGuard::new(&gateway, |gateway| &gateway.caller_connections);
-                tokio::spawn(serve_caller(Arc::clone(&gateway), stream, stopping.clone(), guard));
+                tokio::spawn(serve_caller(Arc::clone(&gateway), stream, state.clone(), guard));
             }
             Err(error) => {
                 log::warn!(cause:% = error; "accept.failed");
@@ -52,7 +63,7 @@
 async fn serve_caller(
     gateway: Arc<Gateway>,
     stream: TcpStream,
-    mut stopping: watch::Receiver<bool>,
+    mut state: watch::Receiver<ListenerState>,
     _guard: CountGuard,
 ) {
     if let Err(error) = stream.set_nodelay(true) {
@@ -61,8 +72,11 @@
     }
     let limits = current_limits(&gateway);
     let disconnect = Arc::new(Notify::new());
-    let service =
-        service_fn(|request| answer_caller(Arc::clone(&gateway), limits, request, Arc::clone(&disconnect)));
+    // Declared before the connection, so that it is dropped after it.
+    let record = ConnectionRecord::new(&gateway);
+    let service = service_fn(|request| {
+        answer_caller(Arc::clone(&gateway), limits, request, Arc::clone(&disconnect), &record)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout(limits))
@@ -71,20 +85,23 @@
     let mut connection = pin!(connection);
     tokio::select! {
         ended = connection.as_mut() => {
+            record.record_end(classify_end(&ended));
             if let Err(error) = ended {
                 log::debug!(cause:% = error; "connection.ended");
             }
             return;
         }
         // Dropping the connection discards the data buffered for the caller, who sees the connection break.
-        () = disconnect.notified() => return,
-        _ = stopping.wait_for(|stopping| *stopping) => {}
+        () = disconnect.notified() => return record.record_end(UnansweredCause::NoMemory),
+        _ = state.wait_for(|state| *state >= ListenerState::Draining) => {}
     }
     connection.as_mut().graceful_shutdown();
     // The result is ignored: the process is stopping.
     tokio::select! {
-        _ = connection => {}
-        () = disconnect.notified() => {}
+        ended = connection => record.record_end(classify_end(&ended)),
+        () = disconnect.notified() => record.record_end(UnansweredCause::NoMemory),
+        // The record's default end is the process's stop.
+        Ok(_) = state.wait_for(|state| *state == ListenerState::Closed) => {}
     }
 }
 
@@ -105,11 +122,13 @@
     limits: RequestLimits,
     request: Request<Incoming>,
     disconnect: Arc<Notify>,
-) -> Result<Response<AnswerBody>, Infallible> {
+    record: &ConnectionRecord,
+) -> Result<Response<RecordedBody>, Infallible> {
     // The parser drops a length that follows a transfer coding. Whether the next bytes are a separate
     // request is then unknown, so nothing more is read from such a connection.
     let has_transfer_coding = request.headers().contains_key(TRANSFER_ENCODING);
-    let mut response = relay(Arc::clone(&gateway), request, disconnect).await;
+    let (answer, method) = (record.begin(&request), request.method().clone());
+    let mut response = relay(Arc::clone(&gateway), request, disconnect, Arc::clone(&answer)).await;
     let current = current_limits(&gateway);
     // The head's size and timeout are fixed when a connection opens: after a change the caller has to open
     // another one. Bodies are limited anew with each request.
@@ -118,5 +137,5 @@
     if has_transfer_coding || changed || gateway.is_stopping() {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    Ok(response)
+    Ok(recorded(response, &method, answer))
 }
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -7,6 +7,7 @@
 use crate::endpoints::answer_facts::{AnswerFacts, AnswerOrigin};
 use crate::endpoints::answer_handler::AnswerSource;
 use crate::endpoints::endpoint_pool::{EndpointConnection, ExchangeError};
+use crate::endpoints::observed_stream::EndSide;
 use crate::gateway::CountGuard;
 use crate::operators::gateway_metrics::KindLabel;
 use crate::peers::placement_message::PlacementMessage;
@@ -128,9 +129,12 @@
             }
         };
         self.choice = Some(choice);
+        self.resources.answer.record_send(&flight.endpoint, self.sends + 1);
         let request = self.endpoint_request(&flight, last_event_id);
         let Ok(request) = request else { return Some(SendResult::Lost("the request cannot be formed")) };
-        Some(self.send_to(flight, request).await)
+        let result = self.send_to(flight, request).await;
+        self.resources.answer.record_send(&self.endpoint, self.sends);
+        Some(result)
     }
 
     /// Waits for the interval between polls for free capacity.
@@ -395,12 +399,12 @@
                     "send.withdrawn");
                 SendResult::NotSent
             }
-            Ok(Err(ExchangeError::Lost(cause))) => {
+            Ok(Err(ExchangeError::Lost(cause, side))) => {
                 flight.record_outcome(SendOutcome::Broken);
                 self.record_broken(&flight);
                 self.record_sent();
                 log::warn!(request = self.context.id_text(), endpoint = flight.endpoint.as_str(),
-                    cause = cause.as_str(); "endpoint.broke");
+                    cause = cause.as_str(), ended_by = side.map_or("", EndSide::name); "endpoint.broke");
                 SendResult::Lost("broken")
             }
             Ok(Ok((answer, connection))) => {
--- a/crates/gateway/src/requests/flight.rs
+++ b/crates/gateway/src/requests/flight.rs
@@ -4,6 +4,7 @@
 //! released once and its connection is closed unless the answer was whole.
 
 use crate::endpoints::endpoint_pool::EndpointConnection;
+use crate::endpoints::observed_stream::ConnectionEnd;
 use crate::gateway::Gateway;
 use crate::rollout::VersionedSend;
 use crate::{AnswerFacts, EndpointKey, LoadCount, PlacementChoice, SendOutcome, SendReport};
@@ -130,6 +131,11 @@
         }
     }
 
+    /// Returns how the connection ended, as the operating system reported it.
+    pub(crate) fn connection_end(&self) -> Option<ConnectionEnd> {
+        self.connection.as_ref().and_then(EndpointConnection::end)
+    }
+
     /// Closes the connection, so that the endpoint stops working on this request.
     pub(crate) fn abort(&mut self) {
         self.connection = None;
--- a/crates/gateway/src/requests/long_answer.rs
+++ b/crates/gateway/src/requests/long_answer.rs
@@ -5,7 +5,9 @@
 
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
+use crate::endpoints::observed_stream::cause_text;
 use crate::memory::{ChunkFault, ChunkSender, chunk_channel};
+use crate::requests::answer_record::UnansweredCause;
 use crate::requests::dispatch::ReceivedHead;
 use crate::requests::flight::SendFlight;
 use crate::requests::own_answer::{AnswerBody, BrokenAnswer};
@@ -55,6 +57,7 @@
             Ok(Err(broken)) => broken,
             Err(DeadlinePassed) => {
                 self.run.set_outcome("answer out of time");
+                self.run.resources.answer.record_cause(UnansweredCause::OutOfTime);
                 BrokenAnswer("no end in time".to_owned())
             }
         };
@@ -86,8 +89,11 @@
                 Some(Err(error)) => {
                     self.flight.record_outcome(SendOutcome::Broken);
                     self.run.record_broken(&self.flight);
+                    let end = self.flight.connection_end();
+                    self.run.resources.answer.record_cause(UnansweredCause::of_broken(end));
                     log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(),
-                        cause:% = error; "answer.broke");
+                        cause = cause_text(&error, end).as_str(),
+                        ended_by = end.map_or("", |end| end.side.name()); "answer.broke");
                     return Err(BrokenAnswer(error.to_string()));
                 }
             }
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -1,6 +1,7 @@
 //! Handles one request of a caller, from its head to its answer.
 
 pub(crate) mod accept_loop;
+pub(crate) mod answer_record;
 pub(crate) mod dispatch;
 pub(crate) mod event_reader;
 pub(crate) mod flight;
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -8,6 +8,7 @@
 use crate::gateway::{CountGuard, Gateway};
 use crate::memory::{BodyFault, MemoryReservation, read_limited};
 use crate::operators::gateway_metrics::KindLabel;
+use crate::requests::answer_record::AnswerRecord;
 use crate::requests::dispatch::{ReceivedHead, SendResult};
 use crate::requests::long_answer::forward_long;
 use crate::requests::own_answer::{AnswerBody, OwnAnswer};
@@ -39,11 +40,12 @@
 
 /// Serves one request of a caller.
 ///
-/// `disconnect` closes the caller's connection.
+/// `disconnect` closes the caller's connection; `answer` records what becomes of the answer.
 pub(crate) async fn relay(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
     disconnect: Arc<Notify>,
+    answer: Arc<AnswerRecord>,
 ) -> Response<AnswerBody> {
     gateway.wait_until_current().await;
     let received_at = gateway.now();
@@ -64,13 +66,14 @@
             return answer.response();
         }
     };
+    answer.record_read_whole();
     gateway.count_request(&context.service);
     gateway.metrics.prompt_tokens.inc_by(u64::from(context.prompt_tokens));
     let run = RequestRun::new(
         gateway,
         context,
         body,
-        CallerResources { _open: open_guard, _reservation: reservation, disconnect },
+        CallerResources { _open: open_guard, _reservation: reservation, disconnect, answer },
     );
     serve(run).await
 }
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -7,6 +7,7 @@
 use crate::gateway::{CountGuard, Gateway};
 use crate::memory::MemoryReservation;
 use crate::operators::gateway_metrics::KindLabel;
+use crate::requests::answer_record::{AnswerRecord, UnansweredCause};
 use crate::requests::flight::SendFlight;
 use crate::requests::own_answer::{AnswerBody, OwnAnswer, full_body};
 use crate::requests::relay::answer_with;
@@ -34,6 +35,8 @@
     pub _reservation: MemoryReservation,
     /// Closes the caller's connection.
     pub disconnect: Arc<Notify>,
+    /// What becomes of the answer.
+    pub answer: Arc<AnswerRecord>,
 }
 
 /// One request in progress, with the endpoints that were tried for it.
@@ -67,7 +70,7 @@
     pub probe_completion: Option<ProbeCompletion>,
     outcome: &'static str,
     status: u16,
-    resources: CallerResources,
+    pub resources: CallerResources,
 }
 
 impl Drop for RequestRun {
@@ -270,6 +273,7 @@
     pub(crate) fn end_for_memory(&mut self) {
         self.gateway.metrics.memory.ends.get_or_create(&KindLabel::new("answer")).inc();
         self.set_outcome("no memory for what waits");
+        self.resources.answer.record_cause(UnansweredCause::NoMemory);
         self.resources.disconnect.notify_one();
     }
 
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -7,7 +7,9 @@
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
 use crate::endpoints::answer_handler::AnswerSource;
+use crate::endpoints::observed_stream::{ConnectionEnd, EndSide};
 use crate::memory::{ChunkFault, ChunkSender, chunk_channel};
+use crate::requests::answer_record::UnansweredCause;
 use crate::requests::dispatch::{ReceivedHead, SendResult};
 use crate::requests::event_reader::{EventError, EventReader};
 use crate::requests::flight::SendFlight;
@@ -40,7 +42,9 @@
         Ok(Err(error)) => {
             flight.record_outcome(SendOutcome::Broken);
             run.record_broken(&flight);
-            log::warn!(request = run.context.id_text(), endpoint = flight.endpoint.as_str(), cause:% = error;
+            let end = flight.connection_end();
+            log::warn!(request = run.context.id_text(), endpoint = flight.endpoint.as_str(),
+                cause = broken_text(&error, end).as_str(), ended_by = end.map_or("", |end| end.side.name());
                 "stream.broke");
             return Err(FailedAnswer { run, cause: "the stream broke" });
         }
@@ -76,6 +80,14 @@
     }
 }
 
+/// Returns why a stream broke: as the operating system reported it, if it did.
+fn broken_text(error: &EventError, end: Option<ConnectionEnd>) -> String {
+    match (error, end) {
+        (EventError::Broken(_), Some(end)) => end.cause.to_owned(),
+        _ => error.to_string(),
+    }
+}
+
 fn first_event_deadline(run: &RequestRun) -> Moment {
     let context = &run.context;
     if !context.route.repeatable() || run.sends >= context.route.attempts {
@@ -131,17 +143,19 @@
                 }
                 StreamStep::TimeUp => {
                     self.run.set_outcome("stream out of time");
+                    self.run.resources.answer.record_cause(UnansweredCause::OutOfTime);
                     self.abort("no end in time").await;
                     return;
                 }
                 StreamStep::Broke(cause) => {
                     self.run.record_broken(&self.flight);
-                    if !self.resume_or_abort(&cause).await {
+                    let unanswered = UnansweredCause::of_broken(self.flight.connection_end());
+                    if !self.resume_or_abort(&cause, unanswered).await {
                         return;
                     }
                 }
                 StreamStep::Stalled => {
-                    if !self.resume_or_abort("it stalled").await {
+                    if !self.resume_or_abort("it stalled", UnansweredCause::Withdrawn).await {
                         return;
                     }
                 }
@@ -153,12 +167,17 @@
     }
 
     /// Resumes elsewhere after a failure, or aborts the answer; returns whether it resumed.
-    async fn resume_or_abort(&mut self, cause: &str) -> bool {
+    async fn resume_or_abort(&mut self, cause: &str, unanswered: UnansweredCause) -> bool {
         self.flight.record_outcome(SendOutcome::Broken);
-        log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(), cause;
-            "stream.broke");
+        let ended_by = match unanswered {
+            UnansweredCause::Withdrawn => EndSide::ThisVm.name(),
+            _ => self.flight.connection_end().map_or("", |end| end.side.name()),
+        };
+        log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(), cause,
+            ended_by; "stream.broke");
         let is_resumed = self.resume().await;
         if !is_resumed {
+            self.run.resources.answer.record_cause(unanswered);
             self.abort(cause).await;
         }
         is_resumed
@@ -173,7 +192,7 @@
                 Ok(Some(events)) => StreamStep::Events(events),
                 Ok(None) => StreamStep::End,
                 Err(EventError::Partial) => StreamStep::Broke("it ended within an event".to_owned()),
-                Err(error) => StreamStep::Broke(error.to_string()),
+                Err(error) => StreamStep::Broke(broken_text(&error, self.flight.connection_end())),
             },
             () = self.chunks.closed() => StreamStep::CallerLeft,
             () = self.run.gateway.wait_until(stall_deadline.min(deadline)) => {
--- a/crates/gateway/src/store/store_view.rs
+++ b/crates/gateway/src/store/store_view.rs
@@ -19,6 +19,7 @@
 use spanfold_entity::Moment;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::watch;
 
@@ -245,10 +246,16 @@
             Ok(config) => {
                 let version = config.version;
                 let (routes, accounts) = (config.routes.len(), config.accounts.len());
+                let before = self.gateway.routes().map_or(0, |table| table.config().version);
                 if self.gateway.set_routes(RouteTable::new(config)) {
                     self.configuration_at = item.position;
-                    self.gateway.metrics.configuration_version.set(version as i64);
-                    log::info!(version, routes, accounts, position:% = item.position; "configuration.in_force");
+                    let metrics = &self.gateway.metrics.configuration;
+                    metrics.version.set(version as i64);
+                    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+                    metrics.since_seconds.set(since_1970.as_secs() as i64);
+                    let open = self.gateway.open_requests.load(Ordering::Relaxed);
+                    log::info!(version, before, routes, accounts, open, position:% = item.position;
+                        "configuration.in_force");
                 }
             }
             Err(faults) => {
--- a/crates/spanfold/src/losses.rs
+++ b/crates/spanfold/src/losses.rs
@@ -1,17 +1,19 @@
 //! `spanfold losses`: why requests had no answer in time, by route, from the logs of several VMs.
 //!
 //! Invariant: each finished request is counted once, under the first cause that applies in the order
-//! of [`cause_of`]; the rows of a route sum to its requests.
+//! of [`cause_of`], or that of its `request.unanswered` line; the rows of a route sum to its requests.
 
 use crate::log_lines::{LogLine, LogLines, read_files};
 use crate::outcome::{CommandOutcome, EXIT_FINDINGS};
 use serde_json::json;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::path::PathBuf;
 
 /// Multiple of the expected time to the first event beyond which that event is later than expected.
 const UNEXPECTED_LATENCY_FACTOR: u64 = 2;
+/// Time after a change of the configuration within which a lost answer may be its effect.
+const CHANGE_MILLIS: u64 = 3_000;
 /// Cause under which answers in time are counted.
 const IN_TIME: &str = "in time";
 
@@ -32,8 +34,15 @@
         Err(error) => return CommandOutcome { text: error, code: EXIT_FINDINGS },
     };
     let mut sums: BTreeMap<(String, String), LossSum> = BTreeMap::new();
+    let unanswered: HashMap<_, _> = lines
+        .iter()
+        .filter(|line| line.event == "request.unanswered")
+        .map(|line| ((line.vm.as_str(), line.text("request")), unanswered_cause(line)))
+        .collect();
     for line in lines.iter().filter(|line| line.event == "request.ended") {
-        let sum = sums.entry((line.text("route").to_owned(), cause_of(line))).or_default();
+        let own_cause = unanswered.get(&(line.vm.as_str(), line.text("request")));
+        let cause = own_cause.map_or_else(|| cause_of(line), Clone::clone);
+        let sum = sums.entry((line.text("route").to_owned(), cause)).or_default();
         sum.requests += 1;
         let number_field = |key| line.number(key).unwrap_or(0);
         sum.prefilled_tokens +=
@@ -51,6 +60,14 @@
     })
 }
 
+/// Returns the cause of a request without a whole answer, and whether the configuration had just changed.
+fn unanswered_cause(line: &LogLine) -> String {
+    let has_changed = line.number("config") != line.number("config_now")
+        || line.number("changed_ms").is_some_and(|millis| millis < CHANGE_MILLIS);
+    let place = if has_changed { " near a change" } else { "" };
+    format!("no answer{place}: {}", line.text("cause"))
+}
+
 /// Returns a request's outcome if it was not answered, else the first cause of delay that applies.
 fn cause_of(line: &LogLine) -> String {
     let number_field = |key| line.number(key).unwrap_or(0);
@@ -91,14 +108,14 @@
         *route_totals.entry(route.as_str()).or_default() += sum.requests;
     }
     let mut text = format!(
-        "{:<20} {:<32} {:>9} {:>7} {:>12} {:>10}\n",
+        "{:<20} {:<60} {:>9} {:>7} {:>12} {:>10}\n",
         "route", "cause", "requests", "part", "tokens read", "waited ms"
     );
     for ((route, cause), sum) in sums {
         let fraction = sum.requests as f64 / route_totals[route.as_str()] as f64;
         let _ = writeln!(
             text,
-            "{route:<20} {cause:<32} {:>9} {fraction:>7.4} {:>12} {:>10}",
+            "{route:<20} {cause:<60} {:>9} {fraction:>7.4} {:>12} {:>10}",
             sum.requests, sum.prefilled_tokens, sum.waited_millis
         );
     }
--- a/crates/spanfold/tests/explain.rs
+++ b/crates/spanfold/tests/explain.rs
@@ -66,3 +66,16 @@
 ";
     assert!(text.contains(expected), "{text}");
 }
+
+#[test]
+fn explain_of_an_unanswered_request_prints_the_change_before_it_and_who_ended_the_connection() {
+    let (code, text) = explain_from("r-5", ["unanswered.log", "vm-2.log"]);
+    assert_eq!(code, 0);
+    let expected = "\
+-  1202 ms  belief   unanswered  configuration.in_force  accounts=2  before=3  open=7  position=1/40  routes=5  version=4
+-     2 ms  request  unanswered  stream.broke  cause=timed out  ended_by=this VM  endpoint=i-1
+-     1 ms  request  unanswered  request.ended  endpoint=i-1  outcome=broken off  status=200
+-     0 ms  request  unanswered  request.unanswered  age_ms=1700  begun=true  cause=connection to the endpoint timed out  changed_ms=1202  config=3  config_now=4  endpoint=i-1  handed_over=false  sends=1
+";
+    assert!(text.contains(expected), "{text}");
+}
--- a/crates/spanfold/tests/losses.rs
+++ b/crates/spanfold/tests/losses.rs
@@ -31,6 +31,9 @@
             "check late: slower than expected 1 0.1667 1600 0",
             "check late: waited for room 1 0.1667 1600 400",
             "check no engine has room in time 1 0.1667 9000 1900",
+            "talk no answer near a change: stopped 1 0.3333 0 0",
+            "talk no answer near a change: withdrawn from a silent endpoint 1 0.3333 0 0",
+            "talk no answer: endpoint broke off 1 0.3333 0 0",
             "(1 lines passed over: not JSON)",
         ]
     );
@@ -41,7 +44,7 @@
     let (code, text) = losses(&["--json"]);
     assert_eq!(code, 0);
     let value: serde_json::Value = serde_json::from_str(&text).unwrap();
-    assert_eq!(value["losses"].as_array().unwrap().len(), 7);
+    assert_eq!(value["losses"].as_array().unwrap().len(), 10);
     assert_eq!(value["losses"][5]["waited_ms"], 400);
     assert_eq!(value["passed_over"], 1);
 }
