--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -9,7 +9,9 @@
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
 use crate::endpoints::answer_handler::AnswerSource;
+use crate::endpoints::observed_stream::ConnectionEnd;
 use crate::memory::{ChunkFault, ChunkSender, chunk_channel};
+use crate::requests::answer_record::UnansweredCause;
 use crate::requests::dispatch::{ReceivedHead, SendResult};
 use crate::requests::event_reader::{EventError, EventReader};
 use crate::requests::flight::SendFlight;
@@ -46,7 +48,9 @@
         Ok(Err(error)) => {
             flight.record_outcome(SendOutcome::Broken);
             run.record_broken(&flight);
-            log::warn!(request = run.context.id_text(), endpoint = flight.endpoint.as_str(), cause:% = error;
+            let end = flight.connection_end();
+            log::warn!(request = run.context.id_text(), endpoint = flight.endpoint.as_str(),
+                cause = broken_text(&error, end).as_str(), ended_by = end.map_or("", |end| end.side.name());
                 "stream.broke");
             return Err(FailedAnswer { run, cause: "the stream broke" });
         }
@@ -82,6 +86,14 @@
     }
 }
 
+/// Returns why a stream broke: as the operating system reported it, if it did.
+fn broken_text(error: &EventError, end: Option<ConnectionEnd>) -> String {
+    match (error, end) {
+        (EventError::Broken(_), Some(end)) => end.cause.to_owned(),
+        _ => error.to_string(),
+    }
+}
+
 fn first_event_deadline(run: &RequestRun) -> Moment {
     let context = &run.context;
     if !context.route.repeatable() || run.sends >= context.route.attempts {
@@ -166,12 +178,15 @@
                 }
                 StreamStep::TimeUp => {
                     self.run.set_outcome("stream out of time");
+                    self.run.resources.answer.record_cause(UnansweredCause::OutOfTime);
                     self.abort("no end in time").await;
                     return;
                 }
                 StreamStep::Broke(cause) => {
                     self.record_broken(&cause);
+                    let unanswered = UnansweredCause::of_broken(self.flight.connection_end());
                     if !self.resume().await {
+                        self.run.resources.answer.record_cause(unanswered);
                         self.abort(&cause).await;
                         return;
                     }
@@ -188,8 +203,9 @@
     fn record_broken(&mut self, cause: &str) {
         self.run.record_broken(&self.flight);
         self.flight.record_outcome(SendOutcome::Broken);
-        log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(), cause;
-            "stream.broke");
+        let ended_by = self.flight.connection_end().map_or("", |end| end.side.name());
+        log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(), cause,
+            ended_by; "stream.broke");
     }
 
     async fn step(&mut self) -> StreamStep {
@@ -200,7 +216,7 @@
             next = self.reader.next() => match next {
                 Ok(Some(events)) => StreamStep::Events(events),
                 Ok(None) => StreamStep::End,
-                Err(error) => StreamStep::Broke(error.to_string()),
+                Err(error) => StreamStep::Broke(broken_text(&error, self.flight.connection_end())),
             },
             () = self.chunks.closed() => StreamStep::CallerLeft,
             () = self.run.gateway.wait_until(stall_deadline.min(deadline)) => {
@@ -236,12 +252,14 @@
             OfferEnd::CallerLeft => StreamStep::CallerLeft,
             OfferEnd::Decided { response: OfferResponse::Accepted(received), broken } => {
                 if let Some(error) = broken {
-                    self.record_broken(&error.to_string());
+                    self.record_broken(&broken_text(&error, self.flight.connection_end()));
                 }
                 self.go_on_at(*received);
                 StreamStep::Stalled
             }
-            OfferEnd::Decided { broken: Some(error), .. } => StreamStep::Broke(error.to_string()),
+            OfferEnd::Decided { broken: Some(error), .. } => {
+                StreamStep::Broke(broken_text(&error, self.flight.connection_end()))
+            }
             OfferEnd::Decided { broken: None, .. } => StreamStep::Stalled,
         }
     }
