LOST: an engine that is silent before the first event keeps its stream

Callers saw: 502 "the endpoint gave no answer" for a stream whose engine was sound and had begun it.

Cause: after twice the latency objective without a first event (0.5 s at least) the connection was closed and the request sent elsewhere. If no other engine took it, the caller got 502, well before the deadline.

The stream is offered to other engines as a stalled one is, and both go through the same function. An offer goes from engine to engine while they decline, within attempts, budget and deadline, so that several unreachable engines cost one stall timeout.

--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -162,8 +162,7 @@
 ) -> Result<Response<AnswerBody>, FailedAnswer> {
     let mut received = received;
     if run.context.is_stream() && received.head.status.is_success() {
-        let ReceivedHead { head, body, flight } = received;
-        return stream_relay::forward_stream(run, head, body, flight).await;
+        return stream_relay::forward_stream(run, received).await;
     }
     let bytes = match run.gateway.complete_before(run.context.deadline, read_answer(&mut received.body)).await
     {
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -22,6 +22,7 @@
 use hyper::body::Incoming;
 use hyper::http::response;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
+use std::future::pending;
 use std::pin::pin;
 
 /// A resumable stream is offered to another engine after this multiple of its objective for the gap between
@@ -34,27 +35,13 @@
 
 /// Answers with a stream's first event, and forwards the others from a task of its own.
 pub(crate) async fn forward_stream(
-    mut run: RequestRun,
-    head: response::Parts,
-    body: Incoming,
-    mut flight: SendFlight,
+    run: RequestRun,
+    received: ReceivedHead,
 ) -> Result<Response<AnswerBody>, FailedAnswer> {
-    let mut reader = EventReader::new(body);
-    let deadline = first_event_deadline(&run);
-    let first = match run.gateway.complete_before(deadline, reader.next()).await {
-        Ok(Ok(first)) => first,
-        Ok(Err(error)) => {
-            flight.record_outcome(SendOutcome::Broken);
-            run.record_broken(&flight);
-            log::warn!(request = run.context.id_text(), endpoint = flight.endpoint.as_str(), cause:% = error;
-                "stream.broke");
-            return Err(FailedAnswer { run, cause: "the stream broke" });
-        }
-        Err(DeadlinePassed) => {
-            flight.record_outcome(SendOutcome::Silent);
-            return Err(FailedAnswer { run, cause: "no first event" });
-        }
-    };
+    let ReceivedHead { head, body, flight } = received;
+    let silent = SilentStream { run, head, flight, reader: EventReader::new(body), offers: 0 };
+    let (stream, first) = silent.wait_for_first_event().await?;
+    let SilentStream { mut run, head, mut flight, reader, .. } = stream;
     flight.record_answer_start();
     flight.record_outcome(SendOutcome::Answered);
     run.record_first_event();
@@ -72,6 +59,84 @@
     Ok(answer_with(&head, StreamBody::new(stream).boxed_unsync()))
 }
 
+/// A stream without an event so far: its caller has received nothing.
+struct SilentStream {
+    run: RequestRun,
+    head: response::Parts,
+    flight: SendFlight,
+    reader: EventReader<Incoming>,
+    /// Offers to other engines.
+    offers: u32,
+}
+
+impl SilentStream {
+    /// Returns the first event, none at the stream's end, from the first engine that sends it.
+    async fn wait_for_first_event(mut self) -> Result<(Self, Option<Bytes>), FailedAnswer> {
+        loop {
+            let deadline = self.first_event_deadline();
+            let first = self.run.gateway.complete_before(deadline, self.reader.next()).await;
+            if first.is_err() {
+                self.flight.record_outcome(SendOutcome::Silent);
+                if deadline >= self.run.context.deadline {
+                    return Err(FailedAnswer { run: self.run, cause: "no first event" });
+                }
+            }
+            let first = match first {
+                Ok(first) => Some(first),
+                Err(DeadlinePassed) => self.offer().await,
+            };
+            match first {
+                Some(Ok(first)) => return Ok((self, first)),
+                Some(Err(error)) => {
+                    self.record_broken(&error);
+                    return Err(FailedAnswer { run: self.run, cause: "the stream broke" });
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Offers the stream to another engine; returns what this one sent meanwhile.
+    async fn offer(&mut self) -> Option<Result<Option<Bytes>, EventError>> {
+        self.offers += 1;
+        // If the caller leaves, the whole request is dropped.
+        match offer_stream(&mut self.run, &mut self.reader, None, pending()).await {
+            OfferEnd::WentOn(first) => Some(Ok(first)),
+            OfferEnd::Decided { accepted: Some(received), broken } => {
+                if let Some(error) = broken {
+                    self.record_broken(&error);
+                }
+                let ReceivedHead { head, body, flight } = *received;
+                (self.head, self.reader) = (head, EventReader::new(body));
+                // The previous engine must not run beside it: its connection is dropped with its flight.
+                self.flight = flight;
+                None
+            }
+            OfferEnd::Decided { accepted: None, broken } => broken.map(Err),
+            OfferEnd::CallerLeft => None,
+        }
+    }
+
+    fn record_broken(&mut self, error: &EventError) {
+        self.flight.record_outcome(SendOutcome::Broken);
+        self.run.record_broken(&self.flight);
+        log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(),
+            cause:% = error; "stream.broke");
+    }
+
+    /// Returns when the stream is offered to another engine, or its deadline if none may get it.
+    fn first_event_deadline(&self) -> Moment {
+        let context = &self.run.context;
+        if !context.route.repeatable() || self.run.sends >= context.route.attempts {
+            return context.deadline;
+        }
+        let expected = self.run.choice.as_ref().map_or(0, |choice| choice.expected_micros);
+        let timeout_millis = (context.route.objective_millis * 2).max(MIN_STALL_TIMEOUT_MILLIS);
+        let delay_millis = offer_delay_millis(timeout_millis, self.offers);
+        self.run.gateway.now().after_millis(delay_millis).after_micros(expected).min(context.deadline)
+    }
+}
+
 /// Applies the version of weights that an event reports.
 fn observe_weights(run: &RequestRun, flight: &SendFlight, events: &[u8]) {
     let reported = (run.gateway.dialect.decoders.event_weights)(events);
@@ -82,16 +147,6 @@
     }
 }
 
-fn first_event_deadline(run: &RequestRun) -> Moment {
-    let context = &run.context;
-    if !context.route.repeatable() || run.sends >= context.route.attempts {
-        return context.deadline;
-    }
-    let expected = run.choice.as_ref().map_or(0, |choice| choice.expected_micros);
-    let timeout_millis = (context.route.objective_millis * 2).max(MIN_STALL_TIMEOUT_MILLIS);
-    run.gateway.now().after_millis(timeout_millis).after_micros(expected).min(context.deadline)
-}
-
 struct StreamForwarder {
     run: RequestRun,
     flight: SendFlight,
@@ -114,8 +169,8 @@
 enum OfferEnd {
     /// The silent engine went on, or ended the stream. The offer is withdrawn.
     WentOn(Option<Bytes>),
-    /// The other engine responded; meanwhile the silent one may have broken off.
-    Decided { response: OfferResponse, broken: Option<EventError> },
+    /// Another engine accepted it, or none did; meanwhile the silent one may have broken off.
+    Decided { accepted: Option<Box<ReceivedHead>>, broken: Option<EventError> },
     /// The caller left.
     CallerLeft,
 }
@@ -225,24 +280,21 @@
         self.flight.record_outcome(SendOutcome::Silent);
         log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(),
             offers = self.failed_offers; "stream.stalled");
-        if !self.run.may_send_again() {
-            return StreamStep::Stalled;
-        }
         let last_id = self.reader.last_id().cloned();
         let caller_left = self.chunks.closed();
         match offer_stream(&mut self.run, &mut self.reader, last_id.as_ref(), caller_left).await {
             OfferEnd::WentOn(Some(events)) => StreamStep::Events(events),
             OfferEnd::WentOn(None) => StreamStep::End,
             OfferEnd::CallerLeft => StreamStep::CallerLeft,
-            OfferEnd::Decided { response: OfferResponse::Accepted(received), broken } => {
+            OfferEnd::Decided { accepted: Some(received), broken } => {
                 if let Some(error) = broken {
                     self.record_broken(&error.to_string());
                 }
                 self.go_on_at(*received);
                 StreamStep::Stalled
             }
-            OfferEnd::Decided { broken: Some(error), .. } => StreamStep::Broke(error.to_string()),
-            OfferEnd::Decided { broken: None, .. } => StreamStep::Stalled,
+            OfferEnd::Decided { accepted: None, broken: Some(error) } => StreamStep::Broke(error.to_string()),
+            OfferEnd::Decided { accepted: None, broken: None } => StreamStep::Stalled,
         }
     }
 
@@ -253,21 +305,13 @@
         if last_id.is_none() || !self.run.context.route.resumable {
             return false;
         }
-        while self.run.may_send_again() {
-            let response = tokio::select! {
-                response = send_to_another(&mut self.run, last_id.as_ref()) => response,
-                () = self.chunks.closed() => return false,
-            };
-            match response {
-                OfferResponse::Accepted(received) => {
-                    self.go_on_at(*received);
-                    return true;
-                }
-                OfferResponse::Declined => {}
-                OfferResponse::NoEngine => return false,
-            }
-        }
-        false
+        let accepted = tokio::select! {
+            accepted = send_to_others(&mut self.run, last_id.as_ref()) => accepted,
+            () = self.chunks.closed() => None,
+        };
+        let Some(received) = accepted else { return false };
+        self.go_on_at(*received);
+        true
     }
 
     /// Continues the stream at the engine that accepted it.
@@ -306,7 +350,7 @@
     let (endpoint, choice, tried) = (run.endpoint.clone(), run.choice.clone(), run.tried.len());
     let mut broken = None;
     let end = {
-        let mut offer = pin!(send_to_another(run, last_id));
+        let mut offer = pin!(send_to_others(run, last_id));
         let mut caller_left = pin!(caller_left);
         loop {
             tokio::select! {
@@ -316,19 +360,33 @@
                     Err(error) => broken = Some(error),
                 },
                 () = caller_left.as_mut() => break OfferEnd::CallerLeft,
-                response = offer.as_mut() => break OfferEnd::Decided { response, broken },
+                accepted = offer.as_mut() => break OfferEnd::Decided { accepted, broken },
             }
         }
     };
     if matches!(end, OfferEnd::WentOn(_)) && run.tried.len() > tried {
         run.record_sent();
     }
-    if !matches!(end, OfferEnd::Decided { response: OfferResponse::Accepted(_), .. }) {
+    if !matches!(end, OfferEnd::Decided { accepted: Some(_), .. }) {
         (run.endpoint, run.choice) = (endpoint, choice);
     }
     end
 }
 
+/// Sends a stream to other engines, one after the other, until one accepts it.
+///
+/// Bounded by the route's attempts, the budget of second sends, the deadline and the number of engines.
+async fn send_to_others(run: &mut RequestRun, last_id: Option<&Bytes>) -> Option<Box<ReceivedHead>> {
+    while run.may_send_again() {
+        match send_to_another(run, last_id).await {
+            OfferResponse::Accepted(received) => return Some(received),
+            OfferResponse::Declined => {}
+            OfferResponse::NoEngine => return None,
+        }
+    }
+    None
+}
+
 /// Sends a stream to another engine, from the event after `last_id`.
 async fn send_to_another(run: &mut RequestRun, last_id: Option<&Bytes>) -> OfferResponse {
     let started_at = run.gateway.now();
