LOST: a connection to an endpoint outlasts a silent host

Callers saw: all answers from one endpoint aborted in the same instant, and 502 for requests that may run once, although the endpoint went on.

Cause: TCP_USER_TIMEOUT was 0.9 s on each connection to an endpoint. Bytes without an acknowledgement for 0.9 s, or two keep-alive probes, ended it.

Evidence: a_connection_outlasts_a_silent_host, an endpoint whose receive window is full for 1.5 s.

The timeout of connections to endpoints is 4 s: the sender doubles its delay between retransmissions, so that a silence of 1.5 to 2 s may be noticed to be over only after twice the time. What found dark endpoints sooner is decided elsewhere and unchanged: connection attempts end after 350 ms, repeatable requests are sent elsewhere at their answer deadline, resumable streams are offered to other engines when they stall, and idle connections expire after 4 s. Calls to the store, to VMs and to engines' own interfaces, and the crash detector's probes, keep 0.9 s: they can be repeated, and each has its own deadline.

--- a/crates/gateway/src/endpoints/crash_detector.rs
+++ b/crates/gateway/src/endpoints/crash_detector.rs
@@ -4,7 +4,7 @@
 //! endpoint counts as crashed if its address refuses connections, if another one starts there, or if its
 //! entry is removed while the store is healthy. A stop that the endpoint had announced does not count.
 
-use crate::endpoints::endpoint_pool::open_stream;
+use crate::endpoints::endpoint_pool::{CALL_UNACKNOWLEDGED_TIMEOUT, open_stream};
 use crate::gateway::Gateway;
 use crate::{CrashReport, EndpointCrash, EndpointKey, RequestKey};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -153,7 +153,7 @@
 async fn probe(gateway: Arc<Gateway>, endpoint: EndpointKey, address: SocketAddr) {
     for delay in [Duration::ZERO, SECOND_PROBE_DELAY] {
         tokio::time::sleep(delay).await;
-        let stream = open_stream(address).await;
+        let stream = open_stream(address, CALL_UNACKNOWLEDGED_TIMEOUT).await;
         if stream.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
             gateway.confirm_crash(endpoint, "it refuses connections");
             return;
--- a/crates/gateway/src/endpoints/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -21,9 +21,13 @@
 
 /// Timeout of a connection attempt: some twenty round trips.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
-/// Bytes that stay unacknowledged for longer indicate a dead peer or a cut link: several retransmissions
-/// fit, and a caller with a short objective can still be answered.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
+/// Bytes to an endpoint that stay unacknowledged for longer indicate a dead host or a cut link.
+///
+/// A sound host may be silent for a second or two, and the retransmission that ends its silence may come
+/// twice as late. When a request is sent elsewhere is decided by its own deadlines.
+const ENDPOINT_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
+/// The same for a connection whose calls can be repeated at once.
+pub(crate) const CALL_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
 /// Delay before the first keep-alive probe and between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Idle timeout if the endpoint states none.
@@ -175,7 +179,7 @@
 
 async fn connect(address: SocketAddr, has_long_body: bool) -> Result<EndpointConnection, ExchangeError> {
     let not_sent = |error: io::Error| ExchangeError::NotSent(error.to_string());
-    let stream = open_stream(address).await.map_err(not_sent)?;
+    let stream = open_stream(address, ENDPOINT_UNACKNOWLEDGED_TIMEOUT).await.map_err(not_sent)?;
     if has_long_body {
         // With this timeout an endpoint with a full receive window is disconnected although it acknowledges
         // each probe. How long a body may take is decided by the request's own deadline.
@@ -191,14 +195,19 @@
     Ok(EndpointConnection { sender, driver, is_new: true, has_long_body, progress: BodyProgress::default() })
 }
 
-/// Opens a TCP connection that detects an unreachable peer by itself.
-pub(crate) async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+/// Opens a TCP connection that ends by itself if its peer acknowledges nothing for `unacknowledged_timeout`.
+///
+/// The timeout also decides when keep-alive probes give up, whatever their count.
+pub(crate) async fn open_stream(
+    address: SocketAddr,
+    unacknowledged_timeout: Duration,
+) -> io::Result<TcpStream> {
     let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
         .await
         .map_err(|_elapsed| io::Error::new(io::ErrorKind::TimedOut, "no connection in time"))??;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(unacknowledged_timeout))?;
     let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
     socket.set_tcp_keepalive(&keepalive)?;
     Ok(stream)
--- a/crates/gateway/src/store/call_link.rs
+++ b/crates/gateway/src/store/call_link.rs
@@ -8,7 +8,7 @@
 //! fail each time, since a repeated call begins at the first byte again.
 
 use crate::WireCall;
-use crate::endpoints::endpoint_pool::open_stream;
+use crate::endpoints::endpoint_pool::{CALL_UNACKNOWLEDGED_TIMEOUT, open_stream};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -150,7 +150,9 @@
 }
 
 async fn open(address: SocketAddr) -> Result<OpenConnection, LinkError> {
-    let stream = open_stream(address).await.map_err(|error| LinkError(error.to_string()))?;
+    let stream = open_stream(address, CALL_UNACKNOWLEDGED_TIMEOUT)
+        .await
+        .map_err(|error| LinkError(error.to_string()))?;
     let (sender, http_connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(|error| LinkError(error.to_string()))?;
     // An error of the connection is reported by the call that uses it.
