RECOVER: log why endpoints are no candidates, and whose reports exclude them

While six of nine VMs were cut off from the endpoints, the other three refused 7 to 16 prompts a second: "no engine has room in time". request.ended gave one candidate and no reason, and nothing said whose reports excluded an endpoint.

A refusal for lack of room now has a line request.crowded if at most half of the service's endpoints were open to it. It counts the others by reason, and the counts tell endpoints that failed at this VM from those that are avoided on other VMs' reports and those that one request probes. Other requests get no line.

endpoint.avoided names the endpoint, the cause and the two VMs whose reports began it, endpoint.readmitted its end. `spanfold explain` prints these lines beside a refused request.

Nothing changes in what is avoided.

--- a/crates/decide/src/admit/blocked_counts.rs
+++ b/crates/decide/src/admit/blocked_counts.rs
@@ -24,12 +24,39 @@
     pub backing_off: usize,
     /// Endpoints with a limit, or cold, for which this VM's share is used up.
     pub limited: usize,
-    /// Endpoints to which sends failed, at this VM or by the reports of other VMs.
+    /// Endpoints to which sends of this VM failed.
     pub ejected: usize,
+    /// Endpoints that are avoided on other VMs' reports.
+    pub avoided: usize,
+    /// Endpoints that failed before, while one request of this VM probes them.
+    pub probed: usize,
     /// Endpoints that are cordoned because their weights are being changed.
     pub cordoned: usize,
 }
 
+impl BlockedCounts {
+    /// Returns the number of endpoints that accept the request.
+    pub const fn open(&self) -> usize {
+        let blocked = self.departing
+            + self.evacuated
+            + self.outside_homes
+            + self.other_version
+            + self.tried
+            + self.backing_off
+            + self.limited
+            + self.ejected
+            + self.avoided
+            + self.probed
+            + self.cordoned;
+        self.listed - blocked
+    }
+
+    /// Whether the request may use at most half of the endpoints that are listed.
+    pub const fn is_mostly_blocked(&self) -> bool {
+        self.open() * 2 <= self.listed
+    }
+}
+
 impl fmt::Display for BlockedCounts {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(out, "{} listed", self.listed)?;
@@ -42,6 +69,8 @@
             ("resting", self.backing_off),
             ("limited", self.limited),
             ("ejected", self.ejected),
+            ("avoided", self.avoided),
+            ("probed", self.probed),
             ("closing", self.cordoned),
         ];
         reasons
@@ -72,8 +101,12 @@
                 &mut counts.backing_off
             } else if self.next_share(key, row, &request.shares, now) != Some(now) {
                 &mut counts.limited
-            } else if row.is_ejected(now) {
+            } else if row.is_ejected_by_own_sends(now) {
                 &mut counts.ejected
+            } else if row.is_avoided(now) {
+                &mut counts.avoided
+            } else if row.is_ejected(now) {
+                &mut counts.probed
             } else if row.is_cordoned(now) {
                 &mut counts.cordoned
             } else {
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -1,7 +1,7 @@
 //! State of one endpoint at this VM: load, slowdown, health, cached segments.
 
 use crate::fleet::peer_loads::PeerLoads;
-use crate::fleet::reported_health::ReportedHealth;
+use crate::fleet::reported_health::{AvoidanceReport, ReportedHealth};
 use crate::{CachedSegments, EndpointBackoff, EndpointEntry, RecentSends, ReportedLimit, SendReport, VmKey};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -135,6 +135,8 @@
     pub remote_weights_at: Option<Moment>,
     ejected_until: Moment,
     reported_health: ReportedHealth,
+    /// Whether a sweep has reported that other VMs' reports exclude it.
+    pub(super) is_avoidance_reported: bool,
     consecutive_failures: u32,
     failure_ratio: f64,
     slowdown: f64,
@@ -164,6 +166,7 @@
             remote_weights_at: None,
             ejected_until: Moment(0),
             reported_health: ReportedHealth::default(),
+            is_avoidance_reported: false,
             consecutive_failures: 0,
             failure_ratio: 0.0,
             slowdown: 1.0,
@@ -202,6 +205,21 @@
         now < self.ejected_until || self.reported_health.is_avoided(now) || is_probed
     }
 
+    /// Whether it is ejected on the outcomes of this VM's own sends.
+    pub fn is_ejected_by_own_sends(&self, now: Moment) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Whether it is skipped on other VMs' reports.
+    pub fn is_avoided(&self, now: Moment) -> bool {
+        self.reported_health.is_avoided(now)
+    }
+
+    /// Returns the reports on which it is avoided, or suspected since; none after an answer.
+    pub const fn avoidance_basis(&self) -> Option<AvoidanceReport> {
+        self.reported_health.basis()
+    }
+
     /// Whether VMs could not reach it, and none has received an answer from it since.
     pub const fn is_suspected(&self) -> bool {
         self.reported_health.is_suspected()
@@ -277,7 +295,21 @@
     }
 
     /// Applies another VM's report of a send.
-    pub(crate) fn apply_send_report(&mut self, reporter: VmKey, report: &SendReport, slot: f64, now: Moment) {
+    ///
+    /// Returns whether it begins an avoidance.
+    pub(crate) fn apply_send_report(
+        &mut self,
+        reporter: VmKey,
+        report: &SendReport,
+        slot: f64,
+        now: Moment,
+    ) -> bool {
+        let was_suspected = self.is_suspected();
+        self.apply_reported_outcome(reporter, report, slot, now);
+        self.is_suspected() && !was_suspected
+    }
+
+    fn apply_reported_outcome(&mut self, reporter: VmKey, report: &SendReport, slot: f64, now: Moment) {
         let failure = match report.outcome {
             SendOutcome::Answered => {
                 self.reported_health.record_answer();
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -7,6 +7,7 @@
 //! removed is chosen again only after its entry is written anew. Of two incarnations of one id the later one
 //! is current, and no state of the earlier one applies to it.
 
+use crate::fleet::reported_health::AvoidanceReport;
 use crate::{
     DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow, HomeRegions, LoadSource, SendOutcome,
     SendReport, ServiceRow, SharedWeights, StoreRow, VmKey,
@@ -25,6 +26,8 @@
 ///
 /// Only then does it report to other VMs that it cannot reach an endpoint.
 const REACHABILITY_WINDOW_MILLIS: u64 = 2_000;
+/// Avoidances that one sweep reports, since each is logged.
+pub const MAX_AVOIDANCE_CHANGES: usize = 8;
 /// Removed incarnations that are retained, so that a late entry does not restore one.
 ///
 /// Covers several replacements of all endpoints of a large deployment. Bounds the unreadable ids too.
@@ -100,6 +103,8 @@
 pub struct FleetCounts {
     /// Endpoints that VMs could not reach.
     pub suspected: usize,
+    /// Endpoints that are skipped now on other VMs' reports.
+    pub avoided: usize,
     /// Endpoints that are cold.
     pub cold: usize,
     /// Endpoints with a reported limit.
@@ -110,6 +115,15 @@
     pub backing_off: usize,
 }
 
+/// Beginning or end of an avoidance of an endpoint, on other VMs' reports.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AvoidanceChange {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// The reports on which it is avoided; none if a VM has received an answer since.
+    pub basis: Option<AvoidanceReport>,
+}
+
 /// Result of a sweep over all endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct FleetSweep {
@@ -117,6 +131,8 @@
     pub removed: Vec<EndpointKey>,
     /// Counts of the remaining endpoints.
     pub counts: FleetCounts,
+    /// Avoidances that began or ended, at most [`MAX_AVOIDANCE_CHANGES`]: later sweeps report the others.
+    pub avoidances: Vec<AvoidanceChange>,
 }
 
 /// Times of the last failed and the last answered send to a data centre's endpoints.
@@ -178,6 +194,7 @@
     pub fn sweep(&mut self, now: Moment) -> FleetSweep {
         let mut removed = Vec::new();
         let mut counts = FleetCounts::default();
+        let mut avoidances = Vec::new();
         for (key, row) in &mut self.rows {
             if row.grace_deadline.is_some_and(|deadline| now >= deadline) && row.own.running == 0 {
                 removed.push(*key);
@@ -186,6 +203,12 @@
             row.decay_slowdown();
             row.peer_loads.sweep(now);
             counts.suspected += usize::from(row.is_suspected());
+            counts.avoided += usize::from(row.is_avoided(now));
+            if row.is_suspected() != row.is_avoidance_reported && avoidances.len() < MAX_AVOIDANCE_CHANGES {
+                row.is_avoidance_reported = row.is_suspected();
+                let (endpoint, basis) = (row.entry.id.clone(), row.avoidance_basis());
+                avoidances.push(AvoidanceChange { endpoint, basis });
+            }
             counts.limited += usize::from(row.limit.per_s().is_some());
             counts.departed += usize::from(row.has_departed);
             counts.backing_off += usize::from(row.backoff.is_backing_off(now));
@@ -207,7 +230,7 @@
             row.sweep(now);
         }
         self.reported_rows.retain(|_, rows| now < rows.received_at.after_millis(REMOVED_RETENTION_MILLIS));
-        FleetSweep { removed, counts }
+        FleetSweep { removed, counts, avoidances }
     }
 
     /// Records a removed incarnation, and evicts the oldest record when the limit is reached.
@@ -301,9 +324,15 @@
     /// Applies another VM's report of a send.
     ///
     /// `slot` is a fresh random draw of this VM's position among all VMs, which staggers their retries.
-    pub fn apply_send_report(&mut self, reporter: VmKey, report: &SendReport, slot: f64, now: Moment) {
-        if let Some(row) = self.rows.get_mut(&report.key) {
-            row.apply_send_report(reporter, report, slot, now);
-        }
+    /// Returns whether the report begins an avoidance of the endpoint.
+    pub fn apply_send_report(
+        &mut self,
+        reporter: VmKey,
+        report: &SendReport,
+        slot: f64,
+        now: Moment,
+    ) -> bool {
+        let row = self.rows.get_mut(&report.key);
+        row.is_some_and(|row| row.apply_send_report(reporter, report, slot, now))
     }
 }
--- a/crates/decide/src/fleet/peer_table.rs
+++ b/crates/decide/src/fleet/peer_table.rs
@@ -335,6 +335,11 @@
         self.rows.get(&vm).map(|row| row.entry.address)
     }
 
+    /// Returns the name of a listed VM.
+    pub fn name_of(&self, vm: VmKey) -> Option<&str> {
+        self.rows.get(&vm).map(|row| row.entry.name.as_str())
+    }
+
     /// Returns the data centre of a VM.
     pub fn data_centre_of(&self, vm: VmKey) -> Option<&str> {
         self.rows.get(&vm).map(|row| row.entry.data_centre.as_str())
--- a/crates/decide/src/fleet/reported_health.rs
+++ b/crates/decide/src/fleet/reported_health.rs
@@ -39,6 +39,24 @@
 /// A send to an unreachable endpoint fails after 350 ms, and its report arrives before the next VM retries.
 const SLOT_MILLIS: f64 = 400.0;
 
+/// Why an endpoint is avoided on other VMs' reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AvoidanceCause {
+    /// Two VMs could not reach it.
+    Unreachable,
+    /// It asked two VMs for a backoff.
+    RequestedBackoff,
+}
+
+/// The reports on which an endpoint is avoided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AvoidanceReport {
+    /// What the VMs reported.
+    pub cause: AvoidanceCause,
+    /// The VMs whose reports began the avoidance.
+    pub reporters: [VmKey; 2],
+}
+
 /// Health of one endpoint as other VMs report it.
 #[derive(Debug, Default)]
 pub(crate) struct ReportedHealth {
@@ -50,6 +68,8 @@
     avoidances: u32,
     avoidance_began_at: Moment,
     avoided_until: Moment,
+    /// The reports that began the avoidance; none since an answer.
+    basis: Option<AvoidanceReport>,
 }
 
 impl ReportedHealth {
@@ -63,6 +83,11 @@
         self.avoidances > 0
     }
 
+    /// Returns the reports on which it is avoided or suspected.
+    pub(crate) const fn basis(&self) -> Option<AvoidanceReport> {
+        self.basis
+    }
+
     /// Records that a VM received an answer from the endpoint.
     pub(crate) fn record_answer(&mut self) {
         *self = Self::default();
@@ -78,10 +103,12 @@
             }
             return;
         }
-        let is_confirmed = self.unreachable_from.is_some_and(|(first, at)| {
-            first != reporter && now < at.after_millis(CONFIRMATION_WINDOW_MILLIS)
-        });
-        if is_confirmed {
+        let confirmed = self
+            .unreachable_from
+            .filter(|(first, at)| *first != reporter && now < at.after_millis(CONFIRMATION_WINDOW_MILLIS));
+        if let Some((first, _)) = confirmed {
+            self.basis =
+                Some(AvoidanceReport { cause: AvoidanceCause::Unreachable, reporters: [first, reporter] });
             self.avoid(slot, now);
         } else {
             self.unreachable_from = Some((reporter, now));
@@ -102,6 +129,10 @@
         let end = until.min(previous_until).after_millis((slot * SLOT_MILLIS) as u64);
         self.avoided_until = self.avoided_until.max(end);
         self.avoidances = self.avoidances.max(1);
+        self.basis.get_or_insert(AvoidanceReport {
+            cause: AvoidanceCause::RequestedBackoff,
+            reporters: [previous, reporter],
+        });
         self.avoidance_began_at = now;
     }
 
--- a/crates/decide/tests/reported_health.rs
+++ b/crates/decide/tests/reported_health.rs
@@ -3,9 +3,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use spanfold_decide::{
-    DeploymentConfig, EndpointEntry, EndpointKey, EngineSpec, FleetTable, HomeRegions, LoadCount,
-    PlacementRequest, PromptSegment, SendOutcome, SendReport, ServiceRow, ShareView, VersionSplit, VmKey,
-    place,
+    AvoidanceCause, AvoidanceChange, AvoidanceReport, DeploymentConfig, EndpointEntry, EndpointKey,
+    EngineSpec, FleetTable, HomeRegions, LoadCount, MAX_AVOIDANCE_CHANGES, PlacementRequest, PromptSegment,
+    SendOutcome, SendReport, ServiceRow, ShareView, VersionSplit, VmKey, place,
 };
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -127,13 +127,12 @@
 const CONNECT_FAILURE_MILLIS: u64 = 360;
 const STEP_MILLIS: u64 = 20;
 
-fn choose(table: &FleetTable, now: Moment) -> usize {
-    let segments = [PromptSegment { key: 1, tokens: 1_700 }];
-    let request = PlacementRequest {
+fn request(segments: &[PromptSegment]) -> PlacementRequest<'_> {
+    PlacementRequest {
         service: "llm",
         data_centre: "dc-a",
         unreachable_data_centres: &[],
-        segments: &segments,
+        segments,
         prompt_tokens: 1_700,
         output_tokens: 4,
         objective_millis: 500,
@@ -147,8 +146,12 @@
         homes: HomeRegions::default(),
         shares: ShareView::default(),
         draw: || 0.0,
-    };
-    let choice = place(table, &request, now).unwrap().key;
+    }
+}
+
+fn choose(table: &FleetTable, now: Moment) -> usize {
+    let segments = [PromptSegment { key: 1, tokens: 1_700 }];
+    let choice = place(table, &request(&segments), now).unwrap().key;
     (0..ENGINES).find(|engine| key(*engine) == choice).unwrap()
 }
 
@@ -216,3 +219,44 @@
     let (lost, all) = simulate(true);
     assert!(lost * 100 < all * 4, "{lost} of {all}");
 }
+
+/// The reporters are named until an answer; a flood of changes is spread over several sweeps.
+#[test]
+fn a_sweep_reports_whose_reports_exclude_endpoints_and_the_end_of_that() {
+    let engines = MAX_AVOIDANCE_CHANGES + 3;
+    let mut table = table(engines);
+    let unreached = |engine| SendReport { key: key(engine), ..report(SendOutcome::Unreached) };
+    for engine in 0..engines {
+        assert!(!table.apply_send_report(vm(1), &unreached(engine), 0.0, at(0)));
+        assert!(table.apply_send_report(vm(2), &unreached(engine), 0.0, at(100)));
+        assert!(!table.apply_send_report(vm(3), &unreached(engine), 0.0, at(800)));
+    }
+    let sweep = table.sweep(at(900));
+    assert_eq!((sweep.avoidances.len(), sweep.counts.avoided), (MAX_AVOIDANCE_CHANGES, engines));
+    let basis = AvoidanceReport { cause: AvoidanceCause::Unreachable, reporters: [vm(1), vm(2)] };
+    assert!(sweep.avoidances.iter().all(|change| change.basis == Some(basis)));
+    assert_eq!(table.sweep(at(1_000)).avoidances.len(), 3);
+    assert_eq!(table.sweep(at(1_100)).avoidances, []);
+    table.apply_send_report(vm(4), &report(SendOutcome::Answered), 0.0, at(1_200));
+    let ended = AvoidanceChange { endpoint: "i-0".to_owned(), basis: None };
+    assert_eq!(table.sweep(at(1_300)).avoidances, [ended]);
+}
+
+#[test]
+fn blocked_endpoints_are_counted_by_whose_sends_failed() {
+    let mut table = table(4);
+    for reporter in [vm(1), vm(2)] {
+        table.apply_send_report(reporter, &report(SendOutcome::Unreached), 0.0, at(0));
+    }
+    table.record_outcome(key(1), SendOutcome::Unreached, at(0));
+    let blocked = table.count_blocked(&request(&[]), at(100));
+    assert_eq!((blocked.avoided, blocked.ejected, blocked.open()), (1, 1, 2));
+    assert!(blocked.is_mostly_blocked());
+    assert_eq!(blocked.to_string(), "4 listed, 1 ejected, 1 avoided");
+    // After both ejections, one request at a time probes them.
+    let load = LoadCount { running: 1, ..LoadCount::default() };
+    table.reserve(key(0), load, &[], 0);
+    let blocked = table.count_blocked(&request(&[]), at(4_000));
+    assert_eq!((blocked.probed, blocked.open()), (1, 3));
+    assert!(!blocked.is_mostly_blocked());
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,10 +17,10 @@
 use crate::store::SnapshotCache;
 use crate::store::store_era::StoreEra;
 use crate::{
-    BudgetTerms, EndpointRow, FleetTable, IdentityKey, ListMembership, PathState, PlacementChoice,
-    PlacementRequest, PublishedVersion, PublishedWeights, QuarantineMessage, RequiredWeights, RetryBudget,
-    RolloutTable, RouteTable, SendReport, StorePosition, VmEntry, VmKey, WeightTarget, WireDialect, place,
-    short_digest,
+    AvoidanceCause, AvoidanceChange, AvoidanceReport, BudgetTerms, EndpointRow, FleetTable, IdentityKey,
+    ListMembership, PathState, PlacementChoice, PlacementRequest, PublishedVersion, PublishedWeights,
+    QuarantineMessage, RequiredWeights, RetryBudget, RolloutTable, RouteTable, SendReport, StorePosition,
+    VmEntry, VmKey, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -323,6 +323,26 @@
         }
     }
 
+    /// Logs the avoidances that began or ended, with the VMs whose reports began them.
+    pub(crate) fn log_avoidances(&self, changes: &[AvoidanceChange]) {
+        for AvoidanceChange { endpoint, basis } in changes {
+            let endpoint = endpoint.as_str();
+            let Some(AvoidanceReport { cause, reporters }) = basis else {
+                log::info!(endpoint; "endpoint.readmitted");
+                continue;
+            };
+            let cause = match cause {
+                AvoidanceCause::Unreachable => "not reached",
+                AvoidanceCause::RequestedBackoff => "asked for a backoff",
+            };
+            let peers = self.peers();
+            let [first, second] =
+                reporters.map(|vm| peers.name_of(vm).map_or_else(|| format!("{:x}", vm.0), str::to_owned));
+            drop(peers);
+            log::warn!(endpoint, cause, reporters = format!("{first}, {second}").as_str(); "endpoint.avoided");
+        }
+    }
+
     /// Records a local VM's send to a local endpoint for other data centres.
     ///
     /// The VMs beside an endpoint report it to other data centres. Slowdowns are left out: few prompts go to
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -205,13 +205,15 @@
             }
             (table.sweep(now), table.evacuated(now).count())
         };
-        let FleetSweep { removed, counts } = swept;
+        let FleetSweep { removed, counts, avoidances } = swept;
+        gateway.log_avoidances(&avoidances);
         let gauges = &gateway.metrics.fleet;
         gauges.cold_endpoints.set(counts.cold as i64);
         gauges.limited_endpoints.set(counts.limited as i64);
         gauges.leaving_endpoints.set(counts.departed as i64);
         gauges.resting_endpoints.set(counts.backing_off as i64);
         gauges.doubted_endpoints.set(counts.suspected as i64);
+        gauges.avoided_endpoints.set(counts.avoided as i64);
         gauges.evacuated_data_centres.set(evacuated as i64);
         for key in removed {
             gateway.pool.close_idle(key);
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -31,6 +31,10 @@
 pub(crate) struct FleetGauges {
     /// Endpoints that are suspected: VMs could not reach them, and they have answered none since.
     pub doubted_endpoints: Gauge,
+    /// Endpoints that are skipped now on other VMs' reports.
+    pub avoided_endpoints: Gauge,
+    /// Avoidances that other VMs' reports began here.
+    pub avoidances: Counter,
     /// Data centres that the operator evacuated: their endpoints get no work.
     pub evacuated_data_centres: Gauge,
     /// Cold endpoints, which take less load than warm ones.
@@ -47,6 +51,8 @@
     fn register(registry: &mut Registry) -> Self {
         let gauges = Self {
             doubted_endpoints: Gauge::default(),
+            avoided_endpoints: Gauge::default(),
+            avoidances: Counter::default(),
             evacuated_data_centres: Gauge::default(),
             cold_endpoints: Gauge::default(),
             limited_endpoints: Gauge::default(),
@@ -55,6 +61,10 @@
         };
         let suspected = gauges.doubted_endpoints.clone();
         registry.register("doubted_endpoints", "Endpoints that VMs could not reach", suspected);
+        let avoided = gauges.avoided_endpoints.clone();
+        registry.register("avoided_endpoints", "Endpoints skipped on other VMs' reports", avoided);
+        let avoidances = gauges.avoidances.clone();
+        registry.register("avoidances", "Avoidances of endpoints begun on other VMs' reports", avoidances);
         let evacuated = gauges.evacuated_data_centres.clone();
         registry.register("evacuated_data_centres", "Data centres that get no work, as asked", evacuated);
         let cold = gauges.cold_endpoints.clone();
--- a/crates/gateway/src/peers/load_digest.rs
+++ b/crates/gateway/src/peers/load_digest.rs
@@ -224,7 +224,9 @@
         }
         for (reporter, report) in &self.reports {
             let slot = rand::random::<f64>() * vm_count as f64;
-            table.apply_send_report(*reporter, report, slot, now);
+            if table.apply_send_report(*reporter, report, slot, now) {
+                gateway.metrics.fleet.avoidances.inc();
+            }
         }
         for (key, model, version) in &self.weights {
             table.raise_weights(*key, *model, *version, is_local, now);
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -223,6 +223,7 @@
             AdmissionVerdict::Go => {}
             AdmissionVerdict::Wait => return Some(PlaceResult::Wait),
             AdmissionVerdict::Refuse(return_delay_millis) => {
+                self.log_few_candidates(&request, choice.candidates);
                 self.choice = Some(choice);
                 return Some(PlaceResult::Late(return_delay_millis));
             }
@@ -260,6 +261,15 @@
         Some(PlaceResult::Placed(Box::new(choice), Box::new(flight)))
     }
 
+    /// Logs why a request that is refused had few candidates.
+    fn log_few_candidates(&self, request: &PlacementRequest<'_>, candidates: u32) {
+        let blocked = self.gateway.table().count_blocked(request, self.gateway.now());
+        if blocked.is_mostly_blocked() {
+            log::info!(request = self.context.id_text(), service = request.service, candidates, blocked:%;
+                "request.crowded");
+        }
+    }
+
     /// Returns what to record of the endpoint's version during a rollout of its service.
     fn versioned(&self, key: EndpointKey) -> Option<VersionedSend> {
         let (gateway, service) = (&self.gateway, &self.context.service);
--- a/crates/spanfold/src/explain.rs
+++ b/crates/spanfold/src/explain.rs
@@ -31,8 +31,15 @@
     "weights.named",
 ];
 /// Events that change a VM's state of an endpoint, printed also if another request's answer caused them.
-const ENDPOINT_STATE_EVENTS: [&str; 5] =
-    ["endpoint.leaving", "endpoint.resting", "limit.ended", "limit.named", "answer.odd"];
+const ENDPOINT_STATE_EVENTS: [&str; 7] = [
+    "endpoint.avoided",
+    "endpoint.leaving",
+    "endpoint.readmitted",
+    "endpoint.resting",
+    "limit.ended",
+    "limit.named",
+    "answer.odd",
+];
 /// Prefix of the events about requests under which endpoints crash.
 const QUARANTINE_EVENT_PREFIX: &str = "quarantine.";
 /// Fields that every line has; not printed as `key=value`, except `request` on a line of another request.
--- a/crates/spanfold/tests/explain.rs
+++ b/crates/spanfold/tests/explain.rs
@@ -79,3 +79,16 @@
 ";
     assert!(text.contains(expected), "{text}");
 }
+
+#[test]
+fn explain_of_a_crowded_request_prints_whose_reports_exclude_endpoints() {
+    let (code, text) = explain_from("r-6", ["avoided.log", "vm-2.log"]);
+    assert_eq!(code, 0);
+    let expected = "\
+-  1001 ms  belief   avoided  endpoint.avoided  cause=not reached  endpoint=i-1  reporters=vm-2, vm-3
+-   501 ms  belief   avoided  endpoint.readmitted  endpoint=i-2
+-     1 ms  request  avoided  request.crowded  blocked=3 listed, 1 ejected, 1 avoided  candidates=1  service=llm
+-     0 ms  request  avoided  request.ended  candidates=1  endpoint=  outcome=no engine has room in time  status=503
+";
+    assert!(text.contains(expected), "{text}");
+}
