LOST: log no idle connection when a process ends without a planned stop

Connections whose tasks end with the process counted as cut by a planned stop, where only connections with an unwritten answer are left. Without such a stop they may be idle, and their last, answered request got a request.unanswered line. Only a stop that cuts a connection records that as its end now; a task that ends by itself logs a request in hand alone.

Test: a_process_that_ends_logs_its_requests_in_hand_but_no_idle_connection; before, the idle connection's request had a line with the cause "stopped".

--- a/crates/gateway/src/requests/accept_loop.rs
+++ b/crates/gateway/src/requests/accept_loop.rs
@@ -100,8 +100,9 @@
     tokio::select! {
         ended = connection => record.record_end(classify_end(&ended)),
         () = disconnect.notified() => record.record_end(UnansweredCause::NoMemory),
-        // The record's default end is the process's stop.
-        Ok(_) = state.wait_for(|state| *state == ListenerState::Closed) => {}
+        Ok(_) = state.wait_for(|state| *state == ListenerState::Closed) => {
+            record.record_end(UnansweredCause::Stopped);
+        }
     }
 }
 
--- a/crates/gateway/src/requests/answer_record.rs
+++ b/crates/gateway/src/requests/answer_record.rs
@@ -112,10 +112,12 @@
     }
 
     /// Counts and logs the request if it has no whole answer now that its caller's connection `end`ed.
-    fn settle(&self, gateway: &Gateway, end: UnansweredCause) {
+    fn settle(&self, gateway: &Gateway, end: Option<UnansweredCause>) {
         let progress = self.progress();
-        // A connection that a stop cuts has an answer that is not written yet: idle ones are closed before.
-        let is_unwritten = end == UnansweredCause::Stopped;
+        // A connection that a planned stop cuts has an answer that is not written yet: idle ones are closed
+        // before.
+        let is_unwritten = end == Some(UnansweredCause::Stopped);
+        let end = end.unwrap_or(UnansweredCause::Stopped);
         if !progress.is_read_whole || (progress.is_handed_over && !is_unwritten) {
             return;
         }
@@ -148,17 +150,13 @@
     gateway: Arc<Gateway>,
     /// The connection's last request. An earlier one was answered whole, or the connection would have ended.
     request: Mutex<Option<Arc<AnswerRecord>>>,
-    end: Mutex<UnansweredCause>,
+    end: Mutex<Option<UnansweredCause>>,
 }
 
 impl ConnectionRecord {
-    /// Until an end is recorded, the connection counts as ended by the process's stop.
+    /// Without a recorded end, its task ended with the process.
     pub(crate) fn new(gateway: &Arc<Gateway>) -> Self {
-        Self {
-            gateway: Arc::clone(gateway),
-            request: Mutex::default(),
-            end: Mutex::new(UnansweredCause::Stopped),
-        }
+        Self { gateway: Arc::clone(gateway), request: Mutex::default(), end: Mutex::default() }
     }
 
     /// Begins the record of a request on this connection.
@@ -170,7 +168,7 @@
 
     /// Records how the connection ended, for a request without a cause of its own.
     pub(crate) fn record_end(&self, end: UnansweredCause) {
-        *self.end.lock().unwrap_or_else(PoisonError::into_inner) = end;
+        *self.end.lock().unwrap_or_else(PoisonError::into_inner) = Some(end);
     }
 }
 
