LOST: a refusal before the body is read no longer resets the caller

Callers saw: "Broken pipe" while they sent a request, instead of the refusal. Beside a change of the configuration that drops a route or a key or lowers the body limit, more requests are refused so.

Cause: 404, 401, 400, 413 and 503 are given before the body is read or when it proves too long. The HTTP library then closes the connection unless the rest has arrived already, and closing a connection with unread bytes resets it.

The body of a refused request is now read and discarded, at most 1 MiB and for at most one second, unless the caller waits for "100 Continue". Nothing of it is kept.

--- a/crates/gateway/src/memory/body_reader.rs
+++ b/crates/gateway/src/memory/body_reader.rs
@@ -5,6 +5,9 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+/// Maximum number of bytes of a refused request's body that are read.
+const MAX_DISCARDED_BYTES: usize = 1 << 20;
+
 /// Why a body was not read whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyFault {
@@ -16,9 +19,20 @@
     NoMemory,
 }
 
+/// Reads and discards what remains of a body, up to [`MAX_DISCARDED_BYTES`].
+pub(crate) async fn discard(body: &mut Incoming) {
+    let mut discarded_bytes = 0;
+    while let Some(Ok(frame)) = body.frame().await {
+        discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
+        if discarded_bytes > MAX_DISCARDED_BYTES {
+            return;
+        }
+    }
+}
+
 /// Reads a whole body of at most `max_bytes`, and counts it in `reservation`.
 pub(crate) async fn read_limited(
-    mut body: Incoming,
+    body: &mut Incoming,
     max_bytes: usize,
     reservation: &MemoryReservation,
 ) -> Result<Bytes, BodyFault> {
--- a/crates/gateway/src/memory/mod.rs
+++ b/crates/gateway/src/memory/mod.rs
@@ -4,6 +4,6 @@
 mod chunk_channel;
 mod memory_limiter;
 
-pub(crate) use body_reader::{BodyFault, read_limited};
+pub(crate) use body_reader::{BodyFault, discard, read_limited};
 pub(crate) use chunk_channel::{ChunkFault, ChunkSender, chunk_channel};
 pub(crate) use memory_limiter::{MemoryLimiter, MemoryReservation};
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -6,7 +6,7 @@
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
 use crate::gateway::{CountGuard, Gateway};
-use crate::memory::{BodyFault, MemoryReservation, read_limited};
+use crate::memory::{BodyFault, MemoryReservation, discard, read_limited};
 use crate::operators::gateway_metrics::KindLabel;
 use crate::requests::dispatch::{ReceivedHead, SendResult};
 use crate::requests::long_answer::forward_long;
@@ -17,7 +17,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_LENGTH, HeaderMap};
+use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderMap};
 use hyper::http::request::Parts;
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
@@ -33,6 +33,8 @@
 const NO_MEMORY_RETRY_MILLIS: u64 = 2_000;
 /// Retry delay after an endpoint's refusal; a random delay is added.
 const REFUSED_RETRY_MILLIS: u64 = 100;
+/// Timeout of reading the body of a refused request.
+const DISCARD_TIMEOUT_MILLIS: u64 = 1_000;
 /// Answers up to this size are read whole before they are forwarded, so that a broken one can be reported
 /// or its request repeated. Longer ones are forwarded as they arrive.
 const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
@@ -47,20 +49,22 @@
 ) -> Response<AnswerBody> {
     gateway.wait_until_current().await;
     let received_at = gateway.now();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let context = match RequestContext::parse(&gateway, &head, received_at) {
         Ok(context) => context,
         Err(answer) => {
             log_unrouted(&gateway, &head, &answer);
+            discard_body(&gateway, &head, &mut body).await;
             return answer.response();
         }
     };
     let open_guard = CountGuard::new(&gateway, |gateway| &gateway.open_requests);
     let reservation = gateway.memory.reserve();
-    let body = match read_body(&gateway, body, context.deadline, &reservation).await {
+    let body = match read_body(&gateway, &mut body, context.deadline, &reservation).await {
         Ok(body) => body,
         Err(answer) => {
             log_unrouted(&gateway, &head, &answer);
+            discard_body(&gateway, &head, &mut body).await;
             return answer.response();
         }
     };
@@ -83,9 +87,20 @@
         outcome = answer.reason; "request.refused");
 }
 
+/// Reads the body of a refused request, for a short time: a connection that is closed with unread bytes is
+/// reset, and its caller may lose the refusal. A caller that waits for permission to send has sent nothing.
+async fn discard_body(gateway: &Gateway, head: &Parts, body: &mut Incoming) {
+    if head.headers.contains_key(EXPECT) {
+        return;
+    }
+    let deadline = gateway.now().after_millis(DISCARD_TIMEOUT_MILLIS);
+    // What is unread by then is left unread.
+    let _ = gateway.complete_before(deadline, discard(body)).await;
+}
+
 async fn read_body(
     gateway: &Gateway,
-    body: Incoming,
+    body: &mut Incoming,
     deadline: Moment,
     reservation: &MemoryReservation,
 ) -> Result<Bytes, OwnAnswer> {
