--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -25,6 +25,8 @@
 ///
 /// Only then does it report to other VMs that it cannot reach an endpoint.
 const REACHABILITY_WINDOW_MILLIS: u64 = 2_000;
+/// Random draws for each endpoint to probe: some hit the same one again, or one that departs.
+const PROBE_DRAWS: usize = 6;
 /// Removed incarnations that are retained, so that a late entry does not restore one.
 ///
 /// Covers several replacements of all endpoints of a large deployment. Bounds the unreadable ids too.
@@ -263,6 +265,47 @@
         }
     }
 
+    /// Draws endpoints to probe: of different data centres and services first, and none that departs.
+    ///
+    /// `draw` returns random numbers from 0 to 1. The time does not grow with the number of endpoints.
+    pub fn draw_probe_targets(
+        &self,
+        count: usize,
+        exclude: &[EndpointKey],
+        draw: impl Fn() -> f64,
+        now: Moment,
+    ) -> Vec<EndpointKey> {
+        let services: Vec<_> = self.keys_by_service.values().filter(|keys| !keys.is_empty()).collect();
+        let index = |length: usize| ((draw() * length as f64) as usize).min(length - 1);
+        let mut drawn: Vec<(EndpointKey, &EndpointRow)> = Vec::new();
+        if services.is_empty() {
+            return Vec::new();
+        }
+        for _ in 0..count * PROBE_DRAWS {
+            let keys = services[index(services.len())];
+            let key = keys[index(keys.len())];
+            let row = self.rows.get(&key).filter(|row| !row.is_departing(now));
+            let is_new = !exclude.contains(&key) && drawn.iter().all(|(other, _)| *other != key);
+            if let Some(row) = row.filter(|_| is_new) {
+                drawn.push((key, row));
+            }
+        }
+        let mut chosen = Vec::new();
+        let mut seen = Vec::new();
+        drawn.retain(|(key, row)| {
+            let place = (row.entry.data_centre.as_str(), row.entry.service.as_str());
+            let is_first = !seen.contains(&place);
+            if is_first {
+                seen.push(place);
+                chosen.push(*key);
+            }
+            !is_first
+        });
+        chosen.extend(drawn.iter().map(|(key, _)| *key));
+        chosen.truncate(count);
+        chosen
+    }
+
     /// Whether a send to a data centre failed recently and none has been answered since.
     pub fn is_failing(&self, data_centre: &str, now: Moment) -> bool {
         let Some(record) = self.reachability.get(data_centre) else { return false };
--- a/crates/gateway/src/endpoints/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -5,6 +5,7 @@
 //! most recently used connection is taken first, so that spare ones expire.
 
 use crate::EndpointKey;
+use crate::endpoints::path_probe::{CountedStream, TrafficCounters};
 use crate::requests::outgoing_body::{BodyProgress, OutgoingBody, WRITE_BUFFER_BYTES};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -14,7 +15,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -75,6 +76,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct EndpointPool {
     idle: Mutex<HashMap<EndpointKey, Vec<IdleConnection>>>,
+    pub traffic: Arc<TrafficCounters>,
 }
 
 impl EndpointPool {
@@ -90,12 +92,13 @@
         mut request: Request<OutgoingBody>,
         may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, EndpointConnection), ExchangeError> {
+        self.traffic.count_send();
         loop {
             let is_long = request.body().is_long();
             let pooled = if is_long { None } else { self.take(key) };
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => connect(address, is_long).await?,
+                None => connect(address, is_long, &self.traffic).await?,
             };
             if let Err(error) = connection.sender.ready().await {
                 if connection.is_new {
@@ -173,9 +176,13 @@
     }
 }
 
-async fn connect(address: SocketAddr, has_long_body: bool) -> Result<EndpointConnection, ExchangeError> {
+async fn connect(
+    address: SocketAddr,
+    has_long_body: bool,
+    traffic: &Arc<TrafficCounters>,
+) -> Result<EndpointConnection, ExchangeError> {
     let not_sent = |error: io::Error| ExchangeError::NotSent(error.to_string());
-    let stream = open_stream(address).await.map_err(not_sent)?;
+    let stream = traffic.open(address).await.map_err(not_sent)?;
     if has_long_body {
         // With this timeout an endpoint with a full receive window is disconnected although it acknowledges
         // each probe. How long a body may take is decided by the request's own deadline.
@@ -183,7 +190,7 @@
     }
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(WRITE_BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(CountedStream::new(stream, traffic)))
         .await
         .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
     // The exchange that uses the connection reports its result.
--- a/crates/gateway/src/endpoints/mod.rs
+++ b/crates/gateway/src/endpoints/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod answer_handler;
 pub(crate) mod crash_detector;
 pub(crate) mod endpoint_pool;
+pub(crate) mod path_probe;
--- /dev/null
+++ b/crates/gateway/src/endpoints/path_probe.rs
@@ -0,0 +1,254 @@
+//! Determines whether this VM has a path to the endpoints.
+//!
+//! Invariant: connections for probes are opened only while something is suspected, and at a bounded rate.
+
+use crate::endpoints::endpoint_pool::open_stream;
+use crate::gateway::Gateway;
+use crate::{EndpointKey, PathChange, PathMonitor, PathState, PathTraffic, SendOutcome, SendReport};
+use spanfold_entity::{MICROS_PER_MILLI, Moment};
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+
+/// Interval between checks for silence and for changes of the path.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// A check that comes later than this, in milliseconds, shows that this VM was suspended.
+const SUSPENSION_MILLIS: u64 = 500;
+/// Timeout of a probe: some fourteen round trips.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time of a round, in milliseconds: after a longer one this VM was suspended meanwhile.
+const MAX_ROUND_MILLIS: u64 = 600;
+/// Endpoints up to which the listed ones are counted: more make no difference.
+const MAX_COUNTED_ENDPOINTS: usize = 16;
+
+/// Counts what passes between this VM and endpoints.
+#[derive(Debug, Default)]
+pub(crate) struct TrafficCounters {
+    sends: AtomicU64,
+    reads: AtomicU64,
+    attempts: AtomicU64,
+    newest_opened: AtomicU64,
+}
+
+impl TrafficCounters {
+    pub(crate) fn count_send(&self) {
+        self.sends.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Opens a counted connection.
+    pub(crate) async fn open(&self, address: SocketAddr) -> std::io::Result<TcpStream> {
+        let attempt = self.attempts.fetch_add(1, Ordering::Relaxed) + 1;
+        let stream = open_stream(address).await?;
+        self.newest_opened.fetch_max(attempt, Ordering::Relaxed);
+        Ok(stream)
+    }
+
+    fn read(&self) -> PathTraffic {
+        PathTraffic {
+            sends: self.sends.load(Ordering::Relaxed),
+            reads: self.reads.load(Ordering::Relaxed),
+            attempts: self.attempts.load(Ordering::Relaxed),
+            newest_opened: self.newest_opened.load(Ordering::Relaxed),
+        }
+    }
+}
+
+/// A connection to an endpoint whose reads are counted.
+#[derive(Debug)]
+pub(crate) struct CountedStream {
+    stream: TcpStream,
+    counters: Arc<TrafficCounters>,
+}
+
+impl CountedStream {
+    pub(crate) fn new(stream: TcpStream, counters: &Arc<TrafficCounters>) -> Self {
+        Self { stream, counters: Arc::clone(counters) }
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        let length = buffer.filled().len();
+        let result = pin!(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > length {
+            self.counters.reads.fetch_add(1, Ordering::Relaxed);
+        }
+        result
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        pin!(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        pin!(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<std::io::Result<()>> {
+        pin!(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: std::pin::Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[std::io::IoSlice<'_>],
+    ) -> Poll<std::io::Result<usize>> {
+        pin!(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
+
+/// State of this VM's path to the endpoints.
+#[derive(Debug, Default)]
+pub(crate) struct PathWatch {
+    monitor: Mutex<PathMonitor>,
+    /// Wakes the task that probes.
+    failed: Notify,
+}
+
+impl PathWatch {
+    fn monitor(&self) -> MutexGuard<'_, PathMonitor> {
+        self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Gateway {
+    /// Records a failed send as a sign that this VM may have lost its path to the endpoints.
+    pub(crate) fn suspect_path(&self, report: &SendReport) {
+        let now = self.now();
+        let traffic = self.pool.traffic.read();
+        let is_connection = report.outcome == SendOutcome::Unreached;
+        self.update_path(|monitor| {
+            let change = monitor.observe(traffic, now);
+            monitor.record_failure(report.key, is_connection, now);
+            change
+        });
+        self.path_watch.failed.notify_one();
+    }
+
+    /// Updates the monitor and applies the change of the state, if any. The lock is held meanwhile, so that
+    /// changes are applied in order.
+    fn update_path(&self, update: impl FnOnce(&mut PathMonitor) -> Option<PathChange>) {
+        let mut monitor = self.path_watch.monitor();
+        if let Some(change) = update(&mut monitor) {
+            self.apply_path_change(&change);
+        }
+    }
+
+    fn apply_path_change(&self, change: &PathChange) {
+        let PathChange { state, before, since, failed_endpoints } = *change;
+        let now = self.now();
+        self.path.send_replace(state);
+        self.metrics.path.set(state);
+        let (label, since_ms) = (state.label(), now.micros_since(since) / MICROS_PER_MILLI);
+        if state == PathState::Open {
+            log::warn!(before = before.label(), since_ms; "path.regained");
+            return;
+        }
+        if before == PathState::Open {
+            log::error!(state = label, since_ms, failed_endpoints; "path.lost");
+        } else {
+            log::warn!(state = label, before = before.label(), since_ms; "path.changed");
+        }
+    }
+
+    fn observe_path(&self, now: Moment) {
+        let traffic = self.pool.traffic.read();
+        self.update_path(|monitor| monitor.observe(traffic, now));
+    }
+
+    /// Returns endpoints to probe, with their addresses, and how many are listed.
+    fn probe_targets(
+        &self,
+        count: usize,
+        exclude: &[EndpointKey],
+    ) -> (Vec<(EndpointKey, SocketAddr)>, usize) {
+        let table = self.table();
+        let keys = table.draw_probe_targets(count, exclude, rand::random, self.now());
+        let targets = keys.iter().filter_map(|key| Some((*key, table.row(*key)?.entry.address)));
+        (targets.collect(), table.rows().take(MAX_COUNTED_ENDPOINTS).count())
+    }
+
+    /// Whether a connection to one of `targets` opens.
+    async fn opens_any(&self, targets: &[(EndpointKey, SocketAddr)]) -> bool {
+        let mut attempts = JoinSet::new();
+        for (_, address) in targets {
+            let (traffic, address) = (Arc::clone(&self.pool.traffic), *address);
+            attempts.spawn(async move {
+                let attempt = tokio::time::timeout(PROBE_TIMEOUT, traffic.open(address)).await;
+                matches!(attempt, Ok(Ok(_)))
+            });
+        }
+        while let Some(attempt) = attempts.join_next().await {
+            if matches!(attempt, Ok(true)) {
+                return true;
+            }
+        }
+        false
+    }
+}
+
+/// Observes the path to the endpoints, and probes it while something is suspected, until the process ends.
+pub(crate) async fn watch_path(gateway: Arc<Gateway>) {
+    loop {
+        let checked_at = gateway.now();
+        tokio::select! {
+            () = tokio::time::sleep(CHECK_INTERVAL) => {}
+            () = gateway.path_watch.failed.notified() => {}
+        }
+        let now = gateway.now();
+        if now >= checked_at.after_millis(SUSPENSION_MILLIS) {
+            gateway.path_watch.monitor().record_suspension();
+        }
+        gateway.observe_path(now);
+        let is_due = gateway.path_watch.monitor().next_round_at().is_some_and(|at| now >= at);
+        if is_due {
+            probe_round(&gateway, now).await;
+        }
+    }
+}
+
+async fn probe_round(gateway: &Gateway, started_at: Moment) {
+    let count = gateway.path_watch.monitor().round_size();
+    let (targets, listed) = gateway.probe_targets(count, &[]);
+    let is_open = gateway.opens_any(&targets).await;
+    let now = gateway.now();
+    if is_open {
+        gateway.path_watch.monitor().record_opened_round(now);
+        gateway.observe_path(now);
+        return;
+    }
+    if now >= started_at.after_millis(MAX_ROUND_MILLIS) {
+        gateway.path_watch.monitor().record_suspension();
+        return;
+    }
+    let keys: Vec<_> = targets.iter().map(|(key, _)| *key).collect();
+    let draw = rand::random();
+    gateway.update_path(|monitor| monitor.record_failed_round(&keys, listed, draw, (started_at, now)));
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::endpoints::answer_handler::ObservedAnswer;
 use crate::endpoints::crash_detector::CrashDetector;
 use crate::endpoints::endpoint_pool::EndpointPool;
+use crate::endpoints::path_probe::PathWatch;
 use crate::memory::MemoryLimiter;
 use crate::operators::gateway_metrics::GatewayMetrics;
 use crate::peers::digest_relay::DigestRelay;
@@ -137,6 +138,8 @@
     pub stopping: watch::Sender<bool>,
     /// Whether this VM has a path to the endpoints.
     pub path: watch::Sender<PathState>,
+    /// Observations that determine `path`.
+    pub path_watch: PathWatch,
     /// Moment of the last failed call to the store, in microseconds; zero if none has failed.
     store_failed_at: AtomicU64,
     pub open_requests: AtomicU64,
@@ -211,6 +214,7 @@
             sequence: AtomicU64::new(0),
             stopping: watch::channel(false).0,
             path: watch::channel(PathState::Open).0,
+            path_watch: PathWatch::default(),
             store_failed_at: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
             waiting_prompts: AtomicU64::new(0),
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -1,6 +1,7 @@
 //! One running gateway: its listeners, its tasks, and its planned stop.
 
 use crate::clock::GatewayClock;
+use crate::endpoints::path_probe;
 use crate::gateway::Gateway;
 use crate::operators::operator_port;
 use crate::orders::{order_task, publication_task, release_task};
@@ -114,6 +115,7 @@
             )),
             tokio::spawn(operator_port::serve_operators(handle(), metrics, operator_port::answer_management)),
             tokio::spawn(accept_loop::serve_callers(handle(), callers, close_connections.subscribe())),
+            tokio::spawn(path_probe::watch_path(handle())),
             tokio::spawn(sweep(handle())),
         ];
         let mut tasks = tasks;
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of the gateway in the Prometheus text format.
 
+use crate::PathState;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -69,6 +70,28 @@
     }
 }
 
+/// Gauges of this VM's path to the endpoints: one of them is 1 while the path is lost.
+#[derive(Debug)]
+pub(crate) struct PathGauges {
+    pooled_only: Gauge,
+    cut: Gauge,
+}
+
+impl PathGauges {
+    fn register(registry: &mut Registry) -> Self {
+        let gauges = Self { pooled_only: Gauge::default(), cut: Gauge::default() };
+        let help = "Whether only open connections to endpoints work";
+        registry.register("path_pooled_only", help, gauges.pooled_only.clone());
+        registry.register("path_cut", "Whether this VM reaches no endpoint", gauges.cut.clone());
+        gauges
+    }
+
+    pub(crate) fn set(&self, state: PathState) {
+        self.pooled_only.set(i64::from(state == PathState::PooledOnly));
+        self.cut.set(i64::from(state == PathState::Cut));
+    }
+}
+
 /// Metrics of bytes buffered for callers that send or read slowly.
 #[derive(Debug)]
 pub(crate) struct MemoryMetrics {
@@ -168,6 +191,8 @@
     pub rollouts: Family<KindLabel, Counter>,
     /// Counts of endpoints that get less work than others.
     pub fleet: FleetGauges,
+    /// State of this VM's path to the endpoints.
+    pub path: PathGauges,
 }
 
 impl GatewayMetrics {
@@ -240,6 +265,7 @@
         registry.register("endpoint_copies", "Copies of all endpoints asked for", endpoint_copies.clone());
         registry.register("rollouts", "Moves of services to other versions, by step", rollouts.clone());
         let fleet = FleetGauges::register(&mut registry);
+        let path = PathGauges::register(&mut registry);
         Self {
             registry,
             answers,
@@ -268,6 +294,7 @@
             memory,
             rollouts,
             fleet,
+            path,
         }
     }
 
--- a/crates/gateway/src/requests/flight.rs
+++ b/crates/gateway/src/requests/flight.rs
@@ -150,6 +150,10 @@
     /// Records the outcome of the send.
     pub(crate) fn record_outcome(&self, outcome: SendOutcome) {
         self.gateway.table().record_outcome(self.key, outcome, self.gateway.now());
+        let report = SendReport { key: self.key, outcome, pace: None, rest_millis: None };
+        if matches!(outcome, SendOutcome::Unreached | SendOutcome::Broken | SendOutcome::Silent) {
+            self.gateway.suspect_path(&report);
+        }
         if let Some(send) = &self.versioned {
             self.gateway.record_version_outcome(send, outcome);
         }
@@ -157,7 +161,7 @@
         if is_served && self.gateway.table().record_served(self.key, self.sent_at) {
             log::info!(endpoint = self.endpoint.as_str(); "endpoint.rested");
         }
-        self.gateway.record_send(SendReport { key: self.key, outcome, pace: None, rest_millis: None });
+        self.gateway.record_send(report);
     }
 }
 
