RECOVER: what a VM without a path observes is no evidence at the others

While six of nine VMs were cut off, the three others used one or two of 18 engines (candidates 1, "no engine has room in time") and refused 7 to 16 requests a second.

Cause: a VM reported failed sends as long as it had an answer from any endpoint within the last two seconds. Cut VMs therefore reported for two seconds that they reached none of the endpoints, and the reports of two VMs exclude an endpoint everywhere.

A failed send is now held back until this VM has opened a connection to an endpoint, in an attempt made after the failure; the probe that the failure causes decides that within milliseconds, so that dead endpoints are still reported at once. Without one within 2 s, or when the path is lost, it is discarded. The same holds for evidence about versions in a rollout.

--- a/crates/gateway/src/endpoints/path_probe.rs
+++ b/crates/gateway/src/endpoints/path_probe.rs
@@ -1,11 +1,15 @@
-//! Determines whether this VM has a path to the endpoints.
+//! Determines whether this VM has a path to the endpoints, and holds back what it observes without one.
 //!
-//! Invariant: connections for probes are opened only while something is suspected, and at a bounded rate.
+//! Invariant: a failed send is reported to other VMs only after this VM has opened a connection to an
+//! endpoint since. Connections for probes are opened only while something is suspected, and at a bounded
+//! rate.
 
 use crate::endpoints::endpoint_pool::open_stream;
 use crate::gateway::Gateway;
+use crate::rollout::VersionedSend;
 use crate::{EndpointKey, PathChange, PathMonitor, PathState, PathTraffic, SendOutcome, SendReport};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -25,6 +29,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time of a round, in milliseconds: after a longer one this VM was suspended meanwhile.
 const MAX_ROUND_MILLIS: u64 = 600;
+/// Time for which a failed send is held back, in milliseconds. Without a connection since, it is discarded.
+const MAX_HOLD_MILLIS: u64 = 2_000;
+/// Maximum number of failed sends that are held back; the oldest are discarded.
+const MAX_HELD_SENDS: usize = 256;
 /// Endpoints up to which the listed ones are counted: more make no difference.
 const MAX_COUNTED_ENDPOINTS: usize = 16;
 
@@ -124,10 +132,21 @@
     }
 }
 
+/// A failed send that is held back.
+#[derive(Debug)]
+struct HeldSend {
+    report: SendReport,
+    versioned: Option<VersionedSend>,
+    /// Attempts to open connections before the failure.
+    attempts: u64,
+    discarded_at: Moment,
+}
+
 /// State of this VM's path to the endpoints.
 #[derive(Debug, Default)]
 pub(crate) struct PathWatch {
     monitor: Mutex<PathMonitor>,
+    held: Mutex<VecDeque<HeldSend>>,
     /// Wakes the task that probes.
     failed: Notify,
 }
@@ -136,22 +155,57 @@
     fn monitor(&self) -> MutexGuard<'_, PathMonitor> {
         self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    fn held(&self) -> MutexGuard<'_, VecDeque<HeldSend>> {
+        self.held.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl Gateway {
-    /// Records a failed send as a sign that this VM may have lost its path to the endpoints.
-    pub(crate) fn suspect_path(&self, report: &SendReport) {
+    /// Records a failed send, and reports it once this VM is known to have a path to the endpoints.
+    pub(crate) fn hold_failed_send(&self, report: SendReport, versioned: Option<VersionedSend>) {
         let now = self.now();
         let traffic = self.pool.traffic.read();
         let is_connection = report.outcome == SendOutcome::Unreached;
+        let mut state = PathState::Open;
         self.update_path(|monitor| {
             let change = monitor.observe(traffic, now);
             monitor.record_failure(report.key, is_connection, now);
+            state = monitor.state();
             change
         });
+        if state != PathState::Open {
+            return;
+        }
+        let mut held = self.path_watch.held();
+        if held.len() >= MAX_HELD_SENDS {
+            held.pop_front();
+        }
+        let discarded_at = now.after_millis(MAX_HOLD_MILLIS);
+        held.push_back(HeldSend { report, versioned, attempts: traffic.attempts, discarded_at });
+        drop(held);
         self.path_watch.failed.notify_one();
     }
 
+    /// Reports the failed sends that were followed by an opened connection.
+    fn release_held_sends(&self, now: Moment) {
+        let newest_opened = self.pool.traffic.read().newest_opened;
+        let mut released = Vec::new();
+        self.path_watch.held().retain_mut(|send| {
+            let is_released = newest_opened > send.attempts;
+            if is_released {
+                released.push((send.report, send.versioned.take()));
+            }
+            !is_released && now < send.discarded_at
+        });
+        for (report, versioned) in released {
+            if let Some(send) = &versioned {
+                self.record_version_outcome(send, report.outcome);
+            }
+            self.record_send(report);
+        }
+    }
+
     /// Updates the monitor and applies the change of the state, if any. The lock is held meanwhile, so that
     /// changes are applied in order.
     fn update_path(&self, update: impl FnOnce(&mut PathMonitor) -> Option<PathChange>) {
@@ -166,6 +220,7 @@
         let now = self.now();
         self.path.send_replace(state);
         self.metrics.path.set(state);
+        self.path_watch.held().clear();
         let (label, since_ms) = (state.label(), now.micros_since(since) / MICROS_PER_MILLI);
         if state == PathState::Open {
             log::warn!(before = before.label(), since_ms; "path.regained");
@@ -181,6 +236,7 @@
     fn observe_path(&self, now: Moment) {
         let traffic = self.pool.traffic.read();
         self.update_path(|monitor| monitor.observe(traffic, now));
+        self.release_held_sends(now);
     }
 
     /// Returns endpoints to probe, with their addresses, and how many are listed.
--- a/crates/gateway/src/requests/flight.rs
+++ b/crates/gateway/src/requests/flight.rs
@@ -152,7 +152,8 @@
         self.gateway.table().record_outcome(self.key, outcome, self.gateway.now());
         let report = SendReport { key: self.key, outcome, pace: None, rest_millis: None };
         if matches!(outcome, SendOutcome::Unreached | SendOutcome::Broken | SendOutcome::Silent) {
-            self.gateway.suspect_path(&report);
+            self.gateway.hold_failed_send(report, self.versioned.clone());
+            return;
         }
         if let Some(send) = &self.versioned {
             self.gateway.record_version_outcome(send, outcome);
