--- a/crates/gateway/src/endpoints/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -6,6 +6,7 @@
 
 use crate::EndpointKey;
 use crate::endpoints::observed_stream::{ConnectionEnd, EndRecord, EndSide, ObservedStream, cause_text};
+use crate::endpoints::path_probe::TrafficCounters;
 use crate::requests::outgoing_body::{BodyProgress, OutgoingBody, WRITE_BUFFER_BYTES};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -15,7 +16,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
@@ -26,7 +27,7 @@
 ///
 /// A sound host may be silent for a second or two, and the retransmission that ends its silence may come
 /// twice as late. When a request is sent elsewhere is decided by its own deadlines.
-const ENDPOINT_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
+pub(crate) const ENDPOINT_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(4);
 /// The same for a connection whose calls can be repeated at once.
 pub(crate) const CALL_UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(900);
 /// Delay before the first keep-alive probe and between probes.
@@ -88,6 +89,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct EndpointPool {
     idle: Mutex<HashMap<EndpointKey, Vec<IdleConnection>>>,
+    pub traffic: Arc<TrafficCounters>,
 }
 
 impl EndpointPool {
@@ -103,12 +105,13 @@
         mut request: Request<OutgoingBody>,
         may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, EndpointConnection), ExchangeError> {
+        self.traffic.count_send();
         loop {
             let is_long = request.body().is_long();
             let pooled = if is_long { None } else { self.take(key) };
             let mut connection = match pooled {
                 Some(connection) => connection,
-                None => connect(address, is_long).await?,
+                None => connect(address, is_long, &self.traffic).await?,
             };
             if let Err(error) = connection.sender.ready().await {
                 if connection.is_new {
@@ -192,15 +195,19 @@
     }
 }
 
-async fn connect(address: SocketAddr, has_long_body: bool) -> Result<EndpointConnection, ExchangeError> {
+async fn connect(
+    address: SocketAddr,
+    has_long_body: bool,
+    traffic: &Arc<TrafficCounters>,
+) -> Result<EndpointConnection, ExchangeError> {
     let not_sent = |error: io::Error| ExchangeError::NotSent(error.to_string());
-    let stream = open_stream(address, ENDPOINT_UNACKNOWLEDGED_TIMEOUT).await.map_err(not_sent)?;
+    let stream = traffic.open(address).await.map_err(not_sent)?;
     if has_long_body {
         // With this timeout an endpoint with a full receive window is disconnected although it acknowledges
         // each probe. How long a body may take is decided by the request's own deadline.
         SockRef::from(&stream).set_tcp_user_timeout(None).map_err(not_sent)?;
     }
-    let stream = ObservedStream::new(stream);
+    let stream = ObservedStream::new(stream, traffic);
     let end = stream.record();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(WRITE_BUFFER_BYTES)
--- a/crates/gateway/src/endpoints/observed_stream.rs
+++ b/crates/gateway/src/endpoints/observed_stream.rs
@@ -1,8 +1,9 @@
-//! A TCP stream that keeps the operating system's reason for its end.
+//! A TCP stream that keeps the operating system's reason for its end, and counts its reads.
 //!
 //! Invariant: the reason is stored before the library that reads the stream sees it. The library reports
 //! most of them as "connection error".
 
+use crate::endpoints::path_probe::TrafficCounters;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
@@ -93,16 +94,17 @@
     end.map_or(text, |end| end.cause.to_owned())
 }
 
-/// A stream whose end is stored in its record.
+/// A stream whose end is stored in its record, and whose reads are counted.
 #[derive(Debug)]
 pub(crate) struct ObservedStream {
     stream: TcpStream,
     record: EndRecord,
+    counters: Arc<TrafficCounters>,
 }
 
 impl ObservedStream {
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        Self { stream, record: EndRecord::default() }
+    pub(crate) fn new(stream: TcpStream, counters: &Arc<TrafficCounters>) -> Self {
+        Self { stream, record: EndRecord::default(), counters: Arc::clone(counters) }
     }
 
     /// Returns the record that the stream's end is stored in.
@@ -123,7 +125,9 @@
     ) -> Poll<io::Result<()>> {
         let (before, has_room) = (buffer.filled().len(), buffer.remaining() > 0);
         let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
-        if result.is_ok() && has_room && buffer.filled().len() == before {
+        if buffer.filled().len() > before {
+            self.counters.count_read();
+        } else if result.is_ok() && has_room {
             let _ = self.record.0.set(ConnectionEnd::END_OF_FILE);
         }
         Poll::Ready(self.observe(result))
--- a/crates/gateway/src/requests/flight.rs
+++ b/crates/gateway/src/requests/flight.rs
@@ -156,6 +156,11 @@
     /// Records the outcome of the send.
     pub(crate) fn record_outcome(&self, outcome: SendOutcome) {
         self.gateway.table().record_outcome(self.key, outcome, self.gateway.now());
+        let report = SendReport { key: self.key, outcome, pace: None, rest_millis: None };
+        if matches!(outcome, SendOutcome::Unreached | SendOutcome::Broken | SendOutcome::Silent) {
+            self.gateway.hold_failed_send(report, self.versioned.clone());
+            return;
+        }
         if let Some(send) = &self.versioned {
             self.gateway.record_version_outcome(send, outcome);
         }
@@ -163,7 +168,7 @@
         if is_served && self.gateway.table().record_served(self.key, self.sent_at) {
             log::info!(endpoint = self.endpoint.as_str(); "endpoint.rested");
         }
-        self.gateway.record_send(SendReport { key: self.key, outcome, pace: None, rest_millis: None });
+        self.gateway.record_send(report);
     }
 }
 
