RECOVER: connections that a cut refuses are no crashes of endpoints

During the cut each cut VM logged endpoint.ended ("it refuses connections") 12 to 26 times, with evidence against the requests that ran there; one request got to three crashes within 0.1 s and was quarantined at all nine VMs, although no endpoint had crashed.

Cause: the crash detector took a refused connection for a crash of its endpoint. A cut refuses the connections to all of them.

A refusal now counts only if this VM opens a connection to another endpoint after it, and the address then refuses once more. Without a witness the address is probed again once the path is open, until the broken sends expire after 6 s. If no other endpoint is listed a refusal counts as before: an incarnation is evidence only once. Removed entries and a new start at the address count as before; so the end of all endpoints at once is still found.

Evidence: a_cut_is_no_evidence_against_requests_that_ran::reset failed with three crash reports. Run: it passes; fatal_requests, reported_health and path_cuts without the hanging cases pass, except serving over another VM, which needs forwarding.

--- a/crates/gateway/src/endpoints/crash_detector.rs
+++ b/crates/gateway/src/endpoints/crash_detector.rs
@@ -1,12 +1,13 @@
 //! Detects whether an endpoint crashed when connections to it broke.
 //!
 //! Invariant: a broken connection alone is no evidence of a crash: it may have been reset on the way. An
-//! endpoint counts as crashed if its address refuses connections, if another one starts there, or if its
-//! entry is removed while the store is healthy. A stop that the endpoint had announced does not count.
+//! endpoint counts as crashed if its address refuses connections before and after this VM opened one to
+//! another endpoint, if another one starts there, or if its entry is removed while the store is healthy. A stop
+//! that the endpoint had announced does not count.
 
 use crate::endpoints::endpoint_pool::open_stream;
 use crate::gateway::Gateway;
-use crate::{CrashReport, EndpointCrash, EndpointKey, RequestKey};
+use crate::{CrashReport, EndpointCrash, EndpointKey, PathState, RequestKey};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::collections::HashMap;
 use std::io;
@@ -17,6 +18,8 @@
 
 /// Delay of the second probe of an address: a process that stops closes one socket after the other.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(100);
+/// Delay before an address is probed again that refused connections while no other endpoint was reached.
+const UNPROVEN_PROBE_DELAY: Duration = Duration::from_millis(250);
 /// Service discovery reports a crash within this time: three heartbeats of 1.2 s, plus a
 /// margin.
 const DISCOVERY_TIMEOUT_MILLIS: u64 = 6_000;
@@ -49,6 +52,7 @@
     sends: Vec<BrokenSend>,
     /// Becomes true when the address has been probed.
     probed: watch::Sender<bool>,
+    is_probing: bool,
     expires_at: Moment,
 }
 
@@ -73,26 +77,35 @@
         if suspicions.values().map(|suspicion| suspicion.sends.len()).sum::<usize>() >= MAX_BROKEN_SENDS {
             return None;
         }
-        let mut is_new = false;
         let suspicion = suspicions.entry(send.crash.start).or_insert_with(|| {
-            is_new = true;
             let (endpoint, probed) = (endpoint.clone(), watch::channel(false).0);
-            CrashSuspicion { endpoint, sends: Vec::new(), probed, expires_at: Moment(0) }
+            CrashSuspicion { endpoint, sends: Vec::new(), probed, is_probing: false, expires_at: Moment(0) }
         });
         suspicion.expires_at = now.after_millis(DISCOVERY_TIMEOUT_MILLIS);
         suspicion.sends.push(send);
         // An endpoint that was found alive is probed again: it may have crashed since.
-        let is_due = is_new || suspicion.probed.send_replace(false);
+        suspicion.probed.send_replace(false);
+        let is_due = !std::mem::replace(&mut suspicion.is_probing, true);
         Some((suspicion.probed.subscribe(), is_due))
     }
 
     fn record_alive(&self, endpoint: EndpointKey) {
-        let suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(suspicion) = suspicions.get(&endpoint) {
+        let mut suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(suspicion) = suspicions.get_mut(&endpoint) {
+            suspicion.is_probing = false;
             suspicion.probed.send_replace(true);
         }
     }
 
+    /// Records that a refused connection proves nothing yet; returns whether to probe again.
+    fn record_unproven(&self, endpoint: EndpointKey, now: Moment) -> bool {
+        let mut suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(suspicion) = suspicions.get_mut(&endpoint) else { return false };
+        suspicion.probed.send_replace(true);
+        suspicion.is_probing = now < suspicion.expires_at;
+        suspicion.is_probing
+    }
+
     /// Removes and returns the sends of a crashed endpoint; none if they have expired: the endpoint may have
     /// survived these broken connections.
     fn take(&self, endpoint: EndpointKey, now: Moment) -> Option<CrashSuspicion> {
@@ -153,15 +166,32 @@
 async fn probe(gateway: Arc<Gateway>, endpoint: EndpointKey, address: SocketAddr) {
     for delay in [Duration::ZERO, SECOND_PROBE_DELAY] {
         tokio::time::sleep(delay).await;
-        let stream = open_stream(address).await;
-        if stream.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
-            gateway.confirm_crash(endpoint, "it refuses connections");
-            return;
+        while refuses_connections(address).await {
+            // Without a path to the endpoints, a refused connection proves nothing.
+            if gateway.reaches_others(endpoint).await {
+                if refuses_connections(address).await {
+                    gateway.confirm_crash(endpoint, "it refuses connections");
+                    return;
+                }
+                break;
+            }
+            if !gateway.crash_detector.record_unproven(endpoint, gateway.now()) {
+                return;
+            }
+            tokio::time::sleep(UNPROVEN_PROBE_DELAY).await;
+            let expires_at = gateway.now().after_millis(DISCOVERY_TIMEOUT_MILLIS);
+            let mut path = gateway.path.subscribe();
+            let is_open = path.wait_for(|state| *state == PathState::Open);
+            let _ = gateway.complete_before(expires_at, is_open).await;
         }
     }
     gateway.crash_detector.record_alive(endpoint);
 }
 
+async fn refuses_connections(address: SocketAddr) -> bool {
+    open_stream(address).await.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Converts microseconds to milliseconds, for logs.
 pub(crate) const fn millis(micros: u64) -> u64 {
     micros / MICROS_PER_MILLI
--- a/crates/gateway/src/endpoints/path_probe.rs
+++ b/crates/gateway/src/endpoints/path_probe.rs
@@ -33,6 +33,8 @@
 const MAX_HOLD_MILLIS: u64 = 2_000;
 /// Maximum number of failed sends that are held back; the oldest are discarded.
 const MAX_HELD_SENDS: usize = 256;
+/// Endpoints that are probed to determine whether a refused connection shows a crash.
+const WITNESS_COUNT: usize = 3;
 /// Endpoints up to which the listed ones are counted: more make no difference.
 const MAX_COUNTED_ENDPOINTS: usize = 16;
 
@@ -251,6 +253,12 @@
         (targets.collect(), table.rows().take(MAX_COUNTED_ENDPOINTS).count())
     }
 
+    /// Opens connections to other endpoints than `endpoint`; whether one opened, or there are no others.
+    pub(crate) async fn reaches_others(&self, endpoint: EndpointKey) -> bool {
+        let (targets, _) = self.probe_targets(WITNESS_COUNT, &[endpoint]);
+        targets.is_empty() || self.opens_any(&targets).await
+    }
+
     /// Whether a connection to one of `targets` opens.
     async fn opens_any(&self, targets: &[(EndpointKey, SocketAddr)]) -> bool {
         let mut attempts = JoinSet::new();
