RECOVER: a VM whose path is back discards its failures from the time of the cut

Cause: failed sends eject their endpoint at this VM, with a time that doubles.

When the path opens again, all failures since the first one after the last opened connection are discarded: ejections, successive failures, failure ratios and the failures of data centres. Earlier ones stay.

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -134,6 +134,8 @@
     /// When a VM of another data centre reported newer weights, so that a leader relays them locally.
     pub remote_weights_at: Option<Moment>,
     ejected_until: Moment,
+    /// When a send of this VM last failed.
+    failed_at: Moment,
     reported_health: ReportedHealth,
     consecutive_failures: u32,
     failure_ratio: f64,
@@ -163,6 +165,7 @@
             reported_weights_at: None,
             remote_weights_at: None,
             ejected_until: Moment(0),
+            failed_at: Moment(0),
             reported_health: ReportedHealth::default(),
             consecutive_failures: 0,
             failure_ratio: 0.0,
@@ -265,6 +268,7 @@
                 self.ejected_until = self.ejected_until.max(now.after_millis(REFUSAL_EJECTION_MILLIS));
             }
             SendOutcome::Unreached | SendOutcome::Broken | SendOutcome::Silent => {
+                self.failed_at = now;
                 let millis =
                     (FIRST_EJECTION_MILLIS << self.consecutive_failures.min(4)).min(MAX_EJECTION_MILLIS);
                 // Requests that were in flight together fail together, and count as one failure.
@@ -276,6 +280,16 @@
         }
     }
 
+    /// Discards this VM's failures since `since`, when it had no path to any endpoint.
+    pub(crate) fn discard_failures(&mut self, since: Moment) {
+        if self.failed_at >= since {
+            self.failed_at = Moment(0);
+            self.consecutive_failures = 0;
+            self.ejected_until = Moment(0);
+            self.failure_ratio = 0.0;
+        }
+    }
+
     /// Applies another VM's report of a send.
     pub(crate) fn apply_send_report(&mut self, reporter: VmKey, report: &SendReport, slot: f64, now: Moment) {
         let failure = match report.outcome {
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -265,6 +265,16 @@
         }
     }
 
+    /// Discards this VM's failures since `since`, when it had no path to any endpoint.
+    pub fn discard_failures(&mut self, since: Moment) {
+        for row in self.rows.values_mut() {
+            row.discard_failures(since);
+        }
+        for record in self.reachability.values_mut() {
+            record.failed_at = record.failed_at.filter(|at| *at < since);
+        }
+    }
+
     /// Draws endpoints to probe: of different data centres and services first, and none that departs.
     ///
     /// `draw` returns random numbers from 0 to 1. The time does not grow with the number of endpoints.
--- a/crates/decide/tests/path_monitor.rs
+++ b/crates/decide/tests/path_monitor.rs
@@ -2,7 +2,9 @@
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use spanfold_decide::{EndpointEntry, EndpointKey, FleetTable, PathMonitor, PathState, PathTraffic};
+use spanfold_decide::{
+    EndpointEntry, EndpointKey, FleetTable, PathMonitor, PathState, PathTraffic, SendOutcome,
+};
 use spanfold_entity::Moment;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
@@ -256,3 +258,16 @@
     let drawn = table.draw_probe_targets(3, &[excluded], || random.borrow_mut().random::<f64>(), at(0));
     assert_eq!(drawn, [EndpointKey::of("dc-a-desk-1")]);
 }
+
+/// Guards against endpoints that a VM avoids after a cut because it could not reach them meanwhile.
+#[test]
+fn only_failures_since_the_cut_are_discarded() {
+    let mut table = table(&[("dc-a", "desk")], 2);
+    let [before, since] = ["dc-a-desk-0", "dc-a-desk-1"].map(EndpointKey::of);
+    table.record_outcome(before, SendOutcome::Unreached, at(0));
+    table.record_outcome(since, SendOutcome::Unreached, at(100));
+    table.discard_failures(at(100));
+    assert!(table.row(before).unwrap().is_ejected(at(200)));
+    assert!(!table.row(since).unwrap().is_ejected(at(200)));
+    assert!(table.row(since).unwrap().failure_ratio().abs() < f64::EPSILON);
+}
--- a/crates/gateway/src/endpoints/path_probe.rs
+++ b/crates/gateway/src/endpoints/path_probe.rs
@@ -225,6 +225,7 @@
         self.path_watch.held().clear();
         let (label, since_ms) = (state.label(), now.micros_since(since) / MICROS_PER_MILLI);
         if state == PathState::Open {
+            self.table().discard_failures(since);
             log::warn!(before = before.label(), since_ms; "path.regained");
             return;
         }
