RECOVER: a holder without a path to the endpoints orders none

A VM that is cut off while it has the right to order engines cordoned one group of engines after the other at all VMs, for orders that reached none of them.

It now gives no orders and renews no cordons while its path is cut. It keeps the right: this is bound to the lease of its entry, and a VM that gave that up would vanish from the list.

Run: a_holder_without_a_path_orders_no_engine passes.

--- a/crates/gateway/src/orders/order_task.rs
+++ b/crates/gateway/src/orders/order_task.rs
@@ -9,7 +9,7 @@
 use crate::operators::gateway_metrics::KindLabel;
 use crate::store::call_link::CallLink;
 use crate::store::lease_keeper::OrderRight;
-use crate::{EndpointKey, EngineReport, short_digest};
+use crate::{EndpointKey, EngineReport, PathState, short_digest};
 use crate::{EngineState, WeightScheduler, WeightStep};
 use hyper::StatusCode;
 use spanfold_entity::Moment;
@@ -44,7 +44,9 @@
         let has_right = order_right.fencing != 0
             && now >= order_right.from
             && now < order_right.until
-            && !gateway.is_stopping();
+            && !gateway.is_stopping()
+            // Its orders would reach no engine, and cordons would keep work from those they are meant for.
+            && *gateway.path.borrow() != PathState::Cut;
         if !has_right || fencing != order_right.fencing {
             fencing = if has_right { order_right.fencing } else { 0 };
             runner = OrderRunner::new(&gateway);
