--- a/crates/decide/src/fleet/path_monitor.rs
+++ b/crates/decide/src/fleet/path_monitor.rs
@@ -59,6 +59,24 @@
 }
 
 /// Observations of this VM's path to the endpoints.
+///
+/// # Examples
+/// ```
+/// use spanfold_decide::{EndpointKey, PathMonitor, PathState, PathTraffic};
+/// use spanfold_entity::Moment;
+/// let mut monitor = PathMonitor::default();
+/// let mut traffic = PathTraffic { attempts: 2, newest_opened: 2, ..PathTraffic::default() };
+/// monitor.observe(traffic, Moment(0));
+/// monitor.record_failure(EndpointKey(1), true, Moment(0));
+/// assert_eq!(monitor.next_round_at(), Some(Moment(0)));
+/// for keys in [[EndpointKey(1), EndpointKey(2)], [EndpointKey(3), EndpointKey(4)]] {
+///     monitor.record_failed_round(&keys, 18, 0.5, (Moment(0), Moment(0)));
+/// }
+/// assert_eq!(monitor.state(), PathState::Cut);
+/// traffic.newest_opened = 7;
+/// monitor.observe(traffic, Moment(0).after_millis(900));
+/// assert_eq!(monitor.state(), PathState::Open);
+/// ```
 #[derive(Clone, Debug, Default)]
 pub struct PathMonitor {
     state: PathState,
