RECOVER: choose the VM that serves a cut VM's requests

Pure decisions for forwarding: which VMs are candidates (reachable, not announced as closed, not avoided after a failure), the less loaded of two random ones, the share that stays in the data centre when few of its VMs have a path, the ramp after the path is back, and a bounded memory of sequence numbers so that no forwarded request is accepted twice. Nothing uses them yet.

--- a/crates/decide/src/admit/held_bytes.rs
+++ b/crates/decide/src/admit/held_bytes.rs
@@ -41,6 +41,20 @@
         self.total_bytes
     }
 
+    /// Returns the fraction of the limit that is buffered.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::HeldBytes;
+    /// let mut held = HeldBytes::new(100);
+    /// let reservation = held.begin();
+    /// held.grow(reservation, 40);
+    /// assert_eq!(held.fraction(), 0.4);
+    /// ```
+    pub fn fraction(&self) -> f64 {
+        self.total_bytes as f64 / self.limit_bytes.max(1) as f64
+    }
+
     /// Creates an empty reservation that may be evicted.
     pub fn begin(&mut self) -> ReservationId {
         let id = ReservationId(self.next_id);
--- a/crates/decide/src/fleet/peer_table.rs
+++ b/crates/decide/src/fleet/peer_table.rs
@@ -9,7 +9,7 @@
 //! sends to every other one, which gives more current data at little cost.
 
 use crate::admit::SHARE_RETENTION_MILLIS;
-use crate::{ListMembership, ShareRight, VmKey};
+use crate::{ForwardPeer, ForwardPeers, ListMembership, ShareRight, VmKey};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::cmp::Reverse;
@@ -39,6 +39,10 @@
 const MAX_MESH_VMS: usize = 30;
 /// Time within which a newly listed VM should send its first digest, in milliseconds.
 const FIRST_DIGEST_TIMEOUT_MILLIS: u64 = 1_200;
+/// Time for which a VM's announcement that it takes no requests of others counts, in milliseconds.
+///
+/// VMs that take none repeat it in each digest, and leaders name some of them in each.
+const CLOSED_LIFETIME_MILLIS: u64 = 1_500;
 /// Leaders of a data centre that send to other data centres.
 ///
 /// With two, the failure of one only makes the data in other data centres less current.
@@ -94,9 +98,31 @@
     sequence: (u64, u64),
     /// Incarnation and sequence number of the newest message that it relayed from other data centres.
     relayed_sequence: (u64, u64),
+    /// It announced that it takes no requests of other VMs until then.
+    closed_until: Moment,
+    /// This VM could not forward a request to it, and does not try again until then.
+    avoided_until: Moment,
 }
 
 impl PeerRow {
+    fn is_closed(&self, now: Moment) -> bool {
+        now < self.closed_until
+    }
+
+    /// Returns its newest known incarnation.
+    const fn incarnation(&self) -> u64 {
+        if self.sequence.0 == 0 { self.entry.incarnation } else { self.sequence.0 }
+    }
+
+    fn forward_peer(&self, vm: VmKey) -> ForwardPeer {
+        ForwardPeer {
+            vm,
+            name: self.entry.name.clone(),
+            address: self.entry.address,
+            incarnation: self.incarnation(),
+        }
+    }
+
     /// Whether it is reachable, or was listed too recently to have sent a digest.
     fn is_presumed_reachable(&self, now: Moment) -> bool {
         let is_new = self.listed_at.is_some_and(|at| now < at.after_millis(FIRST_DIGEST_TIMEOUT_MILLIS));
@@ -150,6 +176,8 @@
             received_at: None,
             sequence: (0, 0),
             relayed_sequence: (0, 0),
+            closed_until: Moment(0),
+            avoided_until: Moment(0),
         });
         row.entry = entry;
         row.listed = true;
@@ -232,6 +260,75 @@
         live.collect()
     }
 
+    /// Records whether a VM takes requests of other VMs.
+    pub fn record_forwarding(&mut self, vm: VmKey, is_closed: bool, now: Moment) {
+        let Some(row) = self.rows.get_mut(&vm) else { return };
+        row.closed_until = if is_closed { now.after_millis(CLOSED_LIFETIME_MILLIS) } else { Moment(0) };
+    }
+
+    /// Records that this VM could not forward a request to another one.
+    pub fn avoid_forwarding(&mut self, vm: VmKey, now: Moment) {
+        if let Some(row) = self.rows.get_mut(&vm) {
+            row.avoided_until = now.after_millis(CLOSED_LIFETIME_MILLIS);
+        }
+    }
+
+    /// Returns the VMs of this data centre, or of the others, that take no requests of other VMs.
+    pub fn closed_peers(&self, is_local: bool, now: Moment) -> Vec<VmKey> {
+        let rows = self.rows.iter().filter(|(_, row)| self.is_local_row(row) == is_local);
+        rows.filter(|(_, row)| row.is_closed(now)).map(|(vm, _)| *vm).collect()
+    }
+
+    /// Returns the VMs that take requests of this one.
+    ///
+    /// These are reachable VMs. In a large deployment, a VM gets digests of few VMs of other data centres:
+    /// those that it gets none of are presumed reachable if another VM of theirs is.
+    pub fn forward_peers(&self, now: Moment) -> ForwardPeers {
+        let mut peers = ForwardPeers { closed_local_count: 1, ..ForwardPeers::default() };
+        let reachable_centres: BTreeSet<&str> = self
+            .rows
+            .values()
+            .filter(|row| row.sent_within(SILENCE_TIMEOUT_MILLIS, now))
+            .map(|row| row.entry.data_centre.as_str())
+            .collect();
+        let sends_directly = self.broadcasts_to_all();
+        for (vm, row) in &self.rows {
+            let is_local = self.is_local_row(row);
+            let is_presumed = !is_local
+                && !sends_directly
+                && row.listed
+                && row.received_at.is_none()
+                && reachable_centres.contains(row.entry.data_centre.as_str());
+            if !is_presumed && !row.sent_within(SILENCE_TIMEOUT_MILLIS, now) {
+                continue;
+            }
+            if row.is_closed(now) {
+                peers.closed_local_count += usize::from(is_local);
+            } else if now >= row.avoided_until {
+                let list = if is_local { &mut peers.local } else { &mut peers.remote };
+                list.push(row.forward_peer(*vm));
+            }
+        }
+        peers
+    }
+
+    /// Whether a VM that sent digests has sent none for so long that it counts as dead.
+    pub fn is_silent(&self, vm: VmKey, now: Moment) -> bool {
+        let row = self.rows.get(&vm);
+        row.is_none_or(|row| row.received_at.is_some() && !row.sent_within(PEER_TIMEOUT_MILLIS, now))
+    }
+
+    /// Returns a VM's name.
+    pub fn name_of(&self, vm: VmKey) -> Option<&str> {
+        self.rows.get(&vm).map(|row| row.entry.name.as_str())
+    }
+
+    /// Whether a VM sends digests with an incarnation, or has it in its entry.
+    pub fn has_incarnation(&self, vm: VmKey, incarnation: u64) -> bool {
+        let row = self.rows.get(&vm);
+        row.is_some_and(|row| [row.sequence.0, row.entry.incarnation].contains(&incarnation))
+    }
+
     /// Removes VMs that are neither listed nor live, and expired shares of departed VMs.
     pub fn sweep(&mut self, now: Moment) {
         self.rows.retain(|_, row| row.listed || row.sent_within(PEER_TIMEOUT_MILLIS, now));
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -30,12 +30,13 @@
 pub use fleet::{
     AccountRow, BackoffChange, CacheChange, CacheUpdate, ColdSpec, CordonSource, DeploymentConfig,
     EndpointBackoff, EndpointEntry, EndpointKey, EndpointRow, EndpointSnapshot, EngineReport, EngineSpec,
-    FleetCounts, FleetSweep, FleetTable, HomeRegions, LEADERS_PER_DATA_CENTRE, LimitChange, LimitReport,
-    LinkTransfers, LoadCount, LoadSource, MAX_FRAGMENT_BYTES, MAX_FRAGMENTS, PathState, PeerHeartbeat,
-    PeerTable, PromptSegment, PropagationPlan, ReassemblyProgress, ReportedLimit, RequestLimits, RouteKind,
-    RouteRow, RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight, StoreEvent, StoreItem,
-    StorePosition, StoreSpec, UpdateFragment, UpdateHistory, UpdateReassembly, VmEntry, VmKey, WeightTarget,
-    pack, pick_target, short_digest, split_update, unpack,
+    FleetCounts, FleetSweep, FleetTable, ForwardPeer, ForwardPeers, HomeRegions, LEADERS_PER_DATA_CENTRE,
+    LimitChange, LimitReport, LinkTransfers, LoadCount, LoadSource, MAX_FRAGMENT_BYTES, MAX_FRAGMENTS,
+    PathState, PeerHeartbeat, PeerTable, PromptSegment, PropagationPlan, ReassemblyProgress, ReportedLimit,
+    RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight,
+    StoreEvent, StoreItem, StorePosition, StoreSpec, UpdateFragment, UpdateHistory, UpdateReassembly,
+    UsedSequences, VmEntry, VmKey, WeightTarget, direct_share, pack, pick_target, short_digest, split_update,
+    unpack,
 };
 pub use kept::{
     CacheReport, CachedSegments, IndexReport, IndexReporter, PollSchedule, StoreRow, TransferPlan,
