RECOVER: serve callers over another VM while the own path is cut

A VM whose path is Cut now forwards requests to a VM that has one, over HTTP/1.1 at the port for messages of VMs; with PooledOnly it forwards those whose endpoint has no pooled connection. The VM that takes a request serves it as its own callers', under a configuration that is not older, and forwards it no further. Requests are authenticated with the peer key over sender, receiver incarnation, sequence number, head and body hash, and accepted once. "Not run" stays true only if no byte left or the other VM states it authentically; otherwise the request may have run: 502, or a second send within attempts and budget. VMs without a path, and those that stop, say so in their digests; leaders pass on which VMs of other data centres do (format 18). A VM takes forwarded requests up to a bound by its memory and refuses beyond it at once. After the path is back, own sends grow over a second.

GatewayDaemon::hold_path sets the path in tests; the detection of a cut calls Gateway::report_path.

Fields taken_from and given_to of request.ended; spanfold losses counts such a request once.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -138,6 +138,7 @@
         let millis = jump.as_millis() as u64;
         log::warn!(millis; "clock.jumped");
         self.pool.close_all_idle();
+        self.forwards.pool.close_all_idle();
         if millis >= MIN_STALE_JUMP_MILLIS {
             self.stale_until.send_replace(self.now().after_millis(STORE_TIMEOUT_MILLIS));
         }
--- a/crates/gateway/src/endpoints/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -81,13 +81,14 @@
     /// Sends `request` over a pooled or a new connection; returns the answer's head.
     ///
     /// A pooled connection that is found closed before a byte was written is replaced. A long body has a
-    /// connection of its own. `may_send` is called right before the first byte, so that changes during
+    /// connection of its own. No connection is opened unless `may_connect`. `may_send` is called right before the first byte, so that changes during
     /// connection set-up count.
     pub(crate) async fn exchange(
         &self,
         key: EndpointKey,
         address: SocketAddr,
         mut request: Request<OutgoingBody>,
+        may_connect: impl Fn() -> bool,
         may_send: impl Fn() -> bool,
     ) -> Result<(Response<Incoming>, EndpointConnection), ExchangeError> {
         loop {
@@ -95,6 +96,7 @@
             let pooled = if is_long { None } else { self.take(key) };
             let mut connection = match pooled {
                 Some(connection) => connection,
+                None if !may_connect() => return Err(ExchangeError::Withdrawn),
                 None => connect(address, is_long).await?,
             };
             if let Err(error) = connection.sender.ready().await {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use crate::endpoints::answer_handler::ObservedAnswer;
 use crate::endpoints::crash_detector::CrashDetector;
 use crate::endpoints::endpoint_pool::EndpointPool;
+use crate::forward::forward_state::ForwardState;
 use crate::memory::MemoryLimiter;
 use crate::operators::gateway_metrics::GatewayMetrics;
 use crate::peers::digest_relay::DigestRelay;
@@ -25,7 +26,7 @@
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -137,12 +138,18 @@
     pub stopping: watch::Sender<bool>,
     /// Whether this VM has a path to the endpoints.
     pub path: watch::Sender<PathState>,
+    /// Whether the path's state is set and stays, for tests.
+    pub is_path_held: AtomicBool,
+    /// Requests that are forwarded to other VMs, and taken from them.
+    pub forwards: ForwardState,
     /// Moment of the last failed call to the store, in microseconds; zero if none has failed.
     store_failed_at: AtomicU64,
     pub open_requests: AtomicU64,
     /// Prompts that wait at this VM because no engine has free capacity.
     pub waiting_prompts: AtomicU64,
     pub caller_connections: AtomicU64,
+    /// Connections of other VMs.
+    pub peer_connections: AtomicU64,
     /// Incarnation of this process: random, never zero.
     pub incarnation: u64,
 }
@@ -211,10 +218,13 @@
             sequence: AtomicU64::new(0),
             stopping: watch::channel(false).0,
             path: watch::channel(PathState::Open).0,
+            is_path_held: AtomicBool::new(false),
+            forwards: ForwardState::default(),
             store_failed_at: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
             waiting_prompts: AtomicU64::new(0),
             caller_connections: AtomicU64::new(0),
+            peer_connections: AtomicU64::new(0),
             incarnation,
         }
     }
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -1,6 +1,7 @@
 //! One running gateway: its listeners, its tasks, and its planned stop.
 
 use crate::clock::GatewayClock;
+use crate::forward::{forward_port, forward_state};
 use crate::gateway::Gateway;
 use crate::operators::operator_port;
 use crate::orders::{order_task, publication_task, release_task};
@@ -10,7 +11,7 @@
 use crate::store::lease_keeper::OrderRight;
 use crate::store::store_view::OrdersView;
 use crate::store::{follow, lease_keeper};
-use crate::{FleetSweep, WireDialect, clock, rollout, store};
+use crate::{FleetSweep, PathState, WireDialect, clock, rollout, store};
 use spanfold_declare::GatewaySettings;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -114,14 +115,15 @@
             )),
             tokio::spawn(operator_port::serve_operators(handle(), metrics, operator_port::answer_management)),
             tokio::spawn(accept_loop::serve_callers(handle(), callers, close_connections.subscribe())),
+            tokio::spawn(forward_state::follow_path(handle())),
             tokio::spawn(sweep(handle())),
         ];
         let mut tasks = tasks;
         if let Ok(listener) = snapshot_listener {
-            tasks.push(tokio::spawn(operator_port::serve_operators(
+            tasks.push(tokio::spawn(forward_port::serve_peers(
                 handle(),
                 listener,
-                store::answer_snapshot_request,
+                close_connections.subscribe(),
             )));
         }
         let name = gateway.settings.name.as_str();
@@ -144,6 +146,12 @@
         self.addresses[2]
     }
 
+    /// Sets whether this VM reaches endpoints, and keeps that state, for tests.
+    pub fn hold_path(&self, state: PathState) {
+        self.gateway.is_path_held.store(true, Ordering::Relaxed);
+        self.gateway.path.send_replace(state);
+    }
+
     /// Aborts all tasks at once, as a crash would.
     pub fn kill(&self) {
         for task in &self.tasks {
@@ -162,7 +170,8 @@
         loop {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
             let open = self.gateway.open_requests.load(Ordering::SeqCst)
-                + self.gateway.caller_connections.load(Ordering::SeqCst);
+                + self.gateway.caller_connections.load(Ordering::SeqCst)
+                + self.gateway.peer_connections.load(Ordering::SeqCst);
             // A connection counts until its last answer is written, and no new one is accepted.
             if open == 0 || begun.elapsed() >= grace {
                 log::info!(open; "gateway.stopped");
@@ -213,6 +222,7 @@
         }
         gateway.quota_queue.queue().sweep(now);
         gateway.pool.sweep();
+        gateway.sweep_forwards();
         gateway.peers().sweep(now);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod dialect;
 mod endpoints;
+mod forward;
 mod gateway;
 mod gateway_daemon;
 mod memory;
@@ -36,22 +37,22 @@
 pub use requests::event_reader::{EventError, EventReader};
 pub use spanfold_decide::{
     AccountRow, CacheChange, CacheUpdate, ColdSpec, DeploymentConfig, EndpointEntry, EndpointKey,
-    EngineReport, EngineSpec, PromptSegment, RequestLimits, RolloutOrder, RolloutPhase, RouteKind, RouteRow,
-    ServiceRow, ServiceWeight, StoreEvent, StoreItem, StorePosition, StoreSpec, WeightTarget,
+    EngineReport, EngineSpec, PathState, PromptSegment, RequestLimits, RolloutOrder, RolloutPhase, RouteKind,
+    RouteRow, ServiceRow, ServiceWeight, StoreEvent, StoreItem, StorePosition, StoreSpec, WeightTarget,
     format_cache_salt,
 };
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, AnswerCounts, BackoffChange, BudgetTerms, CacheReport, CanaryDraw,
     ColdTerms, CordonSource, CrashReport, EndpointCrash, EndpointRow, EndpointSnapshot, EngineState,
-    ExposureTerms, FleetSweep, FleetTable, HeldBytes, IdentityKey, IndexReporter, LEADERS_PER_DATA_CENTRE,
-    LeaseHolder, LeaseOwnership, LimitChange, LimitReport, LinkTransfers, ListMembership, LoadCount,
-    LoadSource, MAX_FRAGMENT_BYTES, PathState, PeerHeartbeat, PeerTable, PlacementChoice, PlacementRequest,
-    PollSchedule, PropagationPlan, PublicationRecord, PublishedVersion, PublishedWeights, QuarantineChange,
-    QuarantineMessage, QuarantinePhase, QuarantinedRequest, QueueEntry, RateTerms, ReassemblyProgress,
-    RequestIdentity, RequestKey, RequestQuarantine, RequiredWeights, ReservationId, RetryBudget,
-    RolloutAnswer, RolloutReason, RolloutRecord, RolloutRun, RolloutStep, RolloutTable, RouteCounts,
-    RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView, SumKey,
-    UpdateFragment, UpdateHistory, UpdateReassembly, VersionSplit, VmEntry, VmKey, WeightScheduler,
-    WeightStep, claim_probability, outdated_segments, pack, pick_target, place, salted_key, short_digest,
-    split_update, unpack,
+    ExposureTerms, FleetSweep, FleetTable, ForwardPeer, ForwardPeers, HeldBytes, IdentityKey, IndexReporter,
+    LEADERS_PER_DATA_CENTRE, LeaseHolder, LeaseOwnership, LimitChange, LimitReport, LinkTransfers,
+    ListMembership, LoadCount, LoadSource, MAX_FRAGMENT_BYTES, PeerHeartbeat, PeerTable, PlacementChoice,
+    PlacementRequest, PollSchedule, PropagationPlan, PublicationRecord, PublishedVersion, PublishedWeights,
+    QuarantineChange, QuarantineMessage, QuarantinePhase, QuarantinedRequest, QueueEntry, RateTerms,
+    ReassemblyProgress, RequestIdentity, RequestKey, RequestQuarantine, RequiredWeights, ReservationId,
+    RetryBudget, RolloutAnswer, RolloutReason, RolloutRecord, RolloutRun, RolloutStep, RolloutTable,
+    RouteCounts, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView,
+    SumKey, UpdateFragment, UpdateHistory, UpdateReassembly, UsedSequences, VersionSplit, VmEntry, VmKey,
+    WeightScheduler, WeightStep, claim_probability, direct_share, outdated_segments, pack, pick_target,
+    place, salted_key, short_digest, split_update, unpack,
 };
--- a/crates/gateway/src/memory/memory_limiter.rs
+++ b/crates/gateway/src/memory/memory_limiter.rs
@@ -44,6 +44,11 @@
         self.state().held_bytes.total()
     }
 
+    /// Returns the fraction of the bound that is reserved.
+    pub(crate) fn held_fraction(&self) -> f64 {
+        self.state().held_bytes.fraction()
+    }
+
     fn state(&self) -> MutexGuard<'_, LimiterState> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -120,6 +120,30 @@
     }
 }
 
+/// Metrics of requests between VMs.
+#[derive(Debug)]
+pub(crate) struct ForwardMetrics {
+    /// Forwarded requests, by what became of them at this VM.
+    forwards: Family<KindLabel, Counter>,
+    /// Requests that this VM has at other VMs now.
+    pub in_flight: Gauge,
+}
+
+impl ForwardMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self { forwards: Family::default(), in_flight: Gauge::default() };
+        let forwards = metrics.forwards.clone();
+        registry.register("forwards", "Requests passed between VMs, by what became of them", forwards);
+        registry.register("forwards_in_flight", "Requests at other VMs", metrics.in_flight.clone());
+        metrics
+    }
+
+    /// Counts a forwarded request.
+    pub(crate) fn count(&self, kind: &str) {
+        self.forwards.get_or_create(&KindLabel::new(kind)).inc();
+    }
+}
+
 /// All metrics of one gateway.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -168,6 +192,8 @@
     pub rollouts: Family<KindLabel, Counter>,
     /// Counts of endpoints that get less work than others.
     pub fleet: FleetGauges,
+    /// Metrics of requests between VMs.
+    pub forwards: ForwardMetrics,
 }
 
 impl GatewayMetrics {
@@ -240,6 +266,7 @@
         registry.register("endpoint_copies", "Copies of all endpoints asked for", endpoint_copies.clone());
         registry.register("rollouts", "Moves of services to other versions, by step", rollouts.clone());
         let fleet = FleetGauges::register(&mut registry);
+        let forwards = ForwardMetrics::register(&mut registry);
         Self {
             registry,
             answers,
@@ -268,6 +295,7 @@
             memory,
             rollouts,
             fleet,
+            forwards,
         }
     }
 
--- a/crates/gateway/src/peers/load_digest.rs
+++ b/crates/gateway/src/peers/load_digest.rs
@@ -23,6 +23,9 @@
 /// Digests relayed by the second leader may be this much older than the first one's, in milliseconds.
 const MAX_RELAY_LAG_MILLIS: u64 = 900;
 
+/// VMs that take no requests of others and that one digest names at most: a kilobyte.
+const MAX_CLOSED_PEERS: usize = 128;
+
 /// Whose loads a digest reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum DigestScope {
@@ -59,6 +62,8 @@
     /// Remote VMs that its sender received digests of, and how long ago, in microseconds; only with
     /// [`DigestScope::Elsewhere`].
     heard: Vec<(PeerHeartbeat, u64)>,
+    /// VMs of its scope that take no requests of other VMs; some of them, if they are many.
+    closed_peers: Vec<VmKey>,
 }
 
 /// Messages that wait to be sent with a digest.
@@ -81,10 +86,12 @@
             rollouts: gateway.rollouts().sums.local.take(),
         };
         let now = gateway.now();
+        let closed_peers = closed_peers(gateway, DigestScope::Vm, now);
         let table = gateway.table();
         let loads = table.loads_of(|_| false, now);
         let transfers = table.transfers_of(|_| false, now);
-        Self::build(gateway, &table, DigestScope::Vm, messages, loads, transfers)
+        let digest = Self::build(gateway, &table, DigestScope::Vm, messages, loads, transfers);
+        Self { closed_peers, ..digest }
     }
 
     /// Builds the digest of this VM's data centre, which this VM sends as a leader.
@@ -100,10 +107,12 @@
             rollouts: gateway.rollouts().sums.remote.take_if(is_first),
         };
         let now = gateway.now();
+        let closed_peers = closed_peers(gateway, DigestScope::DataCentre, now);
         let table = gateway.table();
         let loads = table.loads_of(|vm| local_vms.contains(&vm), now);
         let transfers = table.transfers_of(|vm| local_vms.contains(&vm), now);
-        Self::build(gateway, &table, DigestScope::DataCentre, messages, loads, transfers)
+        let digest = Self::build(gateway, &table, DigestScope::DataCentre, messages, loads, transfers);
+        Self { closed_peers, ..digest }
     }
 
     /// Builds the digest of all other data centres, which this VM relays as a leader within its own.
@@ -117,10 +126,11 @@
         };
         let now = gateway.now();
         let remote_peers = gateway.peers().live_remote_peers(now);
+        let closed_peers = closed_peers(gateway, DigestScope::Elsewhere, now);
         let table = gateway.table();
         let (loads, transfers) = (table.remote_loads(now), table.remote_transfers(now));
         let digest = Self::build(gateway, &table, DigestScope::Elsewhere, messages, loads, transfers);
-        Self { heard: remote_peers, ..digest }
+        Self { heard: remote_peers, closed_peers, ..digest }
     }
 
     /// Takes over the messages of an earlier digest of the same VM that this one replaces before it was sent.
@@ -170,6 +180,7 @@
             weights: observed_weights(table, scope, now),
             named: gateway.publication_ages(),
             heard: Vec::new(),
+            closed_peers: Vec::new(),
         }
     }
 
@@ -184,6 +195,21 @@
         }
     }
 
+    /// Records which VMs take no requests of others.
+    ///
+    /// A leader learns of other data centres from their leaders alone: two leaders of one data centre would
+    /// repeat to each other what is over.
+    fn apply_closed_peers(&self, peers: &mut PeerTable, vm: VmKey, is_leader: bool, now: Moment) {
+        let is_applied = match self.scope {
+            DigestScope::Vm => return peers.record_forwarding(vm, self.closed_peers.contains(&vm), now),
+            DigestScope::DataCentre => is_leader,
+            DigestScope::Elsewhere => !is_leader,
+        };
+        if is_applied {
+            self.closed_peers.iter().for_each(|closed| peers.record_forwarding(*closed, true, now));
+        }
+    }
+
     /// Applies another VM's digest. What VMs of this data centre report is queued for the other data centres.
     pub(crate) fn apply(&self, gateway: &Gateway, vm: VmKey) {
         let now = gateway.now();
@@ -192,13 +218,10 @@
             for (heartbeat, age_micros) in &self.heard {
                 peers.record_indirect_digest(heartbeat, Moment(now.0.saturating_sub(*age_micros)));
             }
+            let is_leader = peers.leader_rank(now) < LEADERS_PER_DATA_CENTRE;
+            self.apply_closed_peers(&mut peers, vm, is_leader, now);
             let data_centre = peers.data_centre_of(vm).map(short_digest);
-            (
-                peers.is_local(vm),
-                peers.leader_rank(now) < LEADERS_PER_DATA_CENTRE,
-                data_centre,
-                peers.listed_count(),
-            )
+            (peers.is_local(vm), is_leader, data_centre, peers.listed_count())
         };
         let Some(data_centre) = data_centre else { return };
         // A leader takes other data centres' loads from their leaders, the other VMs take them from their own
@@ -254,6 +277,26 @@
     }
 }
 
+/// VMs that take no requests of others, and that a digest of `scope` names.
+fn closed_peers(gateway: &Gateway, scope: DigestScope, now: Moment) -> Vec<VmKey> {
+    let own = gateway.is_closed_to_peers().then(|| VmKey::of(&gateway.settings.name));
+    let mut closed = match scope {
+        DigestScope::Vm => return own.into_iter().collect(),
+        DigestScope::DataCentre => gateway.peers().closed_peers(true, now),
+        DigestScope::Elsewhere => gateway.peers().closed_peers(false, now),
+    };
+    if scope == DigestScope::DataCentre {
+        closed.extend(own);
+    }
+    if closed.len() > MAX_CLOSED_PEERS {
+        // Others are named in the next digests.
+        let start = rand::random_range(0..closed.len());
+        closed.rotate_left(start);
+        closed.truncate(MAX_CLOSED_PEERS);
+    }
+    closed
+}
+
 /// Whether another data centre reported a moment ago that an engine has newer weights.
 fn has_newer_weights(table: &FleetTable, key: EndpointKey, now: Moment) -> bool {
     let loaded_at = table.row(key).and_then(|row| row.remote_weights_at);
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -14,7 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format; messages of other versions are ignored.
-const FORMAT_VERSION: u8 = 17;
+const FORMAT_VERSION: u8 = 18;
 /// Bytes of the authentication code at the end of a datagram.
 const CODE_BYTES: usize = 16;
 
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -117,6 +117,12 @@
                 PlaceResult::Limited(return_delay_millis) => {
                     return Some(SendResult::Limited(return_delay_millis));
                 }
+                // It would wait for engines that it does not reach.
+                PlaceResult::Wait | PlaceResult::WaitForShare(_)
+                    if self.goes_to_peer() || self.has_lost_path() =>
+                {
+                    return Some(SendResult::NotSent);
+                }
                 PlaceResult::Wait => {
                     self.waits_for_capacity = true;
                     self.wait_for_capacity().await;
@@ -435,8 +441,13 @@
     ) -> Result<ExchangeResult, DeadlinePassed> {
         let gateway = &self.gateway;
         let (progress, is_long) = (request.body().progress(), request.body().is_long());
-        let mut exchange =
-            pin!(gateway.pool.exchange(flight.key, flight.address, request, || self.is_accepting(flight)));
+        let mut exchange = pin!(gateway.pool.exchange(
+            flight.key,
+            flight.address,
+            request,
+            || gateway.path.borrow().opens_connections(),
+            || self.is_accepting(flight)
+        ));
         let (mut deadline, mut remaining) = (self.answer_deadline(), progress.remaining());
         loop {
             // Newer weights may be published meanwhile.
@@ -465,7 +476,8 @@
             .is_none_or(|row| !row.has_announced_departure() && !row.backoff.is_backing_off(now))
     }
 
-    fn record_sent(&mut self) {
+    /// Records a send that the endpoint may have run.
+    pub(crate) fn record_sent(&mut self) {
         self.sends += 1;
         self.may_have_run = true;
     }
--- a/crates/gateway/src/requests/own_answer.rs
+++ b/crates/gateway/src/requests/own_answer.rs
@@ -9,6 +9,11 @@
 use hyper::header::{HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+/// Reason of a refusal because connections to several endpoints failed.
+pub(crate) const NO_ENDPOINT_REACHED: &str = "no endpoint is reached";
+/// Reason of a refusal because there is no endpoint to send to.
+pub(crate) const NO_ENDPOINT_TAKES_WORK: &str = "no endpoint takes work";
+
 /// Why an answer's body was aborted.
 #[derive(Debug, thiserror::Error)]
 #[error("the answer broke off: {0}")]
@@ -47,10 +52,18 @@
         Self { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_millis: Some(millis) }
     }
 
+    /// Whether it says that no endpoint was reached, which another VM may do.
+    pub(crate) fn is_unreached(&self) -> bool {
+        [NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK].contains(&self.reason)
+    }
+
     /// Builds the HTTP response.
+    ///
+    /// It has this answer as an extension, which distinguishes it from an endpoint's.
     pub(crate) fn response(&self) -> Response<AnswerBody> {
         let mut response = Response::new(full_body(Bytes::from_static(self.reason.as_bytes())));
         *response.status_mut() = self.status;
+        response.extensions_mut().insert(*self);
         if let Some(millis) = self.retry_after_millis {
             let text = format!("{}.{:03}", millis / 1_000, millis % 1_000);
             if let Ok(value) = HeaderValue::from_str(&text) {
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -5,12 +5,13 @@
 
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
+use crate::forward::forward_client::forward_request;
 use crate::gateway::{CountGuard, Gateway};
 use crate::memory::{BodyFault, MemoryReservation, read_limited};
 use crate::operators::gateway_metrics::KindLabel;
 use crate::requests::dispatch::{ReceivedHead, SendResult};
 use crate::requests::long_answer::forward_long;
-use crate::requests::own_answer::{AnswerBody, OwnAnswer};
+use crate::requests::own_answer::{AnswerBody, NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, OwnAnswer};
 use crate::requests::request_context::{RequestContext, header_text, is_hop_by_hop};
 use crate::requests::request_run::{CallerResources, RequestRun};
 use crate::requests::stream_relay;
@@ -64,13 +65,11 @@
             return answer.response();
         }
     };
-    gateway.count_request(&context.service);
-    gateway.metrics.prompt_tokens.inc_by(u64::from(context.prompt_tokens));
     let run = RequestRun::new(
         gateway,
         context,
         body,
-        CallerResources { _open: open_guard, _reservation: reservation, disconnect },
+        CallerResources { _open: open_guard, _taken: None, _reservation: reservation, disconnect },
     );
     serve(run).await
 }
@@ -104,18 +103,31 @@
     }
 }
 
-async fn serve(mut run: RequestRun) -> Response<AnswerBody> {
+/// Serves a request whose head was checked and whose body was read.
+pub(crate) async fn serve(mut run: RequestRun) -> Response<AnswerBody> {
     loop {
         if run.gateway.now() >= run.context.deadline {
             return run.time_out();
         }
+        if run.goes_to_peer() {
+            // Its state would enlarge each request's, although few are forwarded.
+            match Box::pin(forward_request(run)).await {
+                Ok(response) => return response,
+                Err(returned) => run = *returned,
+            }
+            continue;
+        }
+        run.count_once();
         let Some(result) = run.send_once(None).await else {
-            return run.give_up("no endpoint takes work", NO_ENDPOINT_RETRY_MILLIS);
+            if run.needs_peer() {
+                continue;
+            }
+            return run.give_up(NO_ENDPOINT_TAKES_WORK, NO_ENDPOINT_RETRY_MILLIS);
         };
         let failed: &'static str = match result {
             SendResult::NotSent => {
-                if run.tried.len() >= MAX_CONNECT_FAILURES {
-                    return run.give_up("no endpoint is reached", NO_ENDPOINT_RETRY_MILLIS);
+                if !run.needs_peer() && (run.tried.len() >= MAX_CONNECT_FAILURES || run.has_lost_path()) {
+                    return run.give_up(NO_ENDPOINT_REACHED, NO_ENDPOINT_RETRY_MILLIS);
                 }
                 continue;
             }
@@ -194,13 +206,14 @@
 }
 
 /// The part of an answer's body that was read.
-enum AnswerStart {
+pub(crate) enum AnswerStart {
     Whole(Bytes),
     /// The beginning of the body, because the body exceeds the buffer limit.
     Long(Bytes),
 }
 
-async fn read_answer(body: &mut Incoming) -> Result<AnswerStart, hyper::Error> {
+/// Reads an answer's body, or the beginning of a long one.
+pub(crate) async fn read_answer(body: &mut Incoming) -> Result<AnswerStart, hyper::Error> {
     let mut prefix = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(chunk) = frame?.into_data() {
--- a/crates/gateway/src/requests/request_context.rs
+++ b/crates/gateway/src/requests/request_context.rs
@@ -7,7 +7,9 @@
 use crate::pick_target;
 use crate::requests::own_answer::OwnAnswer;
 use crate::{AccountRow, AdmissionView, HeaderNames, PromptSegment, RouteKind, RouteRow};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, TRANSFER_ENCODING,
+};
 use hyper::http::request::Parts;
 use hyper::{Method, StatusCode};
 use spanfold_entity::Moment;
@@ -40,6 +42,8 @@
     /// The requested host.
     pub host: String,
     pub headers: HeaderMap,
+    /// The caller's authorization, which endpoints do not get.
+    pub authorization: Option<HeaderValue>,
     pub route: RouteRow,
     pub service: String,
     pub account: Option<String>,
@@ -95,6 +99,7 @@
             path: head.uri.path_and_query().map_or_else(|| "/".to_owned(), ToString::to_string),
             host: host.to_owned(),
             headers: forwarded_headers(headers, names),
+            authorization: headers.get(AUTHORIZATION).cloned(),
             service: service.to_owned(),
             account: account.map(|account| account.name.clone()),
             segments: segments.unwrap_or_default(),
@@ -147,8 +152,7 @@
     route: &RouteRow,
     headers: &HeaderMap,
 ) -> Result<Option<&'a AccountRow>, OwnAnswer> {
-    let key =
-        header_text(headers, &hyper::header::AUTHORIZATION).and_then(gateway.dialect.decoders.caller_key);
+    let key = header_text(headers, &AUTHORIZATION).and_then(gateway.dialect.decoders.caller_key);
     let account = key.and_then(|key| table.account(key));
     if account.is_none() && table.requires_keys() && !route.public {
         return Err(OwnAnswer::plain(StatusCode::UNAUTHORIZED, "no such key"));
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -4,6 +4,7 @@
 //! its caller left.
 
 use crate::endpoints::crash_detector::{BrokenEndpoint, BrokenSend, ProbeCompletion, millis};
+use crate::forward::forward_client::ForwardPlan;
 use crate::gateway::{CountGuard, Gateway};
 use crate::memory::MemoryReservation;
 use crate::operators::gateway_metrics::KindLabel;
@@ -30,6 +31,8 @@
 pub(crate) struct CallerResources {
     /// Counts the request as open.
     pub _open: CountGuard,
+    /// Counts it as taken from another VM.
+    pub _taken: Option<CountGuard>,
     /// Counts the bytes of its body.
     pub _reservation: MemoryReservation,
     /// Closes the caller's connection.
@@ -58,6 +61,8 @@
     pub queue_entry: QueueEntry,
     /// Decides whether it is a canary for a new version of its service.
     pub canary_draw: CanaryDraw,
+    /// What it needs to know about other VMs.
+    pub plan: ForwardPlan,
     pub first_at: Option<Moment>,
     /// An endpoint's own failure, forwarded if no later send succeeds.
     pub failure: Option<(Box<response::Parts>, Bytes)>,
@@ -89,6 +94,8 @@
             config = self.context.config_version,
             digest = self.key.map_or_else(String::new, |key| key.to_string()).as_str(),
             endpoint = self.endpoint.as_str(),
+            taken_from = self.plan.taken_from.as_str(),
+            given_to = self.plan.given_to.as_str(),
             sends = self.sends,
             candidates,
             objective_ms = self.context.route.objective_millis,
@@ -136,6 +143,7 @@
             waits_for_capacity: false,
             queue_entry,
             canary_draw: CanaryDraw { number: rand::random(), has_slack: false },
+            plan: ForwardPlan::new(),
             first_at: None,
             failure: None,
             key: None,
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -7,6 +7,7 @@
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
 use crate::endpoints::answer_handler::AnswerSource;
+use crate::forward::passed_answer::resume_stream;
 use crate::memory::{ChunkFault, ChunkSender, chunk_channel};
 use crate::requests::dispatch::{ReceivedHead, SendResult};
 use crate::requests::event_reader::{EventError, EventReader};
@@ -136,11 +137,17 @@
                 }
                 StreamStep::Broke(cause) => {
                     self.run.record_broken(&self.flight);
+                    if self.run.goes_to_peer() {
+                        return self.resume_over_peer(&cause).await;
+                    }
                     if !self.resume_or_abort(&cause).await {
                         return;
                     }
                 }
                 StreamStep::Stalled => {
+                    if self.run.goes_to_peer() {
+                        return self.resume_over_peer("it stalled").await;
+                    }
                     if !self.resume_or_abort("it stalled").await {
                         return;
                     }
@@ -152,6 +159,16 @@
         self.run.set_outcome("answered");
     }
 
+    /// Resumes over another VM, because this one reaches no engine, or aborts the answer.
+    async fn resume_over_peer(self, cause: &str) {
+        log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(), cause;
+            "stream.broke");
+        let Self { run, flight, reader, chunks } = self;
+        // The first engine must not run beside the second.
+        drop(flight);
+        resume_stream(run, reader.last_id().cloned(), chunks, cause).await;
+    }
+
     /// Resumes elsewhere after a failure, or aborts the answer; returns whether it resumed.
     async fn resume_or_abort(&mut self, cause: &str) -> bool {
         self.flight.record_outcome(SendOutcome::Broken);
--- a/crates/spanfold/src/losses.rs
+++ b/crates/spanfold/src/losses.rs
@@ -1,7 +1,8 @@
 //! `spanfold losses`: why requests had no answer in time, by route, from the logs of several VMs.
 //!
 //! Invariant: each finished request is counted once, under the first cause that applies in the order
-//! of [`cause_of`]; the rows of a route sum to its requests.
+//! of [`cause_of`]; the rows of a route sum to its requests. A forwarded request is counted at the VM that its
+//! caller sent it to; its tokens are counted at the VM that took it.
 
 use crate::log_lines::{LogLine, LogLines, read_files};
 use crate::outcome::{CommandOutcome, EXIT_FINDINGS};
@@ -34,10 +35,12 @@
     let mut sums: BTreeMap<(String, String), LossSum> = BTreeMap::new();
     for line in lines.iter().filter(|line| line.event == "request.ended") {
         let sum = sums.entry((line.text("route").to_owned(), cause_of(line))).or_default();
-        sum.requests += 1;
+        sum.requests += u64::from(line.text("taken_from").is_empty());
         let number_field = |key| line.number(key).unwrap_or(0);
-        sum.prefilled_tokens +=
-            number_field("prompt").saturating_sub(number_field("kept") + number_field("moved"));
+        if line.text("given_to").is_empty() {
+            sum.prefilled_tokens +=
+                number_field("prompt").saturating_sub(number_field("kept") + number_field("moved"));
+        }
         sum.waited_millis += number_field("waited_ms");
     }
     if sums.is_empty() {
@@ -95,7 +98,7 @@
         "route", "cause", "requests", "part", "tokens read", "waited ms"
     );
     for ((route, cause), sum) in sums {
-        let fraction = sum.requests as f64 / route_totals[route.as_str()] as f64;
+        let fraction = sum.requests as f64 / route_totals[route.as_str()].max(1) as f64;
         let _ = writeln!(
             text,
             "{route:<20} {cause:<32} {:>9} {fraction:>7.4} {:>12} {:>10}",
--- a/crates/spanfold/tests/losses.rs
+++ b/crates/spanfold/tests/losses.rs
@@ -4,11 +4,15 @@
 use std::process::Command;
 
 fn losses(arguments: &[&str]) -> (i32, String) {
+    losses_of("losses.log", arguments)
+}
+
+fn losses_of(file: &str, arguments: &[&str]) -> (i32, String) {
     let logs = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/logs");
     let output = Command::new(env!("CARGO_BIN_EXE_spanfold"))
         .arg("losses")
         .args(arguments)
-        .arg(logs.join("losses.log"))
+        .arg(logs.join(file))
         .output()
         .unwrap();
     (output.status.code().unwrap(), String::from_utf8(output.stdout).unwrap())
@@ -45,3 +49,13 @@
     assert_eq!(value["losses"][5]["waited_ms"], 400);
     assert_eq!(value["passed_over"], 1);
 }
+
+#[test]
+fn a_forwarded_request_counts_once_with_the_tokens_of_the_vm_that_took_it() {
+    let (code, text) = losses_of("forwarded.log", &["--json"]);
+    assert_eq!(code, 0);
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    let row = serde_json::json!({"route": "check", "cause": "in time", "requests": 1, "read_tokens": 600,
+        "waited_ms": 20});
+    assert_eq!(value["losses"], serde_json::json!([row]));
+}
