An answer looks complete only if its forwarder finished it

Callers could get a stream that ends as if it were complete although the process that forwarded it had ended. The chunk channel took the drop of its sender for the answer's end, and while a runtime is shut down the forwarding task may be dropped before the connection is: hyper then writes the last chunk. The same would follow a panic of the task.

Senders now finish whole answers explicitly; the channel's end without it aborts the body. Streams, long answers and forwarded answers share the channel.

--- a/crates/gateway/src/forward/passed_answer.rs
+++ b/crates/gateway/src/forward/passed_answer.rs
@@ -176,6 +176,7 @@
                 }
             }
         }
+        self.chunks.finish();
         if let Some(connection) = self.connection.take() {
             self.run.gateway.forwards.pool.return_connection(self.place.pool_key(), connection, None);
         }
--- a/crates/gateway/src/memory/chunk_channel.rs
+++ b/crates/gateway/src/memory/chunk_channel.rs
@@ -3,6 +3,8 @@
 //! Invariant: bytes buffered for a slow caller stay within [`MAX_WAITING_BYTES`], except for one chunk that
 //! is larger. Beyond that the endpoint is blocked, and only this one, since each answer has a connection of
 //! its own.
+//!
+//! An answer looks complete to its caller only if its sender finished it.
 
 use super::MemoryReservation;
 use crate::requests::own_answer::BrokenAnswer;
@@ -11,7 +13,8 @@
 use hyper::body::Frame;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 /// Maximum number of chunks buffered for a caller.
@@ -43,12 +46,15 @@
     chunks: mpsc::Sender<WaitingChunk>,
     free_bytes: Arc<Semaphore>,
     reservation: Arc<MemoryReservation>,
+    is_finished: Arc<AtomicBool>,
 }
 
 /// The chunks of one answer, as a stream that hyper reads.
 pub(crate) struct ChunkStream {
     chunks: mpsc::Receiver<WaitingChunk>,
     reservation: Arc<MemoryReservation>,
+    /// Whether the answer is whole; set before the sender is dropped.
+    is_finished: Arc<AtomicBool>,
 }
 
 /// Creates a channel to one caller, whose buffered bytes are counted in `reservation`.
@@ -56,9 +62,15 @@
     let (sender, chunks) = mpsc::channel(MAX_WAITING_CHUNKS);
     let reservation = Arc::new(reservation);
     let free_bytes = Arc::new(Semaphore::new(MAX_WAITING_BYTES));
+    let is_finished = Arc::new(AtomicBool::new(false));
     (
-        ChunkSender { chunks: sender, free_bytes, reservation: Arc::clone(&reservation) },
-        ChunkStream { chunks, reservation },
+        ChunkSender {
+            chunks: sender,
+            free_bytes,
+            reservation: Arc::clone(&reservation),
+            is_finished: Arc::clone(&is_finished),
+        },
+        ChunkStream { chunks, reservation, is_finished },
     )
 }
 
@@ -82,6 +94,11 @@
         }
     }
 
+    /// Ends a whole answer. One that is not finished is aborted when its sender is dropped.
+    pub(crate) fn finish(&self) {
+        self.is_finished.store(true, Ordering::Release);
+    }
+
     /// Aborts the answer. If the caller is gone, no one receives the error.
     pub(crate) async fn abort(&self, broken: BrokenAnswer) {
         let waiting = WaitingChunk { chunk: Err(broken), bytes: 0, _permit: None };
@@ -98,12 +115,15 @@
     type Item = Chunk;
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Chunk>> {
-        let next = self.chunks.poll_recv(context);
-        next.map(|waiting| {
-            waiting.map(|waiting| {
+        let next = ready!(self.chunks.poll_recv(context));
+        Poll::Ready(match next {
+            Some(waiting) => {
                 self.reservation.shrink(waiting.bytes);
-                waiting.chunk
-            })
+                Some(waiting.chunk)
+            }
+            None if self.is_finished.load(Ordering::Acquire) => None,
+            // The task that forwards it ended early, as when the process stops.
+            None => Some(Err(BrokenAnswer("its sender ended".to_owned()))),
         })
     }
 }
--- a/crates/gateway/src/requests/long_answer.rs
+++ b/crates/gateway/src/requests/long_answer.rs
@@ -92,6 +92,7 @@
                 }
             }
         }
+        self.chunks.finish();
         self.flight.record_outcome(SendOutcome::Answered);
         self.flight.complete();
         self.run.record_answered();
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -154,6 +154,7 @@
                 }
             }
         }
+        self.chunks.finish();
         self.flight.complete();
         self.run.record_answered();
         self.run.set_outcome("answered");
