--- a/crates/decide/tests/forward_peers.rs
+++ b/crates/decide/tests/forward_peers.rs
@@ -100,6 +100,16 @@
     assert!(table.forward_peers(at(2_000)).remote.is_empty());
 }
 
+#[test]
+fn a_vm_that_sends_no_digests_any_more_is_silent() {
+    let mut table = live_table(2);
+    table.list(entry("vm-b9", "dc-b"));
+    let is_silent = |name: &str, millis| table.is_silent(VmKey::of(name), at(millis));
+    assert!(!is_silent("vm-b0", 1_000) && is_silent("vm-b0", 1_300));
+    // A VM that never sent any to this one may be alive; one that is not listed is gone.
+    assert!(!is_silent("vm-b9", 9_000) && is_silent("vm-x", 0));
+}
+
 #[test]
 fn requests_spread_over_the_vms_of_the_data_centre() {
     let chosen = choose_many(&live_table(30).forward_peers(at(0)), 290);
