Join the forwarding of requests over another VM

A stream that breaks or stalls while this VM is cut goes on over another VM; the path's state is reported by its probe.

--- a/crates/gateway/src/endpoints/crash_detector.rs
+++ b/crates/gateway/src/endpoints/crash_detector.rs
@@ -189,7 +189,9 @@
 }
 
 async fn refuses_connections(address: SocketAddr) -> bool {
-    open_stream(address, CALL_UNACKNOWLEDGED_TIMEOUT).await.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+    open_stream(address, CALL_UNACKNOWLEDGED_TIMEOUT)
+        .await
+        .is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
 /// Converts microseconds to milliseconds, for logs.
--- a/crates/gateway/src/endpoints/path_probe.rs
+++ b/crates/gateway/src/endpoints/path_probe.rs
@@ -157,7 +157,7 @@
     fn apply_path_change(&self, change: &PathChange) {
         let PathChange { state, before, since, failed_endpoints } = *change;
         let now = self.now();
-        self.path.send_replace(state);
+        self.report_path(state);
         self.metrics.path.set(state);
         self.path_watch.held().clear();
         let (label, since_ms) = (state.label(), now.micros_since(since) / MICROS_PER_MILLI);
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -180,6 +180,30 @@
     }
 }
 
+/// Metrics of requests between VMs.
+#[derive(Debug)]
+pub(crate) struct ForwardMetrics {
+    /// Forwarded requests, by what became of them at this VM.
+    forwards: Family<KindLabel, Counter>,
+    /// Requests that this VM has at other VMs now.
+    pub in_flight: Gauge,
+}
+
+impl ForwardMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self { forwards: Family::default(), in_flight: Gauge::default() };
+        let forwards = metrics.forwards.clone();
+        registry.register("forwards", "Requests passed between VMs, by what became of them", forwards);
+        registry.register("forwards_in_flight", "Requests at other VMs", metrics.in_flight.clone());
+        metrics
+    }
+
+    /// Counts a forwarded request.
+    pub(crate) fn count(&self, kind: &str) {
+        self.forwards.get_or_create(&KindLabel::new(kind)).inc();
+    }
+}
+
 /// All metrics of one gateway.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -230,6 +254,8 @@
     pub fleet: FleetGauges,
     /// State of this VM's path to the endpoints.
     pub path: PathGauges,
+    /// Metrics of requests between VMs.
+    pub forwards: ForwardMetrics,
 }
 
 impl GatewayMetrics {
@@ -237,8 +263,7 @@
         let mut registry = Registry::with_prefix("spanfold_gateway");
         let answers = Family::<KindLabel, Counter>::default();
         let sends = Family::<KindLabel, Counter>::default();
-        let store_calls = Family::<KindLabel, Counter>::default();
-        let orders = Family::<KindLabel, Counter>::default();
+        let (store_calls, orders) = (Family::<KindLabel, Counter>::default(), Family::default());
         let first_event_seconds = first_event_histogram();
         let (prompt_tokens, kept_tokens) = (Counter::default(), Counter::default());
         let peers = PeerCounters::register(&mut registry);
@@ -303,6 +328,7 @@
         registry.register("rollouts", "Moves of services to other versions, by step", rollouts.clone());
         let fleet = FleetGauges::register(&mut registry);
         let path = PathGauges::register(&mut registry);
+        let forwards = ForwardMetrics::register(&mut registry);
         Self {
             registry,
             answers,
@@ -332,6 +358,7 @@
             rollouts,
             fleet,
             path,
+            forwards,
         }
     }
 
--- a/crates/gateway/src/requests/answer_record.rs
+++ b/crates/gateway/src/requests/answer_record.rs
@@ -89,6 +89,16 @@
         })
     }
 
+    /// Creates the record of a request that another VM forwarded. It is settled at that VM.
+    pub(crate) fn of_forwarded(gateway: &Gateway, request_id: HeaderValue) -> Arc<Self> {
+        Arc::new(Self {
+            request_id: Some(request_id),
+            config_version: config_version(gateway),
+            received_at: gateway.now(),
+            progress: Mutex::default(),
+        })
+    }
+
     /// Records that the request's last byte was read.
     pub(crate) fn record_read_whole(&self) {
         self.progress().is_read_whole = true;
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -10,6 +10,7 @@
 use crate::clock::DeadlinePassed;
 use crate::endpoints::answer_handler::AnswerSource;
 use crate::endpoints::observed_stream::ConnectionEnd;
+use crate::forward::passed_answer::resume_stream;
 use crate::memory::{ChunkFault, ChunkSender, chunk_channel};
 use crate::requests::answer_record::UnansweredCause;
 use crate::requests::dispatch::{ReceivedHead, SendResult};
@@ -239,6 +240,9 @@
                 }
                 StreamStep::Broke(cause) => {
                     self.record_broken(&cause);
+                    if self.run.goes_to_peer() {
+                        return self.resume_over_peer(&cause).await;
+                    }
                     let unanswered = UnansweredCause::of_broken(self.flight.connection_end());
                     if !self.resume().await {
                         self.run.resources.answer.record_cause(unanswered);
@@ -246,15 +250,28 @@
                         return;
                     }
                 }
+                StreamStep::Stalled if self.run.goes_to_peer() => {
+                    return self.resume_over_peer("it stalled").await;
+                }
                 // It goes on at whichever engine has it now.
                 StreamStep::Stalled => {}
             }
         }
+        self.chunks.finish();
         self.flight.complete();
         self.run.record_answered();
         self.run.set_outcome("answered");
     }
 
+    /// Resumes over another VM, because this one reaches no engine, or aborts the answer.
+    async fn resume_over_peer(self, cause: &str) {
+        let Self { run, flight, reader, chunks, .. } = self;
+        run.resources.answer.record_cause(UnansweredCause::of_broken(flight.connection_end()));
+        // The first engine must not run beside the second.
+        drop(flight);
+        resume_stream(run, reader.last_id().cloned(), chunks, cause).await;
+    }
+
     fn record_broken(&mut self, cause: &str) {
         self.run.record_broken(&self.flight);
         self.flight.record_outcome(SendOutcome::Broken);
