Choose the port of messages between VMs where it is free over TCP, too

Tests alone use port zero.

Cause: the port was chosen over UDP, and the same number then bound over TCP, which fails with AddrInUse while it is in TIME_WAIT there. A port from the settings is bound as before.

--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -12,6 +12,7 @@
 use crate::store::{follow, lease_keeper};
 use crate::{FleetSweep, WireDialect, clock, rollout, store};
 use spanfold_declare::GatewaySettings;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -30,6 +31,9 @@
 /// Interval between removals of expired state.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Ports that are tried if the operating system chooses the one of messages between VMs.
+const MAX_PORT_ATTEMPTS: usize = 16;
+
 /// Capacity of the queue of store updates from other VMs; those beyond it are dropped, and queried later.
 const MAX_PENDING_UPDATES: usize = 64;
 
@@ -73,14 +77,11 @@
         let callers = listen(settings.callers).await?;
         let readiness = listen(settings.readiness).await?;
         let metrics = listen(settings.metrics).await?;
-        let socket = UdpSocket::bind(settings.peers)
-            .await
-            .map_err(|cause| GatewayError { address: settings.peers, cause })?;
+        let (socket, snapshot_listener) = bind_peer_port(settings.peers).await?;
         // With port zero the operating system chose a port, which other VMs need to receive.
         settings.peers = socket.local_addr().unwrap_or(settings.peers);
         let addresses = [&callers, &readiness, &metrics].map(local_address);
-        // The port of messages between VMs, over TCP: for answers that are too large for datagrams.
-        let snapshot_listener = listen(settings.peers).await.inspect_err(|error| {
+        let snapshot_listener = snapshot_listener.inspect_err(|error| {
             log::warn!(cause:% = error; "copies.unavailable");
         });
         let socket = Arc::new(socket);
@@ -188,6 +189,29 @@
     TcpListener::bind(address).await.map_err(|cause| GatewayError { address, cause })
 }
 
+/// Binds the port of messages between VMs, and the same port over TCP for answers too large for datagrams.
+async fn bind_peer_port(
+    address: SocketAddr,
+) -> Result<(UdpSocket, Result<TcpListener, GatewayError>), GatewayError> {
+    let bind_socket =
+        async |address| UdpSocket::bind(address).await.map_err(|cause| GatewayError { address, cause });
+    if address.port() != 0 {
+        return Ok((bind_socket(address).await?, listen(address).await));
+    }
+    // The system chooses the port over TCP, where it skips those in TIME_WAIT. The same number may be taken
+    // over UDP: then it chooses another one.
+    let mut attempts = 1;
+    loop {
+        let listener = listen(address).await?;
+        match bind_socket(local_address(&listener)).await {
+            Ok(socket) => return Ok((socket, Ok(listener))),
+            Err(error) if error.cause.kind() != ErrorKind::AddrInUse => return Err(error),
+            Err(error) if attempts == MAX_PORT_ATTEMPTS => return Err(error),
+            Err(_) => attempts += 1,
+        }
+    }
+}
+
 async fn sweep(gateway: Arc<Gateway>) {
     for round in 0.. {
         tokio::time::sleep(SWEEP_INTERVAL).await;
