LOST: a body that comes too slowly is refused at its deadline

Callers saw: 408 a second after the deadline of their request.

Cause: since the body of a refused request is discarded for up to one second before the refusal is sent, also if it is refused because its deadline has passed.

The body is discarded until the request's deadline at most. What a slower caller still sends then is left unread, as before.

--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -56,7 +56,7 @@
         Ok(context) => context,
         Err(answer) => {
             log_unrouted(&gateway, &head, &answer);
-            discard_body(&gateway, &head, &mut body).await;
+            discard_body(&gateway, &head, &mut body, Moment::NEVER).await;
             return answer.response();
         }
     };
@@ -66,7 +66,7 @@
         Ok(body) => body,
         Err(answer) => {
             log_unrouted(&gateway, &head, &answer);
-            discard_body(&gateway, &head, &mut body).await;
+            discard_body(&gateway, &head, &mut body, context.deadline).await;
             return answer.response();
         }
     };
@@ -90,13 +90,14 @@
         outcome = answer.reason; "request.refused");
 }
 
-/// Reads the body of a refused request, for a short time: a connection that is closed with unread bytes is
-/// reset, and its caller may lose the refusal. A caller that waits for permission to send has sent nothing.
-async fn discard_body(gateway: &Gateway, head: &Parts, body: &mut Incoming) {
+/// Reads the body of a refused request, for a short time and until `deadline` at most: a connection that is
+/// closed with unread bytes is reset, and its caller may lose the refusal. A caller that waits for permission
+/// to send has sent nothing.
+async fn discard_body(gateway: &Gateway, head: &Parts, body: &mut Incoming, deadline: Moment) {
     if head.headers.contains_key(EXPECT) {
         return;
     }
-    let deadline = gateway.now().after_millis(DISCARD_TIMEOUT_MILLIS);
+    let deadline = gateway.now().after_millis(DISCARD_TIMEOUT_MILLIS).min(deadline);
     // What is unread by then is left unread.
     let _ = gateway.complete_before(deadline, discard(body)).await;
 }
