Log the software version of streams, and what a caller resumes

The logs could not tell a resumption by a caller from a new request, nor which versions a resumed stream crossed. request.ended names the version of the engine that wrote the first event, Resumes and Last-Event-Id; stream.resumed names both versions. No decision changes.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -35,6 +35,8 @@
 pub struct HeaderNames {
     /// Id of one attempt of a caller; answers repeat it.
     pub request_id: HeaderName,
+    /// Id of the attempt whose stream a request resumes: the one that brought its first event.
+    pub resumes: HeaderName,
     /// Milliseconds that the caller waits; in requests to endpoints, the remaining ones.
     pub deadline_millis: HeaderName,
     /// Name of the client account, in requests to endpoints.
--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -11,11 +11,11 @@
 use crate::peers::peer_message::{PeerKey, PeerStamp};
 use crate::requests::outgoing_body::OutgoingBody;
 use crate::requests::own_answer::AnswerBody;
-use crate::requests::request_run::RequestRun;
+use crate::requests::request_run::{LAST_EVENT_ID, RequestRun};
 use crate::{PathState, VmKey};
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::{AUTHORIZATION, HOST, HeaderName, HeaderValue};
+use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
 use hyper::http::response;
 use hyper::{Request, Response};
 use spanfold_entity::MICROS_PER_MILLI;
@@ -27,8 +27,6 @@
 const NO_PEER_RETRY_MILLIS: u64 = 1_000;
 /// Subtracted from the time that the other VM gets, so that its answer reaches the caller in time.
 const RESPONSE_MARGIN_MICROS: u64 = 5 * MICROS_PER_MILLI;
-/// Header with the id of the last event of a resumed stream.
-const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 
 /// What a request needs to know about other VMs.
 #[derive(Debug)]
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -11,9 +11,9 @@
 use crate::gateway::CountGuard;
 use crate::operators::gateway_metrics::KindLabel;
 use crate::peers::placement_message::PlacementMessage;
-use crate::requests::flight::SendFlight;
+use crate::requests::flight::{SendFlight, SendTarget};
 use crate::requests::outgoing_body::OutgoingBody;
-use crate::requests::request_run::RequestRun;
+use crate::requests::request_run::{LAST_EVENT_ID, RequestRun};
 use crate::rollout::VersionedSend;
 use crate::salted_key;
 use crate::{
@@ -235,7 +235,7 @@
             }
         }
         let transfers: Vec<_> = choice.transfers.store_transfers(&context.segments).collect();
-        let (endpoint, address) = {
+        let (endpoint, address, software) = {
             let mut table = gateway.table();
             let is_limited = table.takes_few_requests(choice.key, gateway.now());
             if !table.consume_share(choice.key, &shares, gateway.now()) {
@@ -247,20 +247,21 @@
             table.reserve(choice.key, choice.load, &context.segments, choice.salt_digest);
             let row = table.row(choice.key)?;
             let (id, address) = (row.entry.id.clone(), row.entry.address);
-            let data_centre = row.entry.data_centre.clone();
+            let (data_centre, software) = (row.entry.data_centre.clone(), Arc::clone(&row.entry.version));
             for (store, tokens) in &transfers {
                 if let Some(row) = table.store_mut(*store) {
                     row.begin_transfer(*tokens, &data_centre, gateway.now());
                 }
             }
-            (id, address)
+            (id, address, software)
         };
         gateway.record_placement(PlacementMessage::new(&choice, &context.segments));
         gateway
             .metrics
             .kept_tokens
             .inc_by(choice.transfers.cached_tokens + choice.transfers.transferred_tokens);
-        let mut flight = SendFlight::new(&gateway, &choice, (endpoint, address), transfers);
+        let mut flight =
+            SendFlight::new(&gateway, &choice, SendTarget { endpoint, address, software }, transfers);
         flight.versioned = self.versioned(choice.key);
         self.tried.push(choice.key);
         self.endpoint.clone_from(&flight.endpoint);
@@ -355,7 +356,7 @@
             }
         }
         if let Some(id) = last_event_id {
-            set(&HeaderName::from_static("last-event-id"), id);
+            set(&LAST_EVENT_ID, id);
         }
         Ok(request)
     }
--- a/crates/gateway/src/requests/flight.rs
+++ b/crates/gateway/src/requests/flight.rs
@@ -13,6 +13,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The endpoint of a send, as recorded when it was chosen.
+#[derive(Debug)]
+pub(crate) struct SendTarget {
+    pub endpoint: String,
+    pub address: SocketAddr,
+    pub software: Arc<str>,
+}
+
 /// A send in flight.
 #[derive(Debug)]
 pub(crate) struct SendFlight {
@@ -20,6 +28,8 @@
     pub key: EndpointKey,
     pub endpoint: String,
     pub address: SocketAddr,
+    /// Version of the endpoint's software.
+    pub software: Arc<str>,
     load: LoadCount,
     pub sent_at: Moment,
     pub expected_micros: u64,
@@ -42,7 +52,7 @@
     pub(crate) fn new(
         gateway: &Arc<Gateway>,
         choice: &PlacementChoice,
-        (endpoint, address): (String, SocketAddr),
+        SendTarget { endpoint, address, software }: SendTarget,
         transfers: Vec<(EndpointKey, u64)>,
     ) -> Self {
         Self {
@@ -50,6 +60,7 @@
             key: choice.key,
             endpoint,
             address,
+            software,
             load: choice.load,
             sent_at: gateway.now(),
             expected_micros: choice.expected_micros,
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -193,7 +193,8 @@
 ) -> Result<Response<AnswerBody>, FailedAnswer> {
     let mut received = received;
     if run.context.is_stream() && received.head.status.is_success() {
-        return stream_relay::forward_stream(run, received).await;
+        // Its state would enlarge the futures of all requests.
+        return Box::pin(stream_relay::forward_stream(run, received)).await;
     }
     let bytes = match run.gateway.complete_before(run.context.deadline, read_answer(&mut received.body)).await
     {
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -12,18 +12,21 @@
 use crate::requests::flight::SendFlight;
 use crate::requests::own_answer::{AnswerBody, OwnAnswer, full_body};
 use crate::requests::relay::answer_with;
-use crate::requests::request_context::RequestContext;
+use crate::requests::request_context::{RequestContext, header_text};
 use crate::{
     CanaryDraw, EndpointCrash, EndpointKey, EndpointRow, PlacementChoice, QueueEntry, RequestIdentity,
     RequestKey, short_digest,
 };
 use bytes::Bytes;
+use hyper::header::HeaderName;
 use hyper::http::response;
 use hyper::{Response, StatusCode};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::sync::Arc;
 use tokio::sync::Notify;
 
+/// Header with the id of the last event that the caller of a resumed stream has received.
+pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Bound of the random addition to retry delays, so that requests refused together return apart.
 const MAX_RETRY_SPREAD_MILLIS: u64 = 300;
 
@@ -56,6 +59,8 @@
     /// The last placement, for the log.
     pub choice: Option<PlacementChoice>,
     pub endpoint: String,
+    /// Software version of the engine that wrote the stream's first event.
+    pub software: Option<Arc<str>>,
     /// Time spent waiting for an engine with free capacity or in the queue, in microseconds.
     pub waited_micros: u64,
     /// Whether it waits for an engine with free capacity.
@@ -109,6 +114,9 @@
             held = self.choice.as_ref().map_or(0, |choice| choice.transfers.stored_tokens),
             saved = self.choice.as_ref().map_or(0, |choice| choice.transfers.saves.iter().flatten().count()),
             moved = self.choice.as_ref().map_or(0, |choice| choice.transfers.transferred_tokens),
+            software = self.software.as_deref().unwrap_or(""),
+            resumes = header_text(&self.context.headers, &gateway.dialect.headers.resumes).unwrap_or(""),
+            after_event = header_text(&self.context.headers, &LAST_EVENT_ID).unwrap_or(""),
             weights = self.choice.as_ref().and_then(|choice| choice.version).unwrap_or(0),
             first_ms = self.first_at.map_or(-1, |at| millis(at) as i64),
             total_ms = millis(now),
@@ -142,6 +150,7 @@
             may_have_run: false,
             choice: None,
             endpoint: String::new(),
+            software: None,
             waited_micros: 0,
             waits_for_capacity: false,
             queue_entry,
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -27,6 +27,7 @@
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::future::pending;
 use std::pin::pin;
+use std::sync::Arc;
 
 /// A resumable stream is offered to another engine after this multiple of its objective for the gap between
 /// events.
@@ -47,6 +48,7 @@
     let SilentStream { mut run, head, mut flight, reader, .. } = stream;
     flight.record_answer_start();
     flight.record_outcome(SendOutcome::Answered);
+    run.software = Some(Arc::clone(&flight.software));
     run.record_first_event();
     run.set_status(head.status.as_u16());
     run.set_outcome("broken off");
@@ -422,6 +424,14 @@
     None
 }
 
+/// Returns the software version of the engine that accepted a stream, for the log.
+fn next_software(response: &OfferResponse) -> &str {
+    match response {
+        OfferResponse::Accepted(received) => &received.flight.software,
+        OfferResponse::Declined | OfferResponse::NoEngine => "",
+    }
+}
+
 /// Sends a stream to another engine, from the event after `last_id`.
 async fn send_to_another(run: &mut RequestRun, last_id: Option<&Bytes>) -> OfferResponse {
     let started_at = run.gateway.now();
@@ -445,6 +455,7 @@
     let elapsed_micros = run.gateway.now().micros_since(started_at);
     log::info!(request = run.context.id_text(), endpoint = run.endpoint.as_str(),
         went_on = matches!(response, OfferResponse::Accepted(_)),
+        software = run.software.as_deref().unwrap_or(""), next_software = next_software(&response),
         took_ms = elapsed_micros / MICROS_PER_MILLI; "stream.resumed");
     response
 }
