Keep each stream at the software version that began it

What callers saw: streams with events of two software versions, after they resumed them at any VM, and within one answer.

Cause: no VM knew at which version a stream had begun. A caller's Resumes and Last-Event-Id passed as ordinary headers and the request was placed as a new one; second sends of one answer, and streams forwarded over another VM, took any engine that was not tried.

The VM that passes a stream's first event to the caller records service, software version and endpoint, here and at three other VMs chosen by rendezvous hashing, before the event leaves. A VM that is asked to resume a stream and has no record asks up to eight others; all sends of a stream that has begun go to engines of its version. What nobody knows, what an entry contradicts and what has no engine left is refused at once (503, Resume-Refused), malformed headers get 400. Forwarded requests and their answers name the origin, so that a third VM keeps to it. Records are bounded in number, by account, and in age.

--- a/crates/decide/src/fleet/fleet_versions.rs
+++ b/crates/decide/src/fleet/fleet_versions.rs
@@ -1,6 +1,6 @@
 //! Endpoints of a service by their software version.
 
-use crate::{FleetTable, VersionSplit};
+use crate::{FleetTable, StreamOrigin, VersionSplit, short_digest};
 use spanfold_entity::Moment;
 
 impl FleetTable {
@@ -21,6 +21,19 @@
         Some(*last)
     }
 
+    /// Whether nothing contradicts that a stream began at its recorded version.
+    ///
+    /// An endpoint that starts again under its id with another version may have begun it at either.
+    pub fn confirms_origin(&self, origin: &StreamOrigin) -> bool {
+        self.row(origin.endpoint).is_none_or(|row| short_digest(&row.entry.version) == origin.software)
+    }
+
+    /// Whether an endpoint of the version that began a stream takes work, now or after a backoff.
+    pub fn has_software(&self, service: &str, origin: &StreamOrigin, now: Moment) -> bool {
+        let mut rows = self.rows_of(service).filter(|(_, row)| row.takes_work(now));
+        rows.any(|(_, row)| short_digest(&row.entry.version) == origin.software)
+    }
+
     /// Marks the endpoints of all versions but the current one departed.
     ///
     /// They are stopped, and do not announce their departure themselves.
--- a/crates/decide/src/fleet/peer_table.rs
+++ b/crates/decide/src/fleet/peer_table.rs
@@ -312,6 +312,18 @@
         peers
     }
 
+    /// Returns all other VMs with their entries, and whether each is presumed to receive messages.
+    ///
+    /// In a large deployment, a VM gets digests of few VMs of other data centres: it presumes that the others
+    /// receive messages while they are listed.
+    pub(crate) fn message_targets(&self, now: Moment) -> impl Iterator<Item = (VmKey, &VmEntry, bool)> {
+        let sends_directly = self.broadcasts_to_all();
+        self.rows.iter().map(move |(vm, row)| {
+            let is_presumed = !sends_directly && !self.is_local_row(row) && row.received_at.is_none();
+            (*vm, &row.entry, (is_presumed && row.listed) || row.is_presumed_reachable(now))
+        })
+    }
+
     /// Whether a VM that sent digests has sent none for so long that it counts as dead.
     pub fn is_silent(&self, vm: VmKey, now: Moment) -> bool {
         let row = self.rows.get(&vm);
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `admit` | placement of requests, refusal, and repeated sends |
 //! | `quarantine` | which requests are quarantined because endpoints crash under them |
 //! | `weights` | which engine loads which weights next |
+//! | `streams` | which software version began a stream, and which VMs know it |
 //! | `rollout` | which share of a service's requests goes to a new version, and whether it is rolled back |
 
 mod admit;
@@ -18,6 +19,7 @@
 mod kept;
 mod quarantine;
 mod rollout;
+mod streams;
 mod weights;
 
 pub use admit::{
@@ -53,6 +55,7 @@
     RolloutPhase, RolloutReason, RolloutRecord, RolloutRun, RolloutStep, RolloutSums, RolloutTable,
     RouteCounts, StoredStatus, SumKey, VersionSplit,
 };
+pub use streams::{RecordHolders, StreamKey, StreamOrigin, StreamRecords};
 pub use weights::{
     EngineState, LeaseHolder, LeaseOwnership, PublicationRecord, PublicationTime, PublishedVersion,
     PublishedWeights, RequiredWeights, WeightScheduler, WeightStep,
--- a/crates/decide/src/rollout/version_split.rs
+++ b/crates/decide/src/rollout/version_split.rs
@@ -1,6 +1,6 @@
 //! Endpoints of a service that a request may go to during a rollout.
 
-use crate::{EndpointKey, EndpointRow};
+use crate::{EndpointKey, EndpointRow, short_digest};
 use std::sync::Arc;
 
 /// Set of endpoints that one request may go to, by version.
@@ -13,6 +13,8 @@
     Except(Arc<str>),
     /// Endpoints of this version.
     Only(Arc<str>),
+    /// Endpoints of the version with this short digest, which began the request's stream.
+    Began(u64),
     /// Endpoints of this version with a [`canary_order`](VersionSplit::canary_order) up to a bound. A small share
     /// of the requests then loads each of these few endpoints as much as all requests will load all of them,
     /// so that a fault under load shows.
@@ -26,6 +28,7 @@
             Self::Any => true,
             Self::Except(version) => *row.entry.version != **version,
             Self::Only(version) => *row.entry.version == **version,
+            Self::Began(software) => short_digest(&row.entry.version) == *software,
             Self::Tested(version, max) => *row.entry.version == **version && Self::canary_order(key) <= *max,
         }
     }
--- /dev/null
+++ b/crates/decide/src/streams/mod.rs
@@ -0,0 +1,9 @@
+//! Which software version began each stream, and the VMs that know it.
+
+mod record_holders;
+mod stream_origin;
+mod stream_records;
+
+pub use record_holders::RecordHolders;
+pub use stream_origin::{StreamKey, StreamOrigin};
+pub use stream_records::StreamRecords;
--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -12,7 +12,7 @@
 use crate::requests::outgoing_body::OutgoingBody;
 use crate::requests::own_answer::AnswerBody;
 use crate::requests::request_run::{LAST_EVENT_ID, RequestRun};
-use crate::{PathState, VmKey};
+use crate::{PathState, StreamOrigin, VmKey};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
@@ -69,6 +69,8 @@
     pub body: Incoming,
     pub connection: EndpointConnection,
     pub place: ForwardPlace,
+    /// The software that began the stream, if it is one.
+    pub origin: Option<StreamOrigin>,
 }
 
 /// The outcome of forwarding a request once.
@@ -168,9 +170,9 @@
             }
         };
         let (mut response, connection) = received;
-        let kind = AnswerKind::unseal(&key, &code, &mut response);
+        let mark = AnswerKind::unseal(&key, &code, &mut response);
         let (head, body) = response.into_parts();
-        match kind {
+        match mark {
             None => {
                 log::warn!(request = self.context.id_text(), peer = place.peer.name.as_str(),
                     status = head.status.as_u16(); "peer.rejected");
@@ -178,13 +180,16 @@
                 count("lost");
                 ForwardResult::Lost("the VM's answer is not authentic")
             }
-            Some(AnswerKind::NotTaken) => {
+            Some((AnswerKind::NotTaken, _)) => {
                 // It has no body.
                 gateway.forwards.pool.return_connection(place.pool_key(), connection, None);
                 count("refused");
                 ForwardResult::NotTaken
             }
-            Some(kind) => ForwardResult::Answer(Box::new(PeerAnswer { kind, head, body, connection, place })),
+            Some((kind, origin)) => {
+                let answer = PeerAnswer { kind, head, body, connection, place, origin };
+                ForwardResult::Answer(Box::new(answer))
+            }
         }
     }
 
@@ -225,6 +230,7 @@
             elapsed_micros: now.micros_since(context.received_at),
             remaining_micros,
             sends: self.sends,
+            origin: self.origin,
             is_counted: self.plan.is_counted,
         };
         let (request, code) = envelope.seal(key)?;
--- a/crates/gateway/src/forward/forward_message.rs
+++ b/crates/gateway/src/forward/forward_message.rs
@@ -4,9 +4,10 @@
 //! the code covers its sender, receiver, sequence number, head and the hash of its body. The code of an answer
 //! covers the request's code, so that it belongs to this request alone.
 
-use crate::VmKey;
 use crate::peers::peer_message::{PeerKey, PeerStamp};
 use crate::requests::own_answer::OwnAnswer;
+use crate::requests::stream_relay::StreamBeginning;
+use crate::{StreamOrigin, VmKey};
 use blake3::Hash;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::request;
@@ -22,7 +23,7 @@
 /// Header with the kind and the code of an answer.
 const ANSWER_HEADER: HeaderName = HeaderName::from_static("x-peer-answer");
 /// Version of the envelope's format; others are rejected.
-const FORMAT_VERSION: u8 = 1;
+const FORMAT_VERSION: u8 = 2;
 
 /// The head of a forwarded request, and what its receiver needs to serve it as its sender would.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -45,6 +46,8 @@
     pub remaining_micros: u64,
     /// Sends that may have reached an endpoint.
     pub sends: u32,
+    /// The software that began its stream, if it resumes one.
+    pub origin: Option<StreamOrigin>,
     /// Whether the sender has counted it for the retry budget.
     pub is_counted: bool,
 }
@@ -127,30 +130,44 @@
 
     /// Marks an answer to the request with `code` as this VM's.
     pub(super) fn seal<B>(self, key: &PeerKey, code: &RequestCode, response: &mut Response<B>) {
-        let hash = self.code(key, code, response.status(), response.headers());
-        let text = format!("{} {}", self.label(), hash.to_hex());
+        let origin = response.extensions().get::<StreamBeginning>().and_then(|beginning| beginning.0);
+        let origin = origin.and_then(|origin| postcard::to_allocvec(&origin).ok()).unwrap_or_default();
+        let hash = self.code(key, code, &origin, response);
+        let text = format!("{} {} {}", self.label(), hash.to_hex(), to_hex(&origin));
         if let Ok(value) = HeaderValue::try_from(text) {
             response.headers_mut().insert(ANSWER_HEADER, value);
         }
     }
 
-    /// Reads and removes the mark of an answer; none if it is not authentic.
-    pub(super) fn unseal<B>(key: &PeerKey, code: &RequestCode, response: &mut Response<B>) -> Option<Self> {
+    /// Reads and removes the mark of an answer, with the software that began its stream; none if it is not
+    /// authentic.
+    pub(super) fn unseal<B>(
+        key: &PeerKey,
+        code: &RequestCode,
+        response: &mut Response<B>,
+    ) -> Option<(Self, Option<StreamOrigin>)> {
         let value = response.headers_mut().remove(ANSWER_HEADER)?;
-        let (label, hash) = value.to_str().ok()?.split_once(' ')?;
+        let mut words = value.to_str().ok()?.split(' ');
+        let (label, hash) = (words.next()?, words.next()?);
         let kind = Self::ALL.into_iter().find(|kind| kind.label() == label)?;
         let hash = Hash::from_hex(hash).ok()?;
-        (kind.code(key, code, response.status(), response.headers()) == hash).then_some(kind)
+        let origin = from_hex(words.next()?.as_bytes())?;
+        // Hashes compare in constant time.
+        (kind.code(key, code, &origin, response) == hash).then_some(())?;
+        let origin = if origin.is_empty() { None } else { Some(postcard::from_bytes(&origin).ok()?) };
+        Some((kind, origin))
     }
 
-    fn code(self, key: &PeerKey, code: &RequestCode, status: StatusCode, headers: &HeaderMap) -> Hash {
+    fn code<B>(self, key: &PeerKey, code: &RequestCode, origin: &[u8], response: &Response<B>) -> Hash {
         let mut hasher = blake3::Hasher::new_keyed(key);
         hasher
             .update(b"forwarded answer ")
             .update(code.0.as_bytes())
-            .update(&status.as_u16().to_le_bytes())
-            .update(self.label().as_bytes());
-        if let Some(delay) = headers.get(RETRY_AFTER) {
+            .update(&response.status().as_u16().to_le_bytes())
+            .update(self.label().as_bytes())
+            .update(b" origin ")
+            .update(origin);
+        if let Some(delay) = response.headers().get(RETRY_AFTER) {
             hasher.update(b" retry ").update(delay.as_bytes());
         }
         hasher.finalize()
--- a/crates/gateway/src/forward/forward_port.rs
+++ b/crates/gateway/src/forward/forward_port.rs
@@ -224,6 +224,11 @@
         run.sends = self.envelope.sends;
         run.plan.taken_from = self.sender();
         run.plan.is_counted = self.envelope.is_counted;
+        if let Some(origin) = self.envelope.origin
+            && let Err(refusal) = run.bind_to(origin)
+        {
+            return Ok(run.refuse_resumption(refusal));
+        }
         gateway.metrics.forwards.count("taken");
         Ok(relay::serve(run).await)
     }
--- a/crates/gateway/src/forward/passed_answer.rs
+++ b/crates/gateway/src/forward/passed_answer.rs
@@ -36,7 +36,7 @@
     if answer.kind == AnswerKind::Answered && run.context.is_stream() && answer.head.status.is_success() {
         return pass_stream(run, answer).await;
     }
-    let PeerAnswer { kind, head, mut body, connection, place } = answer;
+    let PeerAnswer { kind, head, mut body, connection, place, .. } = answer;
     let gateway = Arc::clone(&run.gateway);
     let bytes = match gateway.complete_before(run.context.deadline, read_answer(&mut body)).await {
         Ok(Ok(AnswerStart::Whole(bytes))) => bytes,
@@ -67,8 +67,8 @@
 }
 
 /// Answers with a stream's first event, and passes the others on from a task of its own.
-async fn pass_stream(run: RequestRun, answer: PeerAnswer) -> Result<Response<AnswerBody>, FailedAnswer> {
-    let PeerAnswer { head, body, connection, place, .. } = answer;
+async fn pass_stream(mut run: RequestRun, answer: PeerAnswer) -> Result<Response<AnswerBody>, FailedAnswer> {
+    let PeerAnswer { head, body, connection, place, origin, .. } = answer;
     let mut reader = EventReader::new(body);
     let first = match run.gateway.complete_before(run.context.deadline, reader.next()).await {
         Ok(Ok(first)) => first,
@@ -79,6 +79,9 @@
         }
         Err(DeadlinePassed) => return Err(FailedAnswer { run, cause: "no first event" }),
     };
+    if first.is_some() {
+        run.record_stream(origin).await;
+    }
     // After its end, the reader returns no events again.
     let first = first.unwrap_or_default();
     Ok(begin(run, &head, AnswerPieces::Events(reader), (connection, place), first).await)
@@ -244,7 +247,7 @@
     chunks: &ChunkSender,
 ) -> Option<((EndpointConnection, ForwardPlace), AnswerPieces)> {
     let last_id = last_id?;
-    if !run.context.route.resumable || !run.may_send_again() {
+    if !run.context.route.resumable || !run.may_resume() || !run.may_send_again() {
         return None;
     }
     let gateway = Arc::clone(&run.gateway);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 use crate::requests::quota_queue::QuotaQueue;
 use crate::store::SnapshotCache;
 use crate::store::store_era::StoreEra;
+use crate::streams::stream_tracker::StreamTracker;
 use crate::{
     AvoidanceCause, AvoidanceChange, AvoidanceReport, BudgetTerms, EndpointRow, FleetTable, IdentityKey,
     ListMembership, PathState, PlacementChoice, PlacementRequest, PublishedVersion, PublishedWeights,
@@ -145,6 +146,8 @@
     pub path_watch: PathWatch,
     /// Whether the path's state is set and stays, for tests.
     pub is_path_held: AtomicBool,
+    /// Software versions that began streams.
+    pub streams: StreamTracker,
     /// Requests that are forwarded to other VMs, and taken from them.
     pub forwards: ForwardState,
     /// Moment of the last failed call to the store, in microseconds; zero if none has failed.
@@ -167,6 +170,7 @@
             window_millis: settings.retry_window_s * 1_000,
         };
         let memory = MemoryLimiter::new(settings.memory_mb);
+        let streams = StreamTracker::new(settings.memory_mb);
         let incarnation = rand::random::<u64>() | 1;
         let peers = PeerTable::new(VmEntry {
             name: settings.name.clone(),
@@ -226,6 +230,7 @@
             configured_at: AtomicU64::new(0),
             path_watch: PathWatch::default(),
             is_path_held: AtomicBool::new(false),
+            streams,
             forwards: ForwardState::default(),
             store_failed_at: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -88,6 +88,7 @@
         });
         let socket = Arc::new(socket);
         let gateway = Arc::new(Gateway::new(settings, dialect, clock));
+        gateway.streams.set_socket(Arc::clone(&socket));
         let listener_state = watch::channel(ListenerState::Serving).0;
         let (orders, orders_view) = watch::channel(OrdersView::default());
         let (right, right_view) = watch::channel(OrderRight::default());
@@ -256,6 +257,7 @@
         gateway.quota_queue.queue().sweep(now);
         gateway.pool.sweep();
         gateway.sweep_forwards();
+        gateway.sweep_streams();
         gateway.peers().sweep(now);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod requests;
 mod rollout;
 mod store;
+mod streams;
 
 pub use clock::GatewayClock;
 pub use dialect::{
@@ -50,10 +51,11 @@
     MAX_FRAGMENT_BYTES, PathChange, PathMonitor, PathTraffic, PeerHeartbeat, PeerTable, PlacementChoice,
     PlacementRequest, PollSchedule, PropagationPlan, PublicationRecord, PublishedVersion, PublishedWeights,
     QuarantineChange, QuarantineMessage, QuarantinePhase, QuarantinedRequest, QueueEntry, RateTerms,
-    ReassemblyProgress, RequestIdentity, RequestKey, RequestQuarantine, RequiredWeights, ReservationId,
-    RetryBudget, RolloutAnswer, RolloutReason, RolloutRecord, RolloutRun, RolloutStep, RolloutTable,
-    RouteCounts, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView,
-    SumKey, UpdateFragment, UpdateHistory, UpdateReassembly, UsedSequences, VersionSplit, VmEntry, VmKey,
-    WeightScheduler, WeightStep, claim_probability, direct_share, outdated_segments, pack, pick_target,
-    place, salted_key, short_digest, split_update, unpack,
+    ReassemblyProgress, RecordHolders, RequestIdentity, RequestKey, RequestQuarantine, RequiredWeights,
+    ReservationId, RetryBudget, RolloutAnswer, RolloutReason, RolloutRecord, RolloutRun, RolloutStep,
+    RolloutTable, RouteCounts, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict,
+    ShareView, StreamKey, StreamOrigin, StreamRecords, SumKey, UpdateFragment, UpdateHistory,
+    UpdateReassembly, UsedSequences, VersionSplit, VmEntry, VmKey, WeightScheduler, WeightStep,
+    claim_probability, direct_share, outdated_segments, pack, pick_target, place, salted_key, short_digest,
+    split_update, unpack,
 };
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -204,6 +204,35 @@
     }
 }
 
+/// Metrics of the software versions of streams.
+#[derive(Debug)]
+pub(crate) struct StreamMetrics {
+    /// Requests that resume a stream, by result.
+    resumptions: Family<KindLabel, Counter>,
+    /// Streams whose version this VM has recorded.
+    pub records: Gauge,
+    /// Records that were evicted before their time.
+    pub evictions: Counter,
+}
+
+impl StreamMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics =
+            Self { resumptions: Family::default(), records: Gauge::default(), evictions: Counter::default() };
+        let resumptions = metrics.resumptions.clone();
+        registry.register("resumptions", "Streams that callers resume, by result", resumptions);
+        registry.register("stream_records", "Streams with a recorded version", metrics.records.clone());
+        let evictions = metrics.evictions.clone();
+        registry.register("stream_evictions", "Records of streams evicted before their time", evictions);
+        metrics
+    }
+
+    /// Counts a request that resumes a stream.
+    pub(crate) fn count_resumption(&self, kind: &str) {
+        self.resumptions.get_or_create(&KindLabel::new(kind)).inc();
+    }
+}
+
 /// All metrics of one gateway.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
@@ -256,6 +285,8 @@
     pub path: PathGauges,
     /// Metrics of requests between VMs.
     pub forwards: ForwardMetrics,
+    /// Metrics of the software versions of streams.
+    pub streams: StreamMetrics,
 }
 
 impl GatewayMetrics {
@@ -326,11 +357,7 @@
             <(Family<KindLabel, Counter>, Family<KindLabel, Counter>)>::default();
         registry.register("endpoint_copies", "Copies of all endpoints asked for", endpoint_copies.clone());
         registry.register("rollouts", "Moves of services to other versions, by step", rollouts.clone());
-        let fleet = FleetGauges::register(&mut registry);
-        let path = PathGauges::register(&mut registry);
-        let forwards = ForwardMetrics::register(&mut registry);
         Self {
-            registry,
             answers,
             sends,
             store_calls,
@@ -356,9 +383,11 @@
             endpoint_copies,
             memory,
             rollouts,
-            fleet,
-            path,
-            forwards,
+            fleet: FleetGauges::register(&mut registry),
+            path: PathGauges::register(&mut registry),
+            forwards: ForwardMetrics::register(&mut registry),
+            streams: StreamMetrics::register(&mut registry),
+            registry,
         }
     }
 
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -149,7 +149,7 @@
 ) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, source)) = socket.recv_from(&mut buffer).await else {
             // An earlier send caused the error; the socket itself is intact.
             tokio::time::sleep(BATCH_DELAY).await;
             continue;
@@ -173,6 +173,7 @@
             PeerMessage::Store(_, update) => drop(queue.try_send((stamp.vm, StoreMessage::Updates(update)))),
             PeerMessage::StoreAsk(_, from) => drop(queue.try_send((stamp.vm, StoreMessage::Request(from)))),
             PeerMessage::Kept(_, digest) => digest.apply(&gateway),
+            PeerMessage::Stream(stamp, message) => gateway.apply_stream_message(stamp, message, source).await,
             PeerMessage::Load(_, digest) => apply_digest(&gateway, stamp, &digest),
             PeerMessage::Batch(_, digests) => apply_batch(&gateway, stamp, &digests),
         }
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -10,11 +10,12 @@
 use crate::peers::cache_digest::CacheDigest;
 use crate::peers::load_digest::LoadDigest;
 use crate::store::store_updates::StoreUpdates;
+use crate::streams::stream_message::StreamMessage;
 use crate::{StorePosition, VmKey};
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format; messages of other versions are ignored.
-const FORMAT_VERSION: u8 = 18;
+const FORMAT_VERSION: u8 = 19;
 /// Bytes of the authentication code at the end of a datagram.
 const CODE_BYTES: usize = 16;
 
@@ -42,6 +43,8 @@
     StoreAsk(PeerStamp, StorePosition),
     /// Digest of the cache stores' indexes: changes, and the full indexes in turn.
     Kept(PeerStamp, CacheDigest),
+    /// Software version that began a stream, or a question for it.
+    Stream(PeerStamp, StreamMessage),
 }
 
 impl PeerMessage {
@@ -51,7 +54,8 @@
             | Self::Batch(stamp, _)
             | Self::Store(stamp, _)
             | Self::StoreAsk(stamp, _)
-            | Self::Kept(stamp, _) => *stamp,
+            | Self::Kept(stamp, _)
+            | Self::Stream(stamp, _) => *stamp,
         }
     }
 
@@ -63,6 +67,7 @@
             Self::Store(..) => "store",
             Self::StoreAsk(..) => "store_ask",
             Self::Kept(..) => "kept",
+            Self::Stream(..) => "stream",
         }
     }
 
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -204,7 +204,10 @@
         };
         // A second send is no canary: it would be another request to a version that may be bad.
         let mut draw = if self.tried.is_empty() { self.canary_draw } else { CanaryDraw::NONE };
-        let splits = gateway.version_splits(&context.service, &mut draw);
+        let splits = match self.origin {
+            Some(origin) => vec![VersionSplit::Began(origin.software)],
+            None => gateway.version_splits(&context.service, &mut draw),
+        };
         self.canary_draw.has_slack |= draw.has_slack;
         let admit = |choice: &PlacementChoice| {
             admission.map_or(AdmissionVerdict::Go, |view| view.admit(choice, gateway.now()))
--- a/crates/gateway/src/requests/own_answer.rs
+++ b/crates/gateway/src/requests/own_answer.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
-use hyper::header::{HeaderValue, RETRY_AFTER};
+use hyper::header::{HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
 /// Reason of a refusal because connections to several endpoints failed.
@@ -14,6 +14,72 @@
 /// Reason of a refusal because there is no endpoint to send to.
 pub(crate) const NO_ENDPOINT_TAKES_WORK: &str = "no endpoint takes work";
 
+/// Header with the reason why a stream is not resumed.
+const RESUME_REFUSED: HeaderName = HeaderName::from_static("resume-refused");
+/// Retry delay of a resumption while other VMs do not answer; a random delay is added.
+const UNANSWERED_RETRY_MILLIS: u64 = 300;
+
+/// Why a stream is not resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ResumeRefusal {
+    /// The version that began it is not known.
+    UnknownVersion,
+    /// VMs that may know the version did not answer.
+    Unanswered,
+    /// No engine of its version takes work.
+    NoEngine,
+    /// Its service is none of the route's any more.
+    OtherService,
+}
+
+impl ResumeRefusal {
+    /// Its label in headers, logs and metrics.
+    pub(crate) const fn label(self) -> &'static str {
+        match self {
+            Self::UnknownVersion => "unknown-version",
+            Self::Unanswered => "unanswered",
+            Self::NoEngine => "no-engine",
+            Self::OtherService => "other-service",
+        }
+    }
+
+    /// Returns the answer, which states what the caller can do.
+    ///
+    /// Except while other VMs do not answer, the same resumption would be refused again: it has no retry delay.
+    pub(crate) fn answer(self) -> OwnAnswer {
+        let reason = match self {
+            Self::UnknownVersion => {
+                "the software version that began the stream is not known; \
+                 send the request without Resumes and Last-Event-Id"
+            }
+            Self::Unanswered => {
+                "the software version that began the stream is not known here now; \
+                 retry, or send the request without Resumes and Last-Event-Id"
+            }
+            Self::NoEngine => {
+                "no engine of the software version that began the stream takes work; \
+                 send the request without Resumes and Last-Event-Id"
+            }
+            Self::OtherService => {
+                "the route has left the service that began the stream; \
+                 send the request without Resumes and Last-Event-Id"
+            }
+        };
+        let retry_after_millis = match self {
+            Self::Unanswered => {
+                Some(UNANSWERED_RETRY_MILLIS + rand::random_range(0..UNANSWERED_RETRY_MILLIS))
+            }
+            _ => None,
+        };
+        OwnAnswer {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            retry_after_millis,
+            resume_refusal: Some(self),
+        }
+    }
+}
+
 /// Why an answer's body was aborted.
 #[derive(Debug, thiserror::Error)]
 #[error("the answer broke off: {0}")]
@@ -30,6 +96,8 @@
     pub reason: &'static str,
     /// Retry delay, in milliseconds; only with answers that promise "not run".
     pub retry_after_millis: Option<u64>,
+    /// Why a stream is not resumed, if that is the cause.
+    pub resume_refusal: Option<ResumeRefusal>,
 }
 
 impl OwnAnswer {
@@ -44,12 +112,12 @@
         Self::plain(StatusCode::BAD_GATEWAY, "held back: endpoints end under this request; it may have run");
 
     pub(crate) const fn plain(status: StatusCode, reason: &'static str) -> Self {
-        Self { status, reason, retry_after_millis: None }
+        Self { status, reason, retry_after_millis: None, resume_refusal: None }
     }
 
     /// A refusal before running, with the retry delay `millis`.
     pub(crate) const fn not_run(reason: &'static str, millis: u64) -> Self {
-        Self { status: StatusCode::SERVICE_UNAVAILABLE, reason, retry_after_millis: Some(millis) }
+        Self { retry_after_millis: Some(millis), ..Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason) }
     }
 
     /// Whether it says that no endpoint was reached, which another VM may do.
@@ -64,6 +132,9 @@
         let mut response = Response::new(full_body(Bytes::from_static(self.reason.as_bytes())));
         *response.status_mut() = self.status;
         response.extensions_mut().insert(*self);
+        if let Some(refusal) = self.resume_refusal {
+            response.headers_mut().insert(RESUME_REFUSED, HeaderValue::from_static(refusal.label()));
+        }
         if let Some(millis) = self.retry_after_millis {
             let text = format!("{}.{:03}", millis / 1_000, millis % 1_000);
             if let Ok(value) = HeaderValue::from_str(&text) {
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -12,7 +12,9 @@
 use crate::requests::answer_record::AnswerRecord;
 use crate::requests::dispatch::{ReceivedHead, SendResult};
 use crate::requests::long_answer::forward_long;
-use crate::requests::own_answer::{AnswerBody, NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, OwnAnswer};
+use crate::requests::own_answer::{
+    AnswerBody, NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, OwnAnswer, ResumeRefusal,
+};
 use crate::requests::request_context::{RequestContext, header_text, is_hop_by_hop};
 use crate::requests::request_run::{CallerResources, RequestRun};
 use crate::requests::stream_relay;
@@ -72,12 +74,15 @@
         }
     };
     answer.record_read_whole();
-    let run = RequestRun::new(
+    let mut run = RequestRun::new(
         gateway,
         context,
         body,
         CallerResources { _open: open_guard, _taken: None, _reservation: reservation, disconnect, answer },
     );
+    if let Some(refusal) = run.bind_resumption().await {
+        return refusal;
+    }
     serve(run).await
 }
 
@@ -141,6 +146,9 @@
             if run.needs_peer() {
                 continue;
             }
+            if run.has_no_engine() && !run.may_have_run {
+                return run.refuse_resumption(ResumeRefusal::NoEngine);
+            }
             return run.give_up(NO_ENDPOINT_TAKES_WORK, NO_ENDPOINT_RETRY_MILLIS);
         };
         let failed: &'static str = match result {
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -15,7 +15,7 @@
 use crate::requests::request_context::{RequestContext, header_text};
 use crate::{
     CanaryDraw, EndpointCrash, EndpointKey, EndpointRow, PlacementChoice, QueueEntry, RequestIdentity,
-    RequestKey, short_digest,
+    RequestKey, StreamKey, StreamOrigin, short_digest,
 };
 use bytes::Bytes;
 use hyper::header::HeaderName;
@@ -59,6 +59,10 @@
     /// The last placement, for the log.
     pub choice: Option<PlacementChoice>,
     pub endpoint: String,
+    /// The software that began the stream, once its first event has arrived or if it is resumed.
+    pub origin: Option<StreamOrigin>,
+    /// Key of the stream that the caller resumes.
+    pub resumed_key: Option<StreamKey>,
     /// Software version of the engine that wrote the stream's first event.
     pub software: Option<Arc<str>>,
     /// Time spent waiting for an engine with free capacity or in the queue, in microseconds.
@@ -150,6 +154,8 @@
             may_have_run: false,
             choice: None,
             endpoint: String::new(),
+            origin: None,
+            resumed_key: None,
             software: None,
             waited_micros: 0,
             waits_for_capacity: false,
@@ -339,6 +345,11 @@
         self.finish_with(OwnAnswer::plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time"))
     }
 
+    /// Answers with the gateway's own answer to a request that it does not send.
+    pub(crate) fn refuse_with(&mut self, answer: OwnAnswer) -> Response<AnswerBody> {
+        self.finish_with(answer)
+    }
+
     /// Answers with the gateway's own answer, unless an endpoint's failure can be forwarded.
     fn finish_with(&mut self, answer: OwnAnswer) -> Response<AnswerBody> {
         if let Some((head, bytes)) = self.failure.take() {
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -6,7 +6,6 @@
 //! a limit or silence elsewhere ends nothing. A stream that cannot be resumed is visibly aborted: it never
 //! looks complete.
 
-use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
 use crate::endpoints::answer_handler::AnswerSource;
 use crate::endpoints::observed_stream::ConnectionEnd;
@@ -18,7 +17,8 @@
 use crate::requests::flight::SendFlight;
 use crate::requests::own_answer::{AnswerBody, BrokenAnswer};
 use crate::requests::relay::{FailedAnswer, answer_with};
-use crate::requests::request_run::RequestRun;
+use crate::requests::request_run::{LAST_EVENT_ID, RequestRun};
+use crate::{SendOutcome, StreamOrigin};
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
@@ -43,12 +43,21 @@
     received: ReceivedHead,
 ) -> Result<Response<AnswerBody>, FailedAnswer> {
     let ReceivedHead { head, body, flight } = received;
-    let silent = SilentStream { run, head, flight, reader: EventReader::new(body), offers: 0 };
+    let reader = match run.context.headers.get(LAST_EVENT_ID) {
+        Some(id) if run.origin.is_some() => EventReader::after(body, Bytes::copy_from_slice(id.as_bytes())),
+        _ => EventReader::new(body),
+    };
+    let silent = SilentStream { run, head, flight, reader, offers: 0 };
     let (stream, first) = silent.wait_for_first_event().await?;
     let SilentStream { mut run, head, mut flight, reader, .. } = stream;
     flight.record_answer_start();
     flight.record_outcome(SendOutcome::Answered);
     run.software = Some(Arc::clone(&flight.software));
+    if first.is_some() {
+        let began = first_origin(&run, &flight);
+        run.record_stream(began).await;
+    }
+    let origin = run.origin;
     run.record_first_event();
     run.set_status(head.status.as_u16());
     run.set_outcome("broken off");
@@ -61,7 +70,17 @@
     }
     let forwarder = StreamForwarder { run, flight, reader, chunks, failed_offers: 0 };
     tokio::spawn(forwarder.forward(has_ended));
-    Ok(answer_with(&head, StreamBody::new(stream).boxed_unsync()))
+    let mut response = answer_with(&head, StreamBody::new(stream).boxed_unsync());
+    // A VM that forwarded the request learns it from the marked answer.
+    response.extensions_mut().insert(StreamBeginning(origin));
+    Ok(response)
+}
+
+/// Returns the origin of a stream whose first event has arrived; none if its endpoint's version has changed
+/// since the send.
+fn first_origin(run: &RequestRun, flight: &SendFlight) -> Option<StreamOrigin> {
+    let origin = StreamOrigin::of(&run.context.service, &flight.software, flight.key);
+    run.gateway.table().confirms_origin(&origin).then_some(origin)
 }
 
 /// A stream without an event so far: its caller has received nothing.
@@ -162,6 +181,10 @@
     }
 }
 
+/// The software that began a stream, on the answer that carries its first event.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StreamBeginning(pub Option<StreamOrigin>);
+
 struct StreamForwarder {
     run: RequestRun,
     flight: SendFlight,
@@ -414,6 +437,10 @@
 ///
 /// Bounded by the route's attempts, the budget of second sends, the deadline and the number of engines.
 async fn send_to_others(run: &mut RequestRun, last_id: Option<&Bytes>) -> Option<Box<ReceivedHead>> {
+    if last_id.is_some() && !run.may_resume() {
+        log::warn!(request = run.context.id_text(), endpoint = run.endpoint.as_str(); "resume.unbound");
+        return None;
+    }
     while run.may_send_again() {
         match send_to_another(run, last_id).await {
             OfferResponse::Accepted(received) => return Some(received),
--- /dev/null
+++ b/crates/gateway/src/streams/stream_tracker.rs
@@ -0,0 +1,220 @@
+//! Records the software versions of streams, and asks other VMs for them.
+
+use super::stream_message::{StreamMessage, StreamRecord};
+use crate::clock::DeadlinePassed;
+use crate::gateway::Gateway;
+use crate::peers::gossip::send_message;
+use crate::peers::peer_message::{PeerMessage, PeerStamp};
+use crate::{RecordHolders, StreamKey, StreamOrigin, StreamRecords, VmKey, short_digest};
+use spanfold_entity::{MICROS_PER_MILLI, Moment};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+/// Time for which a record outlasts the deadline of its attempt, in milliseconds: a caller may return with a
+/// new deadline.
+const RETURN_MILLIS: u64 = 10_000;
+/// Longest lifetime of a record, in milliseconds.
+const MAX_LIFETIME_MILLIS: u64 = 60_000;
+/// Fraction of a VM's memory that records may fill.
+const MEMORY_FRACTION: f64 = 0.05;
+/// Memory of one record with its share of the tables' free capacity, in bytes.
+const RECORD_BYTES: f64 = 200.0;
+/// Time after which a question is sent again, because a datagram may be lost, in milliseconds.
+const REPEAT_MILLIS: u64 = 60;
+/// Time within which other VMs answer a question, in milliseconds.
+const ANSWER_MILLIS: u64 = 250;
+
+/// Answers to one question: the VM and its record.
+type AnswerSender = mpsc::UnboundedSender<(VmKey, Option<StreamRecord>)>;
+
+/// What this VM knows of the software versions of streams.
+#[derive(Debug)]
+pub(crate) struct StreamTracker {
+    records: Mutex<StreamRecords>,
+    /// Questions to other VMs that are not answered yet, by number.
+    questions: Mutex<HashMap<u64, AnswerSender>>,
+    /// Socket of messages between VMs; none until this VM has started.
+    socket: OnceLock<Arc<UdpSocket>>,
+}
+
+/// The result of a search for a stream's origin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OriginSearch {
+    Found(StreamOrigin),
+    /// No VM that may have a record has one.
+    Unknown,
+    /// Some VMs that may have a record did not answer.
+    Unanswered,
+}
+
+/// A question to other VMs, until it is dropped.
+struct OpenQuestion<'a> {
+    tracker: &'a StreamTracker,
+    number: u64,
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        self.tracker.questions().remove(&self.number);
+    }
+}
+
+impl StreamTracker {
+    /// Creates an empty tracker for a VM with `memory_mb` megabytes of memory.
+    pub(crate) fn new(memory_mb: f64) -> Self {
+        let capacity = (memory_mb * 1e6 * MEMORY_FRACTION / RECORD_BYTES) as usize;
+        Self {
+            records: Mutex::new(StreamRecords::new(capacity)),
+            questions: Mutex::default(),
+            socket: OnceLock::new(),
+        }
+    }
+
+    /// Sets the socket of messages between VMs.
+    pub(crate) fn set_socket(&self, socket: Arc<UdpSocket>) {
+        // It is set once, at the start.
+        let _ = self.socket.set(socket);
+    }
+
+    fn records(&self) -> MutexGuard<'_, StreamRecords> {
+        self.records.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn questions(&self) -> MutexGuard<'_, HashMap<u64, AnswerSender>> {
+        self.questions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Gateway {
+    /// Records the origin of an account's streams here and at other VMs, until some time after `deadline`.
+    ///
+    /// Returns once the copies are sent: the caller may then receive the first event.
+    pub(crate) async fn record_origin(
+        &self,
+        keys: &[StreamKey],
+        account: &str,
+        origin: StreamOrigin,
+        deadline: Moment,
+    ) {
+        let now = self.now();
+        let expires_at = deadline.after_millis(RETURN_MILLIS).min(now.after_millis(MAX_LIFETIME_MILLIS));
+        let record = StreamRecord { origin, remaining_millis: remaining_millis(expires_at, now) };
+        let account = short_digest(account);
+        for key in keys {
+            self.insert_record(*key, account, record);
+            let copies = self.peers().record_copies(*key, now);
+            self.send_about_stream(StreamMessage::Record { key: *key, account, record }, &copies).await;
+        }
+    }
+
+    /// Searches the origin of an account's stream, here and at other VMs.
+    pub(crate) async fn find_origin(&self, key: StreamKey, account: &str) -> OriginSearch {
+        let now = self.now();
+        let own = self.streams.records().find(key, now);
+        if let Some((origin, _)) = own {
+            return OriginSearch::Found(origin);
+        }
+        let holders = self.peers().record_holders(key, now);
+        let number = rand::random();
+        let (sender, mut answers) = mpsc::unbounded_channel();
+        self.streams.questions().insert(number, sender);
+        let _open = OpenQuestion { tracker: &self.streams, number };
+        let question = StreamMessage::Question { number, key };
+        let search = self.ask(question, &holders, &mut answers);
+        match self.complete_before(now.after_millis(ANSWER_MILLIS), search).await {
+            Ok(Some(record)) => {
+                self.insert_record(key, short_digest(account), record);
+                OriginSearch::Found(record.origin)
+            }
+            Ok(None) => OriginSearch::Unknown,
+            Err(DeadlinePassed) => OriginSearch::Unanswered,
+        }
+    }
+
+    /// Asks VMs for a record until one has it; none once all that are presumed to answer have none.
+    async fn ask(
+        &self,
+        question: StreamMessage,
+        holders: &RecordHolders,
+        answers: &mut mpsc::UnboundedReceiver<(VmKey, Option<StreamRecord>)>,
+    ) -> Option<StreamRecord> {
+        self.send_about_stream(question, &holders.silent).await;
+        let mut answered = BTreeSet::new();
+        loop {
+            self.send_about_stream(question, &holders.reachable).await;
+            let repeat_at = self.now().after_millis(REPEAT_MILLIS);
+            loop {
+                if answered.len() >= holders.reachable.len() {
+                    return None;
+                }
+                match self.complete_before(repeat_at, answers.recv()).await {
+                    Ok(Some((_, Some(record)))) => return Some(record),
+                    Ok(Some((vm, None))) => {
+                        answered.insert(vm);
+                    }
+                    // The sender lives as long as the question.
+                    Ok(None) => return None,
+                    Err(DeadlinePassed) => break,
+                }
+            }
+        }
+    }
+
+    /// Applies another VM's message, which came from `source`.
+    pub(crate) async fn apply_stream_message(
+        &self,
+        stamp: PeerStamp,
+        message: StreamMessage,
+        source: SocketAddr,
+    ) {
+        match message {
+            StreamMessage::Record { key, account, record } => self.insert_record(key, account, record),
+            StreamMessage::Question { number, key } => {
+                let now = self.now();
+                let found = self.streams.records().find(key, now);
+                let record = found.map(|(origin, expires_at)| StreamRecord {
+                    origin,
+                    remaining_millis: remaining_millis(expires_at, now),
+                });
+                self.send_about_stream(StreamMessage::Answer { number, record }, &[source]).await;
+            }
+            StreamMessage::Answer { number, record } => {
+                let sender = self.streams.questions().get(&number).cloned();
+                if let Some(sender) = sender {
+                    // A search that has ended needs no more answers.
+                    let _ = sender.send((stamp.vm, record));
+                }
+            }
+        }
+    }
+
+    /// Removes expired records of streams.
+    pub(crate) fn sweep_streams(&self) {
+        let mut records = self.streams.records();
+        records.sweep(self.now());
+        self.metrics.streams.records.set(records.len() as i64);
+    }
+
+    fn insert_record(&self, key: StreamKey, account: u64, record: StreamRecord) {
+        let lifetime_millis = u64::from(record.remaining_millis).min(MAX_LIFETIME_MILLIS);
+        let expires_at = self.now().after_millis(lifetime_millis);
+        if self.streams.records().insert(key, account, record.origin, expires_at) {
+            self.metrics.streams.evictions.inc();
+        }
+    }
+
+    async fn send_about_stream(&self, message: StreamMessage, to: &[SocketAddr]) {
+        if let Some(socket) = self.streams.socket.get()
+            && !to.is_empty()
+        {
+            send_message(self, socket, &PeerMessage::Stream(self.next_stamp(), message), to).await;
+        }
+    }
+}
+
+fn remaining_millis(expires_at: Moment, now: Moment) -> u32 {
+    (expires_at.micros_since(now) / MICROS_PER_MILLI) as u32
+}
