Resume an unnamed stream where only one version can have begun it

A VM that has followed a service for as long as a stream may last, and whose list is current, knows whether the service has had one software version only. Without a record, a stream goes on at that version if no VM that is asked has seen another; else it is refused with 503.

--- a/crates/decide/src/fleet/fleet_entries.rs
+++ b/crates/decide/src/fleet/fleet_entries.rs
@@ -4,7 +4,7 @@
 //! departure.
 
 use crate::fleet::fleet_table::{MAX_REMOVED_ENDPOINTS, NewestIncarnation};
-use crate::{EndpointEntry, EndpointKey, EndpointRow, FleetTable};
+use crate::{EndpointEntry, EndpointKey, EndpointRow, FleetTable, short_digest};
 use spanfold_entity::Moment;
 use std::sync::Arc;
 
@@ -19,6 +19,7 @@
     /// An entry cannot revoke its endpoint's departure, since an older one may arrive late.
     pub fn apply_entry(&mut self, mut entry: EndpointEntry, now: Moment) -> bool {
         let key = entry.key();
+        self.software_history.record_following(now);
         if !self.is_newest(&entry, key) {
             return false;
         }
@@ -57,6 +58,10 @@
                 let counts_down = entry.cold_millis < row.entry.cold_millis;
                 row.cold_until = if counts_down { cold_until.min(row.cold_until) } else { cold_until };
             }
+            if entry.version != row.entry.version {
+                let software = short_digest(&row.entry.version);
+                self.software_history.record_gone(&row.entry.service, software, now);
+            }
             let changed = entry.draining != row.entry.draining;
             row.entry = entry;
             return changed;
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -10,7 +10,7 @@
 use crate::fleet::reported_health::AvoidanceReport;
 use crate::{
     DeploymentConfig, EndpointEntry, EndpointKey, EndpointRow, HomeRegions, LoadSource, SendOutcome,
-    SendReport, ServiceRow, SharedWeights, StoreRow, VmKey,
+    SendReport, ServiceRow, SharedWeights, SoftwareHistory, StoreRow, VmKey, short_digest,
 };
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
@@ -67,6 +67,8 @@
     /// Counts only endpoints whose service has a reduced rate while cold, and those that stated a warm-up time
     /// in an answer.
     pub(super) max_cold_until: Moment,
+    /// Software versions of endpoints that are gone.
+    pub(super) software_history: SoftwareHistory,
     /// Whether any endpoint may have a reported limit.
     pub(super) has_limits: bool,
 }
@@ -224,6 +226,8 @@
             if let Some(keys) = self.keys_by_service.get_mut(&row.entry.service) {
                 keys.retain(|listed_key| listed_key != key);
             }
+            let software = short_digest(&row.entry.version);
+            self.software_history.record_gone(&row.entry.service, software, now);
             let has_departed = row.has_announced_departure();
             let EndpointEntry { id, weights, .. } = row.entry;
             self.record_removed(*key, RemovedEndpoint { id, recorded_at: now, weights, has_departed });
--- a/crates/decide/src/fleet/fleet_versions.rs
+++ b/crates/decide/src/fleet/fleet_versions.rs
@@ -1,6 +1,6 @@
 //! Endpoints of a service by their software version.
 
-use crate::{FleetTable, StreamOrigin, VersionSplit, short_digest};
+use crate::{FleetTable, SoleSoftware, StreamOrigin, VersionSplit, short_digest};
 use spanfold_entity::Moment;
 
 impl FleetTable {
@@ -28,6 +28,21 @@
         self.row(origin.endpoint).is_none_or(|row| short_digest(&row.entry.version) == origin.software)
     }
 
+    /// Sets since when the services' software versions have been followed, for tests.
+    pub fn set_software_followed_since(&mut self, since: Moment) {
+        self.software_history.set_followed_since(since);
+    }
+
+    /// Returns whether a service's endpoints have had one software version only since a moment.
+    ///
+    /// The service is given by the short digest of its name.
+    pub fn sole_software(&self, service: u64, since: Moment) -> SoleSoftware {
+        let name = self.keys_by_service.keys().find(|name| short_digest(name) == service);
+        let Some(name) = name else { return SoleSoftware::Unsure };
+        let listed = self.rows_of(name).map(|(_, row)| short_digest(&row.entry.version));
+        self.software_history.sole_since(name, since, listed)
+    }
+
     /// Whether an endpoint of the version that began a stream takes work, now or after a backoff.
     pub fn has_software(&self, service: &str, origin: &StreamOrigin, now: Moment) -> bool {
         let mut rows = self.rows_of(service).filter(|(_, row)| row.takes_work(now));
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -55,7 +55,8 @@
     RolloutPhase, RolloutReason, RolloutRecord, RolloutRun, RolloutStep, RolloutSums, RolloutTable,
     RouteCounts, StoredStatus, SumKey, VersionSplit,
 };
-pub use streams::{RecordHolders, StreamKey, StreamOrigin, StreamRecords};
+pub(crate) use streams::SoftwareHistory;
+pub use streams::{RecordHolders, SoleSoftware, StreamKey, StreamOrigin, StreamRecords};
 pub use weights::{
     EngineState, LeaseHolder, LeaseOwnership, PublicationRecord, PublicationTime, PublishedVersion,
     PublishedWeights, RequiredWeights, WeightScheduler, WeightStep,
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -14,6 +14,7 @@
 use crate::store::{follow, lease_keeper};
 use crate::{FleetSweep, PathState, WireDialect, clock, rollout, store};
 use spanfold_declare::GatewaySettings;
+use spanfold_entity::Moment;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -156,6 +157,11 @@
         self.gateway.path.send_replace(state);
     }
 
+    /// Presumes that this VM has always followed the services' software versions, for tests.
+    pub fn presume_software_followed(&self) {
+        self.gateway.table().set_software_followed_since(Moment(0));
+    }
+
     /// Aborts all tasks at once, as a crash would.
     pub fn kill(&self) {
         for task in &self.tasks {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,7 +54,7 @@
     ReassemblyProgress, RecordHolders, RequestIdentity, RequestKey, RequestQuarantine, RequiredWeights,
     ReservationId, RetryBudget, RolloutAnswer, RolloutReason, RolloutRecord, RolloutRun, RolloutStep,
     RolloutTable, RouteCounts, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight, ShareVerdict,
-    ShareView, StreamKey, StreamOrigin, StreamRecords, SumKey, UpdateFragment, UpdateHistory,
+    ShareView, SoleSoftware, StreamKey, StreamOrigin, StreamRecords, SumKey, UpdateFragment, UpdateHistory,
     UpdateReassembly, UsedSequences, VersionSplit, VmEntry, VmKey, WeightScheduler, WeightStep,
     claim_probability, direct_share, outdated_segments, pack, pick_target, place, salted_key, short_digest,
     split_update, unpack,
--- a/crates/gateway/src/streams/resumption.rs
+++ b/crates/gateway/src/streams/resumption.rs
@@ -1,11 +1,12 @@
 //! A caller's request to resume its stream: its headers, and the version at which the stream goes on.
 
+use super::stream_message::SoughtStream;
 use super::stream_tracker::OriginSearch;
 use crate::gateway::Gateway;
 use crate::requests::own_answer::{AnswerBody, OwnAnswer, ResumeRefusal};
 use crate::requests::request_context::RequestContext;
 use crate::requests::request_run::{LAST_EVENT_ID, RequestRun};
-use crate::{StreamKey, StreamOrigin, short_digest};
+use crate::{EndpointKey, StreamKey, StreamOrigin, short_digest};
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Response, StatusCode};
 use spanfold_entity::MICROS_PER_MILLI;
@@ -13,10 +14,13 @@
 /// Longest id of an attempt or an event, in bytes.
 const MAX_ID_BYTES: usize = 1_024;
 
+/// Time within which a caller returns after its stream broke, in milliseconds.
+const RETURN_WINDOW_MILLIS: u64 = 5_000;
+
 /// What a caller resumes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Resumption {
-    /// Key of the stream.
+    /// Key of the stream: of the attempt that the caller names, else of its own id.
     pub key: StreamKey,
 }
 
@@ -24,7 +28,8 @@
     /// Parses the headers of a request; none if it resumes no stream.
     ///
     /// # Errors
-    /// If the headers do not name one attempt and one event, or the route's streams cannot be resumed.
+    /// If a header does not contain one id, if only the attempt is named, or if the route's streams cannot be
+    /// resumed.
     pub(crate) fn parse(gateway: &Gateway, context: &RequestContext) -> Result<Option<Self>, OwnAnswer> {
         if !context.is_stream() {
             return Ok(None);
@@ -34,12 +39,12 @@
         let event = single_id(&context.headers, &LAST_EVENT_ID);
         match (attempt, event) {
             (IdHeader::Missing, IdHeader::Missing) => Ok(None),
-            (IdHeader::Missing, _) => malformed("Last-Event-Id without Resumes: name the attempt"),
             (_, IdHeader::Missing) => malformed("Resumes without Last-Event-Id: name the last event"),
             (IdHeader::Malformed, _) => malformed("Resumes is not the id of one attempt"),
             (_, IdHeader::Malformed) => malformed("Last-Event-Id is not the id of one event"),
             _ if !context.route.resumable => malformed("Resumes: the route's streams cannot be resumed"),
-            (IdHeader::Id(attempt), IdHeader::Id(_)) => {
+            (attempt, IdHeader::Id(_)) => {
+                let attempt = attempt.id().unwrap_or(context.id.as_bytes());
                 let key = StreamKey::of(context.account.as_deref().unwrap_or_default(), attempt);
                 Ok(Some(Self { key }))
             }
@@ -48,6 +53,7 @@
 }
 
 /// A header that contains an id.
+#[derive(Clone, Copy)]
 enum IdHeader<'a> {
     Missing,
     /// It is empty, too long, not text, or there are several.
@@ -55,6 +61,15 @@
     Id(&'a [u8]),
 }
 
+impl<'a> IdHeader<'a> {
+    const fn id(self) -> Option<&'a [u8]> {
+        match self {
+            Self::Id(id) => Some(id),
+            Self::Missing | Self::Malformed => None,
+        }
+    }
+}
+
 fn single_id<'a>(headers: &'a HeaderMap, name: &HeaderName) -> IdHeader<'a> {
     let mut values = headers.get_all(name).iter();
     let Some(value) = values.next() else { return IdHeader::Missing };
@@ -79,7 +94,21 @@
         self.resumed_key = Some(resumption.key);
         let started_at = gateway.now();
         let account = self.context.account.as_deref().unwrap_or_default();
-        let search = gateway.find_origin(resumption.key, account).await;
+        let window_millis = self.context.route.timeout_millis + RETURN_WINDOW_MILLIS;
+        let stream = SoughtStream {
+            key: resumption.key,
+            service: short_digest(&self.context.service),
+            window_millis: u32::try_from(window_millis).unwrap_or(u32::MAX),
+        };
+        let search = match gateway.find_origin(stream, account).await {
+            // The first attempt may have gone to another of the route's services.
+            OriginSearch::Found(origin)
+                if self.context.route.targets.len() > 1 && origin.endpoint == EndpointKey::default() =>
+            {
+                OriginSearch::Unknown
+            }
+            search => search,
+        };
         let refusal = match search {
             OriginSearch::Found(origin) => match self.bind_to(origin) {
                 Ok(()) => {
--- a/crates/gateway/src/streams/stream_message.rs
+++ b/crates/gateway/src/streams/stream_message.rs
@@ -1,6 +1,6 @@
 //! Messages between VMs about the software versions of streams.
 
-use crate::{StreamKey, StreamOrigin};
+use crate::{SoleSoftware, StreamKey, StreamOrigin};
 use serde::{Deserialize, Serialize};
 
 /// A message about one stream.
@@ -13,10 +13,29 @@
         account: u64,
         record: StreamRecord,
     },
-    /// Requests the record of a stream.
-    Question { number: u64, key: StreamKey },
-    /// Answers a question; none if the VM has no record.
-    Answer { number: u64, record: Option<StreamRecord> },
+    /// Requests what a VM knows of a stream.
+    Question { number: u64, stream: SoughtStream },
+    /// Answers a question.
+    Answer { number: u64, knowledge: StreamKnowledge },
+}
+
+/// A stream whose origin is sought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SoughtStream {
+    pub key: StreamKey,
+    /// Short digest of the service that began it, unless a record states another one.
+    pub service: u64,
+    /// Time within which it began, in milliseconds.
+    pub window_millis: u32,
+}
+
+/// What one VM knows of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct StreamKnowledge {
+    /// Its record, if the VM has one.
+    pub record: Option<StreamRecord>,
+    /// The versions that can have begun it.
+    pub software: SoleSoftware,
 }
 
 /// The origin of a stream, and for how long it is recorded.
--- a/crates/gateway/src/streams/stream_tracker.rs
+++ b/crates/gateway/src/streams/stream_tracker.rs
@@ -1,11 +1,13 @@
 //! Records the software versions of streams, and asks other VMs for them.
 
-use super::stream_message::{StreamMessage, StreamRecord};
+use super::stream_message::{SoughtStream, StreamKnowledge, StreamMessage, StreamRecord};
 use crate::clock::DeadlinePassed;
 use crate::gateway::Gateway;
 use crate::peers::gossip::send_message;
 use crate::peers::peer_message::{PeerMessage, PeerStamp};
-use crate::{RecordHolders, StreamKey, StreamOrigin, StreamRecords, VmKey, short_digest};
+use crate::{
+    EndpointKey, RecordHolders, SoleSoftware, StreamKey, StreamOrigin, StreamRecords, VmKey, short_digest,
+};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -27,8 +29,8 @@
 /// Time within which other VMs answer a question, in milliseconds.
 const ANSWER_MILLIS: u64 = 250;
 
-/// Answers to one question: the VM and its record.
-type AnswerSender = mpsc::UnboundedSender<(VmKey, Option<StreamRecord>)>;
+/// Answers to one question: the VM and what it knows.
+type AnswerSender = mpsc::UnboundedSender<(VmKey, StreamKnowledge)>;
 
 /// What this VM knows of the software versions of streams.
 #[derive(Debug)]
@@ -44,7 +46,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum OriginSearch {
     Found(StreamOrigin),
-    /// No VM that may have a record has one.
+    /// No VM that may have a record has one, and several versions can have begun the stream.
     Unknown,
     /// Some VMs that may have a record did not answer.
     Unanswered,
@@ -111,58 +113,87 @@
     }
 
     /// Searches the origin of an account's stream, here and at other VMs.
-    pub(crate) async fn find_origin(&self, key: StreamKey, account: &str) -> OriginSearch {
+    ///
+    /// Without a record, the stream began at the service's only version, if there was only one.
+    pub(crate) async fn find_origin(&self, stream: SoughtStream, account: &str) -> OriginSearch {
         let now = self.now();
-        let own = self.streams.records().find(key, now);
-        if let Some((origin, _)) = own {
-            return OriginSearch::Found(origin);
+        let own = self.knowledge(&stream);
+        if let Some(record) = own.record {
+            return OriginSearch::Found(record.origin);
         }
-        let holders = self.peers().record_holders(key, now);
+        let holders = self.peers().record_holders(stream.key, now);
         let number = rand::random();
         let (sender, mut answers) = mpsc::unbounded_channel();
         self.streams.questions().insert(number, sender);
         let _open = OpenQuestion { tracker: &self.streams, number };
-        let question = StreamMessage::Question { number, key };
+        let question = StreamMessage::Question { number, stream };
         let search = self.ask(question, &holders, &mut answers);
-        match self.complete_before(now.after_millis(ANSWER_MILLIS), search).await {
-            Ok(Some(record)) => {
-                self.insert_record(key, short_digest(account), record);
-                OriginSearch::Found(record.origin)
+        let others = match self.complete_before(now.after_millis(ANSWER_MILLIS), search).await {
+            Ok(knowledge) => knowledge,
+            Err(DeadlinePassed) => return OriginSearch::Unanswered,
+        };
+        if let Some(record) = others.record {
+            self.insert_record(stream.key, short_digest(account), record);
+            return OriginSearch::Found(record.origin);
+        }
+        match own.software.and(others.software) {
+            SoleSoftware::Sole(software) => {
+                // No endpoint has this key: any of the version may have begun it.
+                let endpoint = EndpointKey::default();
+                OriginSearch::Found(StreamOrigin { service: stream.service, software, endpoint })
             }
-            Ok(None) => OriginSearch::Unknown,
-            Err(DeadlinePassed) => OriginSearch::Unanswered,
+            SoleSoftware::Unsure | SoleSoftware::Mixed => OriginSearch::Unknown,
         }
     }
 
-    /// Asks VMs for a record until one has it; none once all that are presumed to answer have none.
+    /// Asks VMs until one has a record, or all that are presumed to answer have none.
     async fn ask(
         &self,
         question: StreamMessage,
         holders: &RecordHolders,
-        answers: &mut mpsc::UnboundedReceiver<(VmKey, Option<StreamRecord>)>,
-    ) -> Option<StreamRecord> {
+        answers: &mut mpsc::UnboundedReceiver<(VmKey, StreamKnowledge)>,
+    ) -> StreamKnowledge {
+        let mut known = StreamKnowledge { record: None, software: SoleSoftware::Unsure };
         self.send_about_stream(question, &holders.silent).await;
         let mut answered = BTreeSet::new();
         loop {
             self.send_about_stream(question, &holders.reachable).await;
             let repeat_at = self.now().after_millis(REPEAT_MILLIS);
-            loop {
-                if answered.len() >= holders.reachable.len() {
-                    return None;
-                }
+            while answered.len() < holders.reachable.len() {
                 match self.complete_before(repeat_at, answers.recv()).await {
-                    Ok(Some((_, Some(record)))) => return Some(record),
-                    Ok(Some((vm, None))) => {
+                    Ok(Some((vm, answer))) => {
                         answered.insert(vm);
+                        known.software = known.software.and(answer.software);
+                        if answer.record.is_some() {
+                            return answer;
+                        }
                     }
                     // The sender lives as long as the question.
-                    Ok(None) => return None,
+                    Ok(None) => return known,
                     Err(DeadlinePassed) => break,
                 }
             }
+            if answered.len() >= holders.reachable.len() {
+                return known;
+            }
         }
     }
 
+    /// Returns what this VM knows of a stream.
+    fn knowledge(&self, stream: &SoughtStream) -> StreamKnowledge {
+        let now = self.now();
+        let found = self.streams.records().find(stream.key, now);
+        let record = found.map(|(origin, expires_at)| StreamRecord {
+            origin,
+            remaining_millis: remaining_millis(expires_at, now),
+        });
+        let since = Moment(now.0.saturating_sub(u64::from(stream.window_millis) * MICROS_PER_MILLI));
+        let is_current = self.list_membership().is_list_current(now);
+        let software =
+            if is_current { self.table().sole_software(stream.service, since) } else { SoleSoftware::Unsure };
+        StreamKnowledge { record, software }
+    }
+
     /// Applies another VM's message, which came from `source`.
     pub(crate) async fn apply_stream_message(
         &self,
@@ -172,20 +203,15 @@
     ) {
         match message {
             StreamMessage::Record { key, account, record } => self.insert_record(key, account, record),
-            StreamMessage::Question { number, key } => {
-                let now = self.now();
-                let found = self.streams.records().find(key, now);
-                let record = found.map(|(origin, expires_at)| StreamRecord {
-                    origin,
-                    remaining_millis: remaining_millis(expires_at, now),
-                });
-                self.send_about_stream(StreamMessage::Answer { number, record }, &[source]).await;
+            StreamMessage::Question { number, stream } => {
+                let answer = StreamMessage::Answer { number, knowledge: self.knowledge(&stream) };
+                self.send_about_stream(answer, &[source]).await;
             }
-            StreamMessage::Answer { number, record } => {
+            StreamMessage::Answer { number, knowledge } => {
                 let sender = self.streams.questions().get(&number).cloned();
                 if let Some(sender) = sender {
                     // A search that has ended needs no more answers.
-                    let _ = sender.send((stamp.vm, record));
+                    let _ = sender.send((stamp.vm, knowledge));
                 }
             }
         }
