Resumptions: answers of most VMs decide, and the mark of answers without an origin

Killed VMs don't answer, so that unnamed streams waited 250 ms and were refused although most VMs had answered; one VM's own list alone may be old. Now most of the VMs asked must have answered for a stream without a record, and one that has seen several versions ends the search.

The mark of a forwarded answer without an origin ended in a space, which HTTP drops: 11 cases of forwarded_requests failed as not authentic. They pass again.

--- a/crates/gateway/src/forward/forward_message.rs
+++ b/crates/gateway/src/forward/forward_message.rs
@@ -134,6 +134,7 @@
         let origin = origin.and_then(|origin| postcard::to_allocvec(&origin).ok()).unwrap_or_default();
         let hash = self.code(key, code, &origin, response);
         let text = format!("{} {} {}", self.label(), hash.to_hex(), to_hex(&origin));
+        let text = text.trim_end();
         if let Ok(value) = HeaderValue::try_from(text) {
             response.headers_mut().insert(ANSWER_HEADER, value);
         }
@@ -151,7 +152,7 @@
         let (label, hash) = (words.next()?, words.next()?);
         let kind = Self::ALL.into_iter().find(|kind| kind.label() == label)?;
         let hash = Hash::from_hex(hash).ok()?;
-        let origin = from_hex(words.next()?.as_bytes())?;
+        let origin = from_hex(words.next().unwrap_or_default().as_bytes())?;
         // Hashes compare in constant time.
         (kind.code(key, code, &origin, response) == hash).then_some(())?;
         let origin = if origin.is_empty() { None } else { Some(postcard::from_bytes(&origin).ok()?) };
--- a/crates/gateway/src/streams/resumption.rs
+++ b/crates/gateway/src/streams/resumption.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Resumption {
     /// Key of the stream: of the attempt that the caller names, else of its own id.
     pub key: StreamKey,
+    /// Whether the caller names the attempt.
+    pub is_named: bool,
 }
 
 impl Resumption {
@@ -44,9 +46,9 @@
             (_, IdHeader::Malformed) => malformed("Last-Event-Id is not the id of one event"),
             _ if !context.route.resumable => malformed("Resumes: the route's streams cannot be resumed"),
             (attempt, IdHeader::Id(_)) => {
-                let attempt = attempt.id().unwrap_or(context.id.as_bytes());
-                let key = StreamKey::of(context.account.as_deref().unwrap_or_default(), attempt);
-                Ok(Some(Self { key }))
+                let account = context.account.as_deref().unwrap_or_default();
+                let key = StreamKey::of(account, attempt.id().unwrap_or(context.id.as_bytes()));
+                Ok(Some(Self { key, is_named: attempt.id().is_some() }))
             }
         }
     }
@@ -97,6 +99,7 @@
         let window_millis = self.context.route.timeout_millis + RETURN_WINDOW_MILLIS;
         let stream = SoughtStream {
             key: resumption.key,
+            is_named: resumption.is_named,
             service: short_digest(&self.context.service),
             window_millis: u32::try_from(window_millis).unwrap_or(u32::MAX),
         };
--- a/crates/gateway/src/streams/stream_message.rs
+++ b/crates/gateway/src/streams/stream_message.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct SoughtStream {
     pub key: StreamKey,
+    /// Whether its caller names the attempt that began it, so that VMs may have a record.
+    pub is_named: bool,
     /// Short digest of the service that began it, unless a record states another one.
     pub service: u64,
     /// Time within which it began, in milliseconds.
--- a/crates/gateway/src/streams/stream_tracker.rs
+++ b/crates/gateway/src/streams/stream_tracker.rs
@@ -52,6 +52,53 @@
     Unanswered,
 }
 
+/// A search for a stream's origin, with what is known so far.
+struct StreamSearch {
+    stream: SoughtStream,
+    holders: RecordHolders,
+    known: StreamKnowledge,
+    answered: BTreeSet<VmKey>,
+}
+
+impl StreamSearch {
+    fn record_answer(&mut self, vm: VmKey, answer: StreamKnowledge) {
+        self.answered.insert(vm);
+        self.known.software = self.known.software.and(answer.software);
+        self.known.record = self.known.record.or(answer.record);
+    }
+
+    fn is_complete(&self) -> bool {
+        if self.known.record.is_some() || self.answered.len() >= self.holders.reachable.len() {
+            return true;
+        }
+        // Without a named attempt there is no record to wait for.
+        !self.stream.is_named && (self.known.software == SoleSoftware::Mixed || self.has_majority())
+    }
+
+    /// Whether most VMs that were asked have answered: a VM that is cut off gets few answers, and its own
+    /// list of endpoints may be old.
+    fn has_majority(&self) -> bool {
+        let asked = self.holders.reachable.len() + self.holders.silent.len();
+        asked == 0 || self.answered.len() * 2 > asked
+    }
+
+    fn result(&self) -> OriginSearch {
+        if let Some(record) = self.known.record {
+            return OriginSearch::Found(record.origin);
+        }
+        match self.known.software {
+            SoleSoftware::Sole(software) if self.has_majority() => {
+                // No endpoint has this key: any of the version may have begun it.
+                let endpoint = EndpointKey::default();
+                OriginSearch::Found(StreamOrigin { service: self.stream.service, software, endpoint })
+            }
+            SoleSoftware::Mixed if !self.stream.is_named => OriginSearch::Unknown,
+            _ if self.is_complete() && self.has_majority() => OriginSearch::Unknown,
+            _ => OriginSearch::Unanswered,
+        }
+    }
+}
+
 /// A question to other VMs, until it is dropped.
 struct OpenQuestion<'a> {
     tracker: &'a StreamTracker,
@@ -123,59 +170,39 @@
         }
         let holders = self.peers().record_holders(stream.key, now);
         let number = rand::random();
-        let (sender, mut answers) = mpsc::unbounded_channel();
+        let (sender, answers) = mpsc::unbounded_channel();
         self.streams.questions().insert(number, sender);
         let _open = OpenQuestion { tracker: &self.streams, number };
+        let mut search = StreamSearch { stream, holders, known: own, answered: BTreeSet::new() };
         let question = StreamMessage::Question { number, stream };
-        let search = self.ask(question, &holders, &mut answers);
-        let others = match self.complete_before(now.after_millis(ANSWER_MILLIS), search).await {
-            Ok(knowledge) => knowledge,
-            Err(DeadlinePassed) => return OriginSearch::Unanswered,
-        };
-        if let Some(record) = others.record {
+        let deadline = now.after_millis(ANSWER_MILLIS);
+        // What has been answered by the deadline counts.
+        let _ = self.complete_before(deadline, self.ask(question, &mut search, answers)).await;
+        if let Some(record) = search.known.record {
             self.insert_record(stream.key, short_digest(account), record);
-            return OriginSearch::Found(record.origin);
-        }
-        match own.software.and(others.software) {
-            SoleSoftware::Sole(software) => {
-                // No endpoint has this key: any of the version may have begun it.
-                let endpoint = EndpointKey::default();
-                OriginSearch::Found(StreamOrigin { service: stream.service, software, endpoint })
-            }
-            SoleSoftware::Unsure | SoleSoftware::Mixed => OriginSearch::Unknown,
         }
+        search.result()
     }
 
-    /// Asks VMs until one has a record, or all that are presumed to answer have none.
+    /// Asks VMs until the search is complete.
     async fn ask(
         &self,
         question: StreamMessage,
-        holders: &RecordHolders,
-        answers: &mut mpsc::UnboundedReceiver<(VmKey, StreamKnowledge)>,
-    ) -> StreamKnowledge {
-        let mut known = StreamKnowledge { record: None, software: SoleSoftware::Unsure };
-        self.send_about_stream(question, &holders.silent).await;
-        let mut answered = BTreeSet::new();
-        loop {
-            self.send_about_stream(question, &holders.reachable).await;
+        search: &mut StreamSearch,
+        mut answers: mpsc::UnboundedReceiver<(VmKey, StreamKnowledge)>,
+    ) {
+        self.send_about_stream(question, &search.holders.silent).await;
+        while !search.is_complete() {
+            self.send_about_stream(question, &search.holders.reachable).await;
             let repeat_at = self.now().after_millis(REPEAT_MILLIS);
-            while answered.len() < holders.reachable.len() {
+            while !search.is_complete() {
                 match self.complete_before(repeat_at, answers.recv()).await {
-                    Ok(Some((vm, answer))) => {
-                        answered.insert(vm);
-                        known.software = known.software.and(answer.software);
-                        if answer.record.is_some() {
-                            return answer;
-                        }
-                    }
+                    Ok(Some((vm, answer))) => search.record_answer(vm, answer),
                     // The sender lives as long as the question.
-                    Ok(None) => return known,
+                    Ok(None) => return,
                     Err(DeadlinePassed) => break,
                 }
             }
-            if answered.len() >= holders.reachable.len() {
-                return known;
-            }
         }
     }
 
