An offer that no engine can take spends no second send

Callers saw a broken stream that was not resumed although another engine served: offers of silent streams without another engine had each spent a second send of the budget, and none was left.

--- a/crates/decide/src/admit/retry_budget.rs
+++ b/crates/decide/src/admit/retry_budget.rs
@@ -69,6 +69,23 @@
         is_allowed
     }
 
+    /// Returns the retry for `service` that was spent last, because nothing was sent.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_entity::Moment;
+    /// use spanfold_decide::{BudgetTerms, RetryBudget};
+    /// let mut budget = RetryBudget::new(BudgetTerms { ratio: 0.0, slack: 1.5, window_millis: 10_000 });
+    /// assert!(budget.try_spend("s", 1, Moment(0)) && !budget.try_spend("s", 1, Moment(0)));
+    /// budget.restore("s");
+    /// assert!(budget.try_spend("s", 1, Moment(0)));
+    /// ```
+    pub fn restore(&mut self, service: &str) {
+        if let Some(window) = self.windows.get_mut(service) {
+            window.retries.pop_back();
+        }
+    }
+
     fn window(&mut self, service: &str, now: Moment) -> &mut ServiceWindow {
         let window_millis = self.terms.window_millis;
         let window = self.windows.entry(service.to_owned()).or_default();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -498,6 +498,11 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner).try_spend(service, vms, self.now())
     }
 
+    /// Returns a second send for `service` to the budget, because nothing was sent.
+    pub(crate) fn restore_second_send(&self, service: &str) {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner).restore(service);
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
     }
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -445,7 +445,10 @@
         match send_to_another(run, last_id).await {
             OfferResponse::Accepted(received) => return Some(received),
             OfferResponse::Declined => {}
-            OfferResponse::NoEngine => return None,
+            OfferResponse::NoEngine => {
+                run.gateway.restore_second_send(&run.context.service);
+                return None;
+            }
         }
     }
     None
