Prefer resumed streams at engines of a scarce version

A resumed stream can go on only at engines of one version, which new streams fill although they could run anywhere. Engines of a version that few of their service's engines have keep 15 in 100 of their memory from new prompts. A resumption is admitted as the most urgent prompt, and does not leave free capacity to other VMs' by chance.

--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -379,7 +379,10 @@
         if request.output_tokens == 0 { DEFAULT_OUTPUT_TOKENS } else { request.output_tokens };
     let needed_tokens = u64::from(request.prompt_tokens) + u64::from(output_tokens);
     let missing_tokens = (load.memory_tokens + needed_tokens).saturating_sub(candidate.memory_tokens);
-    let fillable_tokens = (candidate.memory_tokens as f64 * request.memory_fraction) as u64;
+    let is_new = !matches!(request.versions, VersionSplit::Began(_));
+    let new_prompt_fraction = if is_new { row.new_prompt_fraction } else { 1.0 };
+    let fillable_tokens =
+        (candidate.memory_tokens as f64 * request.memory_fraction * new_prompt_fraction) as u64;
     let excess_tokens = (load.memory_tokens + needed_tokens).saturating_sub(fillable_tokens);
     let queue_micros = load.pending_prefill_tokens as f64 * token_micros;
     let prefill_micros = prefill_tokens as f64 * token_micros;
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -109,6 +109,8 @@
     pub limit: ReportedLimit,
     /// Backoff that it asked this VM for.
     pub backoff: EndpointBackoff,
+    /// Fraction of its usual memory that new prompts may fill.
+    pub(crate) new_prompt_fraction: f64,
     /// Whether it announced its departure in an answer.
     pub has_departed: bool,
     /// Headers that were invalid in its last answer.
@@ -154,6 +156,7 @@
             cold_until: Moment(0),
             limit: ReportedLimit::default(),
             backoff: EndpointBackoff::default(),
+            new_prompt_fraction: 1.0,
             has_departed: false,
             invalid_headers: Vec::new(),
             recent_sends: RecentSends::default(),
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -232,6 +232,7 @@
             let EndpointEntry { id, weights, .. } = row.entry;
             self.record_removed(*key, RemovedEndpoint { id, recorded_at: now, weights, has_departed });
         }
+        self.reserve_scarce_versions(now);
         for row in self.stores.values_mut() {
             row.sweep(now);
         }
--- a/crates/decide/src/fleet/fleet_versions.rs
+++ b/crates/decide/src/fleet/fleet_versions.rs
@@ -2,6 +2,16 @@
 
 use crate::{FleetTable, SoleSoftware, StreamOrigin, VersionSplit, short_digest};
 use spanfold_entity::Moment;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Fraction of its usual memory that new prompts may fill at an endpoint of a scarce version: the rest is for
+/// streams that only such endpoints can continue.
+const SCARCE_MEMORY_FRACTION: f64 = 0.85;
+/// A version is scarce if at most this fraction of its service's endpoints have it.
+const SCARCE_FRACTION: f64 = 0.25;
+/// A version of at most this many endpoints is scarce, too.
+const SCARCE_ENDPOINTS: usize = 2;
 
 impl FleetTable {
     /// Returns the canary order of the last canary endpoint for a share of the requests.
@@ -28,6 +38,30 @@
         self.row(origin.endpoint).is_none_or(|row| short_digest(&row.entry.version) == origin.software)
     }
 
+    /// Reserves memory at the endpoints of versions that few of their service's endpoints have.
+    pub(super) fn reserve_scarce_versions(&mut self, now: Moment) {
+        for keys in self.keys_by_service.values() {
+            let mut counts: HashMap<Arc<str>, usize> = HashMap::new();
+            for row in keys.iter().filter_map(|key| self.rows.get(key)).filter(|row| row.takes_work(now)) {
+                match counts.get_mut(&row.entry.version) {
+                    Some(count) => *count += 1,
+                    None => drop(counts.insert(Arc::clone(&row.entry.version), 1)),
+                }
+            }
+            let total: usize = counts.values().sum();
+            let is_scarce = |count: usize| {
+                counts.len() > 1
+                    && (count <= SCARCE_ENDPOINTS || count as f64 <= total as f64 * SCARCE_FRACTION)
+            };
+            for key in keys {
+                if let Some(row) = self.rows.get_mut(key) {
+                    let is_scarce = counts.get(&row.entry.version).is_some_and(|count| is_scarce(*count));
+                    row.new_prompt_fraction = if is_scarce { SCARCE_MEMORY_FRACTION } else { 1.0 };
+                }
+            }
+        }
+    }
+
     /// Sets since when the services' software versions have been followed, for tests.
     pub fn set_software_followed_since(&mut self, since: Moment) {
         self.software_history.set_followed_since(since);
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -17,8 +17,8 @@
 use crate::rollout::VersionedSend;
 use crate::salted_key;
 use crate::{
-    AdmissionVerdict, CanaryDraw, EndpointKey, FleetTable, PlacementChoice, PlacementRequest, SendOutcome,
-    ShareVerdict, ShareView, VersionSplit, claim_probability, format_cache_salt, short_digest,
+    AdmissionVerdict, AdmissionView, CanaryDraw, EndpointKey, FleetTable, PlacementChoice, PlacementRequest,
+    SendOutcome, ShareVerdict, ShareView, VersionSplit, claim_probability, format_cache_salt, short_digest,
 };
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -174,7 +174,11 @@
         let context = &self.context;
         let model = context.model.as_deref();
         // A request that was sent once has passed admission.
-        let admission = context.admission().filter(|_| self.sends == 0);
+        // One that resumes a stream goes first: only a few engines can continue it.
+        let admission = context.admission().filter(|_| self.sends == 0).map(|view| match self.origin {
+            Some(_) => AdmissionView { priority: 0, ..view },
+            None => view,
+        });
         let required = model.and_then(|model| gateway.required_weights(model));
         let unreachable = gateway.partitioned_data_centres();
         let unreachable: Vec<&str> = unreachable.iter().map(String::as_str).collect();
@@ -226,7 +230,9 @@
         let request = PlacementRequest { versions: splits.last().unwrap_or(&VersionSplit::Any), ..request };
         let Some((choice, verdict)) = placed else { return self.queue_or_refuse(&request) };
         match verdict {
-            AdmissionVerdict::Go if self.waits_for_capacity && !self.claims_capacity() => {
+            AdmissionVerdict::Go
+                if self.waits_for_capacity && self.origin.is_none() && !self.claims_capacity() =>
+            {
                 return Some(PlaceResult::Wait);
             }
             AdmissionVerdict::Go => {}
