--- a/crates/gateway/src/streams/resumption.rs
+++ b/crates/gateway/src/streams/resumption.rs
@@ -10,6 +10,7 @@
 use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Response, StatusCode};
 use spanfold_entity::MICROS_PER_MILLI;
+use std::sync::Arc;
 
 /// Longest id of an attempt or an event, in bytes.
 const MAX_ID_BYTES: usize = 1_024;
@@ -85,7 +86,7 @@
     /// Binds a request that resumes a stream to the version that began it; returns the refusal if it cannot
     /// go on.
     pub(crate) async fn bind_resumption(&mut self) -> Option<Response<AnswerBody>> {
-        let gateway = std::sync::Arc::clone(&self.gateway);
+        let gateway = Arc::clone(&self.gateway);
         let resumption = match Resumption::parse(&gateway, &self.context) {
             Ok(resumption) => resumption?,
             Err(answer) => {
@@ -93,7 +94,7 @@
                 return Some(self.refuse_with(answer));
             }
         };
-        self.resumed_key = Some(resumption.key);
+        self.resumed_key = resumption.is_named.then_some(resumption.key);
         let started_at = gateway.now();
         let account = self.context.account.as_deref().unwrap_or_default();
         let window_millis = self.context.route.timeout_millis + RETURN_WINDOW_MILLIS;
