Keep a silent send until another endpoint brings the answer

Callers got 502 "the endpoint gave no answer" after 0.6 to 0.7 s of a 3 s deadline, from endpoints that answer after 1.2 s.

Cause: a send ended at a time of its own, and only then the request looked for another endpoint. A refusal, a break or nobody there ended the request.

The four ways to wait for an answer - before the head, before the first event, after it, over another VM - are one list of open sends and one loop. A send stays until it fails or another one brings what the caller gets next; the others are then cancelled. Further sends are bounded by attempts, the budget and a delay that doubles, and are not made of requests that may not be repeated or that endpoints have crashed under.

--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -5,26 +5,21 @@
 
 use super::forward_message::{AnswerKind, ForwardEnvelope, RequestCode};
 use super::forward_state::ForwardPlace;
-use super::passed_answer;
-use crate::clock::DeadlinePassed;
 use crate::endpoints::endpoint_pool::{EndpointConnection, ExchangeError};
 use crate::peers::peer_message::{PeerKey, PeerStamp};
+use crate::requests::dispatch::{HeadVerdict, Unsent};
+use crate::requests::open_send::{ExchangeResult, OpenSend, SendRoute};
 use crate::requests::outgoing_body::OutgoingBody;
-use crate::requests::own_answer::AnswerBody;
 use crate::requests::request_run::{LAST_EVENT_ID, RequestRun};
 use crate::{PathState, StreamOrigin, VmKey};
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::Request;
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
-use hyper::http::response;
-use hyper::{Request, Response};
 use spanfold_entity::MICROS_PER_MILLI;
 use std::sync::Arc;
 
 /// VMs to which one request is sent at most.
-pub(super) const MAX_PEERS: usize = 3;
-/// Retry delay if no VM takes a request; a random delay is added.
-const NO_PEER_RETRY_MILLIS: u64 = 1_000;
+const MAX_PEERS: usize = 3;
 /// Subtracted from the time that the other VM gets, so that its answer reaches the caller in time.
 const RESPONSE_MARGIN_MICROS: u64 = 5 * MICROS_PER_MILLI;
 
@@ -62,26 +57,45 @@
     }
 }
 
-/// The head of another VM's answer, with its body and connection.
-pub(super) struct PeerAnswer {
-    pub kind: AnswerKind,
-    pub head: response::Parts,
-    pub body: Incoming,
-    pub connection: EndpointConnection,
+/// A request at another VM.
+pub(crate) struct PeerSend {
     pub place: ForwardPlace,
+    key: PeerKey,
+    code: RequestCode,
+    /// Its connection, once its answer's head was received.
+    pub connection: Option<EndpointConnection>,
+    /// What that answer says of the request; none before.
+    kind: Option<AnswerKind>,
     /// The software that began the stream, if it is one.
     pub origin: Option<StreamOrigin>,
 }
 
-/// The outcome of forwarding a request once.
-pub(super) enum ForwardResult {
-    Answer(Box<PeerAnswer>),
-    /// It did not run there, and another VM may take it.
-    NotTaken,
-    /// It may have run.
-    Lost(&'static str),
-    /// Its deadline passed meanwhile.
-    OutOfTime,
+impl PeerSend {
+    /// Whether the answer is an endpoint's.
+    pub(crate) fn is_answered(&self) -> bool {
+        self.kind == Some(AnswerKind::Answered)
+    }
+
+    /// Whether the VM states that the request did not run there.
+    pub(crate) const fn has_not_run(&self) -> bool {
+        matches!(self.kind, Some(AnswerKind::NotRun | AnswerKind::NotTaken))
+    }
+
+    /// Returns the outcome of a request that ends with this answer, for its log line.
+    pub(crate) const fn outcome(&self) -> &'static str {
+        match self.kind {
+            Some(AnswerKind::Answered) => "answered",
+            Some(AnswerKind::NotTaken | AnswerKind::NotRun) => "refused by another VM",
+            Some(AnswerKind::Own) | None => "failed at another VM",
+        }
+    }
+
+    /// Returns the connection to the pool: the answer was whole.
+    pub(crate) fn complete(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.place.pool().return_connection(self.place.pool_key(), connection, None);
+        }
+    }
 }
 
 impl RequestRun {
@@ -116,81 +130,90 @@
         }
     }
 
-    /// Sends the request to the VM at `place`, and awaits the head of its answer.
-    pub(super) async fn send_to_peer(
+    /// Sends the request to another VM; none if it goes to endpoints after all, because no VM takes it and this
+    /// one reaches some.
+    pub(crate) fn open_peer_send(
         &mut self,
-        place: ForwardPlace,
         last_event_id: Option<&Bytes>,
-    ) -> ForwardResult {
+    ) -> Result<Option<OpenSend>, Unsent> {
+        let gateway = Arc::clone(&self.gateway);
+        let sent = (self.plan.tried.len() < MAX_PEERS)
+            .then(|| gateway.choose_peer(&self.plan.tried))
+            .flatten()
+            .and_then(|place| self.send_to_peer(place, last_event_id));
+        if sent.is_some() {
+            return Ok(sent);
+        }
+        if gateway.path.borrow().opens_connections() {
+            self.plan.is_direct = true;
+            return Ok(None);
+        }
+        let tried = self.plan.tried.len();
+        log::warn!(request = self.context.id_text(), tried; "forward.untaken");
+        gateway.metrics.forwards.count("untaken");
+        Err(Unsent::NoPeer)
+    }
+
+    fn send_to_peer(&mut self, place: ForwardPlace, last_event_id: Option<&Bytes>) -> Option<OpenSend> {
         let gateway = Arc::clone(&self.gateway);
         let cause = gateway.path.borrow().label();
         self.plan.tried.push(place.peer.vm);
         self.plan.given_to.clone_from(&place.peer.name);
         log::info!(request = self.context.id_text(), peer = place.peer.name.as_str(), cause;
             "request.forwarded");
+        gateway.metrics.forwards.count("sent");
+        let key = gateway.peer_key()?;
+        let (request, code) = self.peer_request(&key, &place, last_event_id)?;
+        let (pool_key, address, sent_at) = (place.pool_key(), place.peer.address, gateway.now());
+        let upload = request.body().is_long().then(|| request.body().progress());
+        let exchange = Box::pin(async move {
+            gateway.forwards.pool.exchange(pool_key, address, request, || true, || true).await
+        });
+        let send = PeerSend { place, key, code, connection: None, kind: None, origin: None };
+        Some(OpenSend::new(SendRoute::Peer(send), exchange, upload, last_event_id.is_some(), sent_at))
+    }
+
+    /// Classifies the head of another VM's answer, or its absence.
+    pub(crate) fn classify_peer(&mut self, result: ExchangeResult, send: &mut PeerSend) -> HeadVerdict {
+        let gateway = Arc::clone(&self.gateway);
         let count = |kind| gateway.metrics.forwards.count(kind);
-        count("sent");
-        let Some(key) = gateway.peer_key() else { return ForwardResult::NotTaken };
-        let Some((request, code)) = self.peer_request(&key, &place, last_event_id) else {
-            return ForwardResult::NotTaken;
-        };
-        let pool_key = place.pool_key();
-        let exchange =
-            gateway.forwards.pool.exchange(pool_key, place.peer.address, request, || true, || true);
-        let exchange = async {
-            tokio::select! {
-                biased;
-                result = exchange => result,
-                // A request that may not be repeated is waited for: it may still be answered.
-                () = gateway.wait_until_silent(place.peer.vm), if self.context.route.repeatable() => {
-                    Err(ExchangeError::Lost("it sends no digests".to_owned(), None))
-                }
-            }
-        };
-        let received = match gateway.complete_before(self.context.deadline, exchange).await {
-            Ok(Ok(received)) => received,
-            Ok(Err(ExchangeError::NotSent(cause))) => {
-                log::warn!(request = self.context.id_text(), peer = place.peer.name.as_str(),
-                    cause = cause.as_str(); "peer.unreached");
-                gateway.avoid_peer(place.peer.vm);
+        let (request, peer) = (self.context.id_text(), send.place.peer.name.as_str());
+        let (mut response, connection) = match result {
+            Ok(received) => received,
+            Err(ExchangeError::NotSent(cause)) => {
+                log::warn!(request, peer, cause = cause.as_str(); "peer.unreached");
+                gateway.avoid_peer(send.place.peer.vm);
                 count("unreached");
-                return ForwardResult::NotTaken;
+                return HeadVerdict::NotSent;
             }
-            Ok(Err(ExchangeError::Withdrawn)) => return ForwardResult::NotTaken,
-            Ok(Err(ExchangeError::Lost(cause, _))) => {
-                log::warn!(request = self.context.id_text(), peer = place.peer.name.as_str(),
-                    cause = cause.as_str(); "peer.broke");
-                gateway.avoid_peer(place.peer.vm);
+            Err(ExchangeError::Withdrawn) => return HeadVerdict::NotSent,
+            Err(ExchangeError::Lost(cause, _)) => {
+                log::warn!(request, peer, cause = cause.as_str(); "peer.broke");
+                gateway.avoid_peer(send.place.peer.vm);
                 count("lost");
-                return ForwardResult::Lost("the connection to the VM broke");
-            }
-            Err(DeadlinePassed) => {
-                count("lost");
-                return ForwardResult::OutOfTime;
+                self.may_have_run = true;
+                return HeadVerdict::Lost("the connection to the VM broke");
             }
         };
-        let (mut response, connection) = received;
-        let mark = AnswerKind::unseal(&key, &code, &mut response);
+        let mark = AnswerKind::unseal(&send.key, &send.code, &mut response);
         let (head, body) = response.into_parts();
-        match mark {
-            None => {
-                log::warn!(request = self.context.id_text(), peer = place.peer.name.as_str(),
-                    status = head.status.as_u16(); "peer.rejected");
-                gateway.avoid_peer(place.peer.vm);
-                count("lost");
-                ForwardResult::Lost("the VM's answer is not authentic")
-            }
-            Some((AnswerKind::NotTaken, _)) => {
-                // It has no body.
-                gateway.forwards.pool.return_connection(place.pool_key(), connection, None);
-                count("refused");
-                ForwardResult::NotTaken
-            }
-            Some((kind, origin)) => {
-                let answer = PeerAnswer { kind, head, body, connection, place, origin };
-                ForwardResult::Answer(Box::new(answer))
-            }
+        send.connection = Some(connection);
+        let Some((kind, origin)) = mark else {
+            log::warn!(request, peer, status = head.status.as_u16(); "peer.rejected");
+            gateway.avoid_peer(send.place.peer.vm);
+            count("lost");
+            self.may_have_run = true;
+            return HeadVerdict::Lost("the VM's answer is not authentic");
+        };
+        (send.kind, send.origin) = (Some(kind), origin);
+        if kind == AnswerKind::NotTaken {
+            // It has no body.
+            send.complete();
+            count("refused");
+            return HeadVerdict::NotSent;
         }
+        self.may_have_run |= kind != AnswerKind::NotRun;
+        HeadVerdict::Answer(Box::new(head), body)
     }
 
     fn peer_request(
@@ -237,45 +260,3 @@
         Some((request.body(OutgoingBody::new(self.body.clone())).ok()?, code))
     }
 }
-
-/// Serves a request over another VM; returns it if it has to be sent otherwise.
-pub(crate) async fn forward_request(mut run: RequestRun) -> Result<Response<AnswerBody>, Box<RequestRun>> {
-    let gateway = Arc::clone(&run.gateway);
-    while run.plan.tried.len() < MAX_PEERS {
-        if gateway.now() >= run.context.deadline {
-            return Ok(run.time_out());
-        }
-        let Some(place) = gateway.choose_peer(&run.plan.tried) else { break };
-        let lost = match run.send_to_peer(place, None).await {
-            ForwardResult::Answer(answer) => match passed_answer::pass_answer(run, *answer).await {
-                Ok(response) => return Ok(response),
-                Err(failed) => {
-                    gateway.metrics.forwards.count("lost");
-                    run = failed.run;
-                    failed.cause
-                }
-            },
-            ForwardResult::NotTaken => continue,
-            ForwardResult::OutOfTime => return Ok(run.time_out()),
-            ForwardResult::Lost(cause) => cause,
-        };
-        run.record_sent();
-        if run.may_send_again() {
-            log::info!(request = run.context.id_text(), peer = run.plan.given_to.as_str(), cause = lost;
-                "request.sent_again");
-            return Err(Box::new(run));
-        }
-        if gateway.now() >= run.context.deadline {
-            return Ok(run.time_out());
-        }
-        return Ok(run.refuse_unless_run("lost at another VM", NO_PEER_RETRY_MILLIS));
-    }
-    if gateway.path.borrow().opens_connections() {
-        run.plan.is_direct = true;
-        return Err(Box::new(run));
-    }
-    let tried = run.plan.tried.len();
-    log::warn!(request = run.context.id_text(), tried; "forward.untaken");
-    gateway.metrics.forwards.count("untaken");
-    Ok(run.refuse_unless_run("no other VM takes it", NO_PEER_RETRY_MILLIS))
-}
--- a/crates/gateway/src/forward/forward_state.rs
+++ b/crates/gateway/src/forward/forward_state.rs
@@ -49,6 +49,11 @@
 }
 
 impl ForwardPlace {
+    /// Returns the pool of connections to other VMs.
+    pub(crate) fn pool(&self) -> &EndpointPool {
+        &self.gateway.forwards.pool
+    }
+
     /// Returns the key of the VM's pooled connections.
     pub(crate) fn pool_key(&self) -> EndpointKey {
         EndpointKey(short_digest(&self.peer.address.to_string()) ^ self.peer.incarnation)
@@ -125,7 +130,7 @@
     /// Returns once a VM has been silent for so long that it counts as dead.
     ///
     /// It has to be silent twice in a row: after a suspension of this VM, all seem to be.
-    pub(super) async fn wait_until_silent(&self, vm: VmKey) {
+    pub(crate) async fn wait_until_silent(&self, vm: VmKey) {
         let mut silent_polls = 0;
         while silent_polls < 2 {
             tokio::time::sleep(SILENCE_POLL_INTERVAL).await;
@@ -134,7 +139,7 @@
     }
 
     /// Records that a request could not be forwarded to `vm`.
-    pub(super) fn avoid_peer(&self, vm: VmKey) {
+    pub(crate) fn avoid_peer(&self, vm: VmKey) {
         let now = self.now();
         self.peers().avoid_forwarding(vm, now);
         *self.forwards.peers.lock().unwrap_or_else(PoisonError::into_inner) = None;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -8,4 +8,3 @@
 mod forward_message;
 pub(crate) mod forward_port;
 pub(crate) mod forward_state;
-pub(crate) mod passed_answer;
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -1,17 +1,16 @@
-//! Sends a request once: chooses an endpoint, sets its headers, classifies the answer.
+//! Sends a request once: chooses an endpoint, sets its headers, classifies the head of the answer.
 //!
-//! Invariant: after each send it is known whether the endpoint may have run the request. It has not run it
-//! if no byte left this process or if the endpoint refused it.
+//! Invariant: once a send has failed, it is known whether the endpoint may have run the request. It has not
+//! run it if no byte left this process or if the endpoint refused it.
 
-use crate::clock::DeadlinePassed;
 use crate::endpoints::answer_facts::{AnswerFacts, AnswerOrigin};
 use crate::endpoints::answer_handler::AnswerSource;
-use crate::endpoints::endpoint_pool::{EndpointConnection, ExchangeError};
+use crate::endpoints::endpoint_pool::ExchangeError;
 use crate::endpoints::observed_stream::EndSide;
-use crate::gateway::CountGuard;
-use crate::operators::gateway_metrics::KindLabel;
+use crate::gateway::{CountGuard, Gateway};
 use crate::peers::placement_message::PlacementMessage;
 use crate::requests::flight::{SendFlight, SendTarget};
+use crate::requests::open_send::{ExchangeFuture, OpenSend, SendRoute};
 use crate::requests::outgoing_body::OutgoingBody;
 use crate::requests::request_run::{LAST_EVENT_ID, RequestRun};
 use crate::rollout::VersionedSend;
@@ -26,7 +25,6 @@
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
-use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -38,10 +36,6 @@
 const POLL_DELAY_PER_PROMPT_MILLIS: u64 = 4;
 /// Interval at which a request polls that waits for a rate-limited endpoint.
 const SHARE_POLL_INTERVAL_MILLIS: u64 = 20;
-/// A repeatable request is sent elsewhere after this multiple of its objective without an answer.
-const ANSWER_TIMEOUT_FACTOR: u64 = 2;
-/// Minimum answer timeout: below it, a second send costs more than it saves.
-const MIN_ANSWER_TIMEOUT_MILLIS: u64 = 400;
 /// Multiple of a fetch's expected time after which the fetch is discarded.
 const FETCH_TIMEOUT_FACTOR: f64 = 2.0;
 /// Added to the fetch deadline, because the request may wait before its fetch begins.
@@ -49,14 +43,9 @@
 /// A request that has not begun is cancelled this long before its engine's weights are overdue: VMs receive
 /// a new version with a delay, and the engine notices the cancellation some milliseconds later.
 const CANCELLATION_MARGIN_MILLIS: u64 = 300;
-/// Interval between checks for overdue weights: a publication sets a bound some seconds ahead.
-const OVERDUE_POLL_INTERVAL_MILLIS: u64 = 500;
 /// Subtracted from an endpoint's deadline, so that its answer reaches the caller in time.
 const RESPONSE_MARGIN_MILLIS: u64 = 5;
 
-/// The result of an exchange with an endpoint, unless its deadline passed.
-type ExchangeResult = Result<(Response<Incoming>, EndpointConnection), ExchangeError>;
-
 /// The result of choosing an endpoint.
 enum PlaceResult {
     /// An endpoint was chosen.
@@ -71,18 +60,52 @@
     Late(u64),
 }
 
-/// An answer's head, with its body and the send that it belongs to.
-pub(crate) struct ReceivedHead {
-    pub head: response::Parts,
-    pub body: Incoming,
-    pub flight: SendFlight,
+/// Why a request was not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Unsent {
+    /// No endpoint takes it.
+    NoEndpoint,
+    /// This VM reaches no endpoint.
+    Unreached,
+    /// No other VM takes it.
+    NoPeer,
+    /// No engine has free capacity yet.
+    NoRoom,
+    /// Its endpoints are rate limited, and this VM may send one the next request at this moment.
+    NoShare(Moment),
+    /// Its caller would leave before the answer. Contains the retry delay, in milliseconds.
+    Late(u64),
+    /// Its endpoints take no more in time. Contains the retry delay, in milliseconds.
+    Limited(u64),
+    /// It is quarantined, because endpoints crash under it.
+    Quarantined,
+    /// Its deadline passed before.
+    OutOfTime,
+}
+
+impl Unsent {
+    /// The reason in logs.
+    pub(crate) const fn label(self) -> &'static str {
+        match self {
+            Self::NoEndpoint => "no endpoint takes it",
+            Self::Unreached => "no endpoint is reached",
+            Self::NoPeer => "no other VM takes it",
+            Self::NoRoom => "no engine has room",
+            Self::NoShare(_) => "its endpoints are at their limits",
+            Self::Late(_) => "late",
+            Self::Limited(_) => "limited",
+            Self::Quarantined => "held back",
+            Self::OutOfTime => "out of time",
+        }
+    }
 }
 
-/// The outcome of one send.
-pub(crate) enum SendResult {
-    /// The answer's head was received.
-    Answer(Box<ReceivedHead>),
-    /// No byte was sent: the endpoint was unreachable or had stopped taking requests.
+/// What the head of an answer, or its absence, says of a send.
+pub(crate) enum HeadVerdict {
+    /// The answer begins.
+    Answer(Box<response::Parts>, Incoming),
+    /// No byte was sent: the endpoint was unreachable or had stopped taking requests. Another VM may also
+    /// state it.
     NotSent,
     /// The endpoint refused the request before running it.
     Refused,
@@ -90,57 +113,87 @@
     Lost(&'static str),
     /// Another endpoint has the address: the addressed one is gone and never received the request.
     Replaced,
-    /// Not sent: its caller would leave before the answer. Contains the retry delay, in milliseconds.
-    Late(u64),
-    /// Not sent: its endpoints take no more in time. Contains the retry delay, in milliseconds.
-    Limited(u64),
-    /// Not sent: it is quarantined, because endpoints crash under it.
-    Quarantined,
-    /// Not sent: its deadline passed before.
-    OutOfTime,
+}
+
+impl HeadVerdict {
+    /// The label in metrics.
+    pub(crate) const fn label(&self) -> &'static str {
+        match self {
+            Self::Answer(..) => "answered",
+            Self::NotSent => "not_sent",
+            Self::Refused => "refused",
+            Self::Lost(_) => "lost",
+            Self::Replaced => "ended",
+        }
+    }
 }
 
 impl RequestRun {
-    /// Chooses an endpoint and sends the request there once; none if there is no endpoint.
-    pub(crate) async fn send_once(&mut self, last_event_id: Option<&Bytes>) -> Option<SendResult> {
-        let (choice, flight) = loop {
+    /// Sends the request to an endpoint, or to another VM if this one reaches none, once one takes it.
+    pub(crate) async fn open_send(&mut self, last_event_id: Option<&Bytes>) -> Result<OpenSend, Unsent> {
+        loop {
             // The request may have been quarantined while it waited.
             self.wait_for_evaluation().await;
-            if self.gateway.now() >= self.context.deadline {
-                return Some(SendResult::OutOfTime);
-            }
-            if self.is_quarantined() {
-                return Some(SendResult::Quarantined);
-            }
-            match self.choose()? {
-                PlaceResult::Placed(choice, flight) => break (*choice, *flight),
-                PlaceResult::Late(return_delay_millis) => return Some(SendResult::Late(return_delay_millis)),
-                PlaceResult::Limited(return_delay_millis) => {
-                    return Some(SendResult::Limited(return_delay_millis));
-                }
-                // It would wait for engines that it does not reach.
-                PlaceResult::Wait | PlaceResult::WaitForShare(_)
-                    if self.goes_to_peer() || self.has_lost_path() =>
-                {
-                    return Some(SendResult::NotSent);
-                }
-                PlaceResult::Wait => {
+            match self.try_open_send(last_event_id) {
+                Err(Unsent::NoRoom) => {
                     self.waits_for_capacity = true;
                     self.wait_for_capacity().await;
                 }
-                PlaceResult::WaitForShare(next_at) => {
+                Err(Unsent::NoShare(next_at)) => {
                     self.waits_for_capacity = false;
                     self.wait_for_share(next_at).await;
                 }
+                opened => return opened,
+            }
+        }
+    }
+
+    /// Sends the request to an endpoint, or to another VM if this one reaches none, if one takes it now.
+    pub(crate) fn try_open_send(&mut self, last_event_id: Option<&Bytes>) -> Result<OpenSend, Unsent> {
+        loop {
+            if self.gateway.now() >= self.context.deadline {
+                return Err(Unsent::OutOfTime);
+            }
+            if self.goes_to_peer() {
+                if let Some(send) = self.open_peer_send(last_event_id)? {
+                    return Ok(send);
+                }
+                continue;
+            }
+            match self.open_endpoint_send(last_event_id) {
+                Err(Unsent::NoEndpoint | Unsent::Unreached) if self.needs_peer() => {}
+                opened => return opened,
+            }
+        }
+    }
+
+    /// Chooses an endpoint and sends the request there.
+    fn open_endpoint_send(&mut self, last_event_id: Option<&Bytes>) -> Result<OpenSend, Unsent> {
+        self.count_once();
+        if self.is_quarantined() {
+            return Err(Unsent::Quarantined);
+        }
+        let (choice, flight) = match self.choose().ok_or(Unsent::NoEndpoint)? {
+            PlaceResult::Placed(choice, flight) => (choice, *flight),
+            PlaceResult::Late(return_delay_millis) => return Err(Unsent::Late(return_delay_millis)),
+            PlaceResult::Limited(return_delay_millis) => return Err(Unsent::Limited(return_delay_millis)),
+            // It would wait for engines that it does not reach.
+            PlaceResult::Wait | PlaceResult::WaitForShare(_) if self.has_lost_path() => {
+                return Err(Unsent::Unreached);
             }
+            PlaceResult::Wait => return Err(Unsent::NoRoom),
+            PlaceResult::WaitForShare(next_at) => return Err(Unsent::NoShare(next_at)),
         };
-        self.choice = Some(choice);
+        let choice: Arc<PlacementChoice> = Arc::from(choice);
+        self.choice = Some(Arc::clone(&choice));
         self.resources.answer.record_send(&flight.endpoint, self.sends + 1);
-        let request = self.endpoint_request(&flight, last_event_id);
-        let Ok(request) = request else { return Some(SendResult::Lost("the request cannot be formed")) };
-        let result = self.send_to(flight, request).await;
-        self.resources.answer.record_send(&self.endpoint, self.sends);
-        Some(result)
+        // The head was checked when the caller's request was parsed.
+        let request = self.endpoint_request(&flight, last_event_id).map_err(|_invalid| Unsent::NoEndpoint)?;
+        let upload = request.body().is_long().then(|| request.body().progress());
+        let exchange = self.exchange(&flight, request);
+        let sent_at = flight.sent_at;
+        let route = SendRoute::Endpoint { flight, choice };
+        Ok(OpenSend::new(route, exchange, upload, last_event_id.is_some(), sent_at))
     }
 
     /// Waits for the interval between polls for free capacity.
@@ -163,6 +216,11 @@
         self.waited_micros += self.gateway.now().micros_since(started_at);
     }
 
+    /// Leaves the queue for rate-limited endpoints, so that requests behind this one go on.
+    pub(crate) fn leave_queue(&self) {
+        self.gateway.quota_queue.queue().remove(&self.context.service, self.queue_entry.number);
+    }
+
     /// Decides at random whether a waiting prompt claims free capacity or leaves it to another VM's.
     fn claims_capacity(&self) -> bool {
         let vms = self.gateway.peers().listed_count();
@@ -239,7 +297,7 @@
             AdmissionVerdict::Wait => return Some(PlaceResult::Wait),
             AdmissionVerdict::Refuse(return_delay_millis) => {
                 self.log_few_candidates(&request, choice.candidates);
-                self.choice = Some(choice);
+                self.choice = Some(Arc::new(choice));
                 return Some(PlaceResult::Late(return_delay_millis));
             }
         }
@@ -401,133 +459,56 @@
         }
     }
 
-    async fn send_to(&mut self, mut flight: SendFlight, request: Request<OutgoingBody>) -> SendResult {
+    /// Returns the exchange of a request with its endpoint.
+    fn exchange(&self, flight: &SendFlight, request: Request<OutgoingBody>) -> ExchangeFuture {
         let gateway = Arc::clone(&self.gateway);
-        let result = match self.exchange(&flight, request).await {
-            Err(DeadlinePassed) if gateway.now() >= self.start_deadline() => {
-                // The engine is not at fault: it was busy for longer than expected.
-                self.record_sent();
-                SendResult::Lost("not begun before its weights are overdue")
-            }
-            Err(DeadlinePassed) => {
-                flight.record_outcome(SendOutcome::Silent);
-                self.record_sent();
-                SendResult::Lost("silent")
-            }
-            Ok(Err(ExchangeError::NotSent(cause))) => {
-                flight.record_outcome(SendOutcome::Unreached);
-                log::warn!(request = self.context.id_text(), endpoint = flight.endpoint.as_str(),
-                    cause = cause.as_str(); "endpoint.unreached");
-                SendResult::NotSent
-            }
-            Ok(Err(ExchangeError::Withdrawn)) => {
-                log::info!(request = self.context.id_text(), endpoint = flight.endpoint.as_str();
-                    "send.withdrawn");
-                SendResult::NotSent
-            }
-            Ok(Err(ExchangeError::Lost(cause, side))) => {
-                flight.record_outcome(SendOutcome::Broken);
-                self.record_broken(&flight);
-                self.record_sent();
-                log::warn!(request = self.context.id_text(), endpoint = flight.endpoint.as_str(),
-                    cause = cause.as_str(), ended_by = side.map_or("", EndSide::name); "endpoint.broke");
-                SendResult::Lost("broken")
-            }
-            Ok(Ok((answer, connection))) => {
-                let facts = (gateway.dialect.decoders.answer)(answer.status(), answer.headers());
-                flight.set_connection(connection, &facts);
-                let result = self.classify(answer, &facts, flight);
-                // Only live endpoints count towards the route's attempts.
-                self.sends += u32::from(!matches!(result, SendResult::Replaced));
-                result
-            }
-        };
-        let label = match &result {
-            SendResult::Answer(_) => "answered",
-            SendResult::NotSent => "not_sent",
-            SendResult::Refused => "refused",
-            SendResult::Replaced => "ended",
-            SendResult::Lost(_) => "lost",
-            SendResult::Late(_) => "late",
-            SendResult::Limited(_) => "limited",
-            SendResult::Quarantined => "held_back",
-            SendResult::OutOfTime => "out_of_time",
-        };
-        gateway.metrics.sends.get_or_create(&KindLabel::new(label)).inc();
-        result
-    }
-
-    /// Waits for an answer's head; extends the deadline while the endpoint accepts more of a long body.
-    async fn exchange(
-        &self,
-        flight: &SendFlight,
-        request: Request<OutgoingBody>,
-    ) -> Result<ExchangeResult, DeadlinePassed> {
-        let gateway = &self.gateway;
-        let (progress, is_long) = (request.body().progress(), request.body().is_long());
-        let mut exchange = pin!(gateway.pool.exchange(
-            flight.key,
-            flight.address,
-            request,
-            || gateway.path.borrow().opens_connections(),
-            || self.is_accepting(flight)
-        ));
-        let (mut deadline, mut remaining) = (self.answer_deadline(), progress.remaining());
-        loop {
-            // Newer weights may be published meanwhile.
-            let poll_at = gateway.now().after_millis(OVERDUE_POLL_INTERVAL_MILLIS).min(self.start_deadline());
-            let result = gateway.complete_before(deadline.min(poll_at), exchange.as_mut()).await;
-            let now = gateway.now();
-            match result {
-                Err(DeadlinePassed) if now >= self.start_deadline() => return result,
-                Err(DeadlinePassed) if now < deadline => {}
-                // At another endpoint the upload would start from zero.
-                Err(DeadlinePassed)
-                    if is_long && progress.remaining() < remaining && deadline < self.context.deadline =>
-                {
-                    (deadline, remaining) = (self.answer_deadline(), progress.remaining());
-                }
-                _ => return result,
-            }
-        }
-    }
-
-    /// Whether the chosen endpoint still takes requests.
-    fn is_accepting(&self, flight: &SendFlight) -> bool {
-        let (table, now) = (self.gateway.table(), self.gateway.now());
-        table
-            .row(flight.key)
-            .is_none_or(|row| !row.has_announced_departure() && !row.backoff.is_backing_off(now))
-    }
-
-    /// Records a send that may have reached its endpoint and has no answer.
-    pub(crate) fn record_sent(&mut self) {
-        self.sends += 1;
-        self.may_have_run = true;
+        let (key, address) = (flight.key, flight.address);
+        Box::pin(async move {
+            let may_connect = || gateway.path.borrow().opens_connections();
+            let may_send = || gateway.takes_requests(key);
+            gateway.pool.exchange(key, address, request, may_connect, may_send).await
+        })
     }
 
-    /// Returns when the request must have begun, since its engine's weights become overdue. Its expected
-    /// start is only an estimate.
-    fn start_deadline(&self) -> Moment {
-        let version = self.choice.as_ref().and_then(|choice| choice.version);
-        let required = self.context.model.as_deref().and_then(|model| self.gateway.required_weights(model));
-        let (Some(version), Some(required)) = (version, required) else { return Moment::NEVER };
+    /// Returns when a send must have begun, since its engine's weights become overdue. Its expected start is
+    /// only an estimate.
+    pub(crate) fn start_deadline(&self, send: &OpenSend) -> Moment {
+        let SendRoute::Endpoint { choice, .. } = &send.route else { return Moment::NEVER };
+        let (Some(version), Some(model), true) =
+            (choice.version, self.context.model.as_deref(), send.awaits_head())
+        else {
+            return Moment::NEVER;
+        };
+        let Some(required) = self.gateway.required_weights(model) else { return Moment::NEVER };
         match required.start_deadline(version) {
             Moment::NEVER => Moment::NEVER,
             last => Moment(last.0.saturating_sub(CANCELLATION_MARGIN_MILLIS * MICROS_PER_MILLI)),
         }
     }
 
-    /// Returns the deadline for an answer's head.
-    fn answer_deadline(&self) -> Moment {
-        let context = &self.context;
-        if !context.route.repeatable() || self.sends + 1 >= context.route.attempts {
-            return context.deadline;
+    /// Classifies a send without an answer.
+    pub(crate) fn classify_failure(&mut self, error: ExchangeError, flight: &SendFlight) -> HeadVerdict {
+        let endpoint = flight.endpoint.as_str();
+        match error {
+            ExchangeError::NotSent(cause) => {
+                flight.record_outcome(SendOutcome::Unreached);
+                log::warn!(request = self.context.id_text(), endpoint, cause = cause.as_str();
+                    "endpoint.unreached");
+                HeadVerdict::NotSent
+            }
+            ExchangeError::Withdrawn => {
+                log::info!(request = self.context.id_text(), endpoint; "send.withdrawn");
+                HeadVerdict::NotSent
+            }
+            ExchangeError::Lost(cause, side) => {
+                flight.record_outcome(SendOutcome::Broken);
+                self.record_broken(flight);
+                self.may_have_run = true;
+                log::warn!(request = self.context.id_text(), endpoint, cause = cause.as_str(),
+                    ended_by = side.map_or("", EndSide::name); "endpoint.broke");
+                HeadVerdict::Lost("broken")
+            }
         }
-        let expected = self.choice.as_ref().map_or(0, |choice| choice.expected_micros);
-        let timeout_millis =
-            (context.route.objective_millis * ANSWER_TIMEOUT_FACTOR).max(MIN_ANSWER_TIMEOUT_MILLIS);
-        self.gateway.now().after_millis(timeout_millis).after_micros(expected).min(context.deadline)
     }
 
     /// Records that an endpoint is gone for good: another one has its address.
@@ -538,12 +519,12 @@
     }
 
     /// Classifies an answer's head: whether it answers this request, and whether the endpoint ran it.
-    fn classify(
+    pub(crate) fn classify(
         &mut self,
         answer: Response<Incoming>,
         facts: &AnswerFacts,
-        flight: SendFlight,
-    ) -> SendResult {
+        flight: &SendFlight,
+    ) -> HeadVerdict {
         let (head, body) = answer.into_parts();
         let origin = facts.origin(&flight.endpoint, &self.context.id);
         if origin == AnswerOrigin::Addressed {
@@ -557,8 +538,8 @@
         // A surplus refusal belongs to an earlier request: the endpoint may be running this one.
         if facts.is_refusal() && origin != AnswerOrigin::OtherRequest {
             if head.status == StatusCode::MISDIRECTED_REQUEST && origin == AnswerOrigin::OtherEndpoint {
-                self.record_replaced(&flight);
-                return SendResult::Replaced;
+                self.record_replaced(flight);
+                return HeadVerdict::Replaced;
             }
             flight.record_refusal(facts.rest_millis.value());
             if head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -566,20 +547,28 @@
             }
             log::info!(request = self.context.id_text(), endpoint = flight.endpoint.as_str(),
                 status = head.status.as_u16(); "endpoint.refused");
-            return SendResult::Refused;
+            return HeadVerdict::Refused;
         }
         self.may_have_run = true;
         if facts.request_id.as_ref() != Some(&self.context.id) {
             // This request's answer may still follow, but cannot be distinguished from more surplus ones.
             flight.record_outcome(SendOutcome::Failed);
-            return SendResult::Lost("an answer to another request");
+            return HeadVerdict::Lost("an answer to another request");
         }
         if head.status.is_success() && !facts.is_signed {
             log::warn!(request = self.context.id_text(), endpoint = flight.endpoint.as_str(),
                 status = head.status.as_u16(); "answer.unsigned");
             flight.record_outcome(SendOutcome::Failed);
-            return SendResult::Lost("an answer without its endpoint's signature");
+            return HeadVerdict::Lost("an answer without its endpoint's signature");
         }
-        SendResult::Answer(Box::new(ReceivedHead { head, body, flight }))
+        HeadVerdict::Answer(Box::new(head), body)
+    }
+}
+
+impl Gateway {
+    /// Whether an endpoint still takes requests.
+    fn takes_requests(&self, key: EndpointKey) -> bool {
+        let (table, now) = (self.table(), self.now());
+        table.row(key).is_none_or(|row| !row.has_announced_departure() && !row.backoff.is_backing_off(now))
     }
 }
--- a/crates/gateway/src/requests/flight.rs
+++ b/crates/gateway/src/requests/flight.rs
@@ -147,11 +147,6 @@
         self.connection.as_ref().and_then(EndpointConnection::end)
     }
 
-    /// Closes the connection, so that the endpoint stops working on this request.
-    pub(crate) fn abort(&mut self) {
-        self.connection = None;
-    }
-
     /// Records a refusal, with the backoff that the endpoint requested.
     pub(crate) fn record_refusal(&self, backoff_millis: Option<u64>) {
         let outcome = SendOutcome::Refused;
@@ -164,6 +159,23 @@
         });
     }
 
+    /// Records that the endpoint is silent, and may still answer.
+    pub(crate) fn record_silent(&self) {
+        let outcome = SendOutcome::Silent;
+        self.gateway.table().record_outcome(self.key, outcome, self.gateway.now());
+        let report = SendReport { key: self.key, outcome, pace: None, rest_millis: None };
+        self.gateway.hold_failed_send(report, None);
+    }
+
+    /// Records that the endpoint, which is recorded as silent, did not answer: that counts against its version.
+    pub(crate) fn record_silent_end(&self) {
+        if self.versioned.is_some() {
+            let report =
+                SendReport { key: self.key, outcome: SendOutcome::Silent, pace: None, rest_millis: None };
+            self.gateway.hold_failed_send(report, self.versioned.clone());
+        }
+    }
+
     /// Records the outcome of the send.
     pub(crate) fn record_outcome(&self, outcome: SendOutcome) {
         self.gateway.table().record_outcome(self.key, outcome, self.gateway.now());
--- a/crates/gateway/src/requests/long_answer.rs
+++ b/crates/gateway/src/requests/long_answer.rs
@@ -8,44 +8,34 @@
 use crate::endpoints::observed_stream::cause_text;
 use crate::memory::{ChunkFault, ChunkSender, chunk_channel};
 use crate::requests::answer_record::UnansweredCause;
-use crate::requests::dispatch::ReceivedHead;
-use crate::requests::flight::SendFlight;
+use crate::requests::open_send::{OpenSend, SendRoute};
 use crate::requests::own_answer::{AnswerBody, BrokenAnswer};
-use crate::requests::relay::answer_with;
 use crate::requests::request_run::RequestRun;
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
-use hyper::body::Incoming;
 use hyper::header::CONTENT_LENGTH;
 use std::sync::Arc;
 
 /// Answers with the `prefix` bytes and forwards the others from a task of its own.
-pub(crate) async fn forward_long(
-    mut run: RequestRun,
-    received: ReceivedHead,
-    prefix: Bytes,
-) -> Response<AnswerBody> {
-    let ReceivedHead { head, body, mut flight } = received;
-    flight.record_answer_start();
+pub(crate) async fn forward_long(mut run: RequestRun, send: OpenSend, prefix: Bytes) -> Response<AnswerBody> {
     run.record_first_event();
-    run.set_status(head.status.as_u16());
-    run.set_outcome("broken off");
     let (chunks, stream) = chunk_channel(run.gateway.memory.reserve());
     // The channel is empty and its receiver exists: only lack of memory fails it, and the next send, too.
     let _ = chunks.send(prefix).await;
-    let mut response = answer_with(&head, StreamBody::new(stream).boxed_unsync());
-    if let Some(length) = head.headers.get(CONTENT_LENGTH) {
+    let mut response = send.response(StreamBody::new(stream).boxed_unsync());
+    if let Some(length) = send.head().and_then(|head| head.headers.get(CONTENT_LENGTH)) {
         response.headers_mut().insert(CONTENT_LENGTH, length.clone());
     }
-    tokio::spawn(LongForwarder { run, flight, body, chunks }.forward());
+    run.set_status(response.status().as_u16());
+    run.set_outcome("broken off");
+    tokio::spawn(LongForwarder { run, send, chunks }.forward());
     response
 }
 
 struct LongForwarder {
     run: RequestRun,
-    flight: SendFlight,
-    body: Incoming,
+    send: OpenSend,
     chunks: ChunkSender,
 }
 
@@ -61,16 +51,19 @@
                 BrokenAnswer("no end in time".to_owned())
             }
         };
-        self.flight.abort();
-        self.chunks.abort(broken).await;
+        let Self { run, send, chunks } = self;
+        // The endpoint stops working while the caller still reads.
+        drop(send);
+        chunks.abort(broken).await;
+        drop(run);
     }
 
     /// Forwards the remaining body; returns the request's outcome.
     async fn forward_body(&mut self) -> Result<&'static str, BrokenAnswer> {
-        loop {
+        while let Some(body) = self.send.body_mut() {
             let next = tokio::select! {
                 biased;
-                next = self.body.frame() => next,
+                next = body.frame() => next,
                 () = self.chunks.closed() => return Ok("caller left"),
             };
             match next {
@@ -87,21 +80,36 @@
                     }
                 }
                 Some(Err(error)) => {
-                    self.flight.record_outcome(SendOutcome::Broken);
-                    self.run.record_broken(&self.flight);
-                    let end = self.flight.connection_end();
-                    self.run.resources.answer.record_cause(UnansweredCause::of_broken(end));
-                    log::warn!(request = self.run.context.id_text(), endpoint = self.flight.endpoint.as_str(),
-                        cause = cause_text(&error, end).as_str(),
-                        ended_by = end.map_or("", |end| end.side.name()); "answer.broke");
+                    self.record_broken(&error);
                     return Err(BrokenAnswer(error.to_string()));
                 }
             }
         }
         self.chunks.finish();
-        self.flight.record_outcome(SendOutcome::Answered);
-        self.flight.complete();
-        self.run.record_answered();
+        self.send.complete();
+        if let SendRoute::Endpoint { flight, .. } = &self.send.route {
+            flight.record_outcome(SendOutcome::Answered);
+            self.run.record_answered();
+        }
         Ok("answered")
     }
+
+    fn record_broken(&mut self, error: &hyper::Error) {
+        let end = self.send.connection_end();
+        let (cause, ended_by) = (cause_text(error, end), end.map_or("", |end| end.side.name()));
+        self.run.resources.answer.record_cause(UnansweredCause::of_broken(end));
+        match &self.send.route {
+            SendRoute::Endpoint { flight, .. } => {
+                flight.record_outcome(SendOutcome::Broken);
+                self.run.record_broken(flight);
+                log::warn!(request = self.run.context.id_text(), endpoint = flight.endpoint.as_str(),
+                    cause = cause.as_str(), ended_by; "answer.broke");
+            }
+            SendRoute::Peer(peer) => {
+                log::warn!(request = self.run.context.id_text(), peer = peer.place.peer.name.as_str(),
+                    cause = cause.as_str(); "peer.broke");
+                self.run.gateway.metrics.forwards.count("lost");
+            }
+        }
+    }
 }
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -2,10 +2,13 @@
 
 pub(crate) mod accept_loop;
 pub(crate) mod answer_record;
+pub(crate) mod answer_wait;
 pub(crate) mod dispatch;
 pub(crate) mod event_reader;
 pub(crate) mod flight;
 pub(crate) mod long_answer;
+pub(crate) mod open_send;
+pub(crate) mod open_sends;
 pub(crate) mod outgoing_body;
 pub(crate) mod own_answer;
 pub(crate) mod quota_queue;
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -1,25 +1,26 @@
-//! The path of one request: place, send, classify the answer, send again where that is allowed.
+//! The path of one request: read it, wait for its answer, pass the answer on or refuse the request.
 //!
-//! Invariant: a request that may not be repeated is sent at most once, and after a send only the endpoint's
-//! own refusal makes "not run" true again. Second sends consume the retry budget.
+//! Invariant: after a send only the endpoint's own refusal makes "not run" true again. While a send is open, the
+//! request is not refused before its deadline.
 
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
-use crate::forward::forward_client::forward_request;
 use crate::gateway::{CountGuard, Gateway};
 use crate::memory::{BodyFault, MemoryReservation, discard, read_limited};
 use crate::operators::gateway_metrics::KindLabel;
 use crate::requests::answer_record::AnswerRecord;
-use crate::requests::dispatch::{ReceivedHead, SendResult};
+use crate::requests::answer_wait::{AnswerFault, AnswerPart};
+use crate::requests::dispatch::Unsent;
 use crate::requests::long_answer::forward_long;
+use crate::requests::open_send::{AnswerStart, OpenSend, SendRoute};
+use crate::requests::open_sends::OpenSends;
 use crate::requests::own_answer::{
-    AnswerBody, NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, OwnAnswer, ResumeRefusal,
+    AnswerBody, NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, OwnAnswer, ResumeRefusal, full_body,
 };
 use crate::requests::request_context::{RequestContext, header_text, is_hop_by_hop};
 use crate::requests::request_run::{CallerResources, RequestRun};
-use crate::requests::stream_relay;
-use bytes::{Bytes, BytesMut};
-use http_body_util::BodyExt;
+use crate::requests::stream_relay::forward_stream;
+use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderMap};
 use hyper::http::request::Parts;
@@ -29,19 +30,16 @@
 use std::sync::Arc;
 use tokio::sync::Notify;
 
-/// Failed connections to endpoints after which a request is refused as not run.
-const MAX_CONNECT_FAILURES: usize = 4;
 /// Retry delay if no endpoint takes work; a random delay is added.
 const NO_ENDPOINT_RETRY_MILLIS: u64 = 300;
+/// Retry delay if no other VM takes a request; a random delay is added.
+const NO_PEER_RETRY_MILLIS: u64 = 1_000;
 /// Retry delay if memory ran out: bodies that other callers send slowly take some seconds.
 const NO_MEMORY_RETRY_MILLIS: u64 = 2_000;
 /// Retry delay after an endpoint's refusal; a random delay is added.
 const REFUSED_RETRY_MILLIS: u64 = 100;
 /// Timeout of reading the body of a refused request.
 const DISCARD_TIMEOUT_MILLIS: u64 = 1_000;
-/// Answers up to this size are read whole before they are forwarded, so that a broken one can be reported
-/// or its request repeated. Longer ones are forwarded as they arrive.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
 
 /// Serves one request of a caller.
 ///
@@ -129,128 +127,69 @@
 
 /// Serves a request whose head was checked and whose body was read.
 pub(crate) async fn serve(mut run: RequestRun) -> Response<AnswerBody> {
-    loop {
-        if run.gateway.now() >= run.context.deadline {
-            return run.time_out();
+    let mut open = OpenSends::new();
+    let part = match run.next_part(&mut open).await {
+        Ok(part) => part,
+        Err(fault) => return refuse(&mut run, &open, &fault),
+    };
+    // No answer begins without the send that brought it.
+    let Some(send) = open.take_last() else { return run.time_out() };
+    match part {
+        AnswerPart::Plain(AnswerStart::Whole(bytes)) => pass_whole(&mut run, send, bytes),
+        AnswerPart::Plain(AnswerStart::Long(prefix)) => Box::pin(forward_long(run, send, prefix)).await,
+        // Its state would enlarge the futures of all requests.
+        AnswerPart::Events(first) => Box::pin(forward_stream(run, open, send, first)).await,
+    }
+}
+
+/// Answers a request that no endpoint has answered.
+fn refuse(run: &mut RequestRun, open: &OpenSends, fault: &AnswerFault) -> Response<AnswerBody> {
+    match *fault {
+        AnswerFault::OutOfTime | AnswerFault::Unsent(Unsent::OutOfTime) => run.time_out(),
+        AnswerFault::Failed if run.may_have_run && run.gateway.now() >= run.context.deadline => {
+            run.time_out()
         }
-        if run.goes_to_peer() {
-            // Its state would enlarge each request's, although few are forwarded.
-            match Box::pin(forward_request(run)).await {
-                Ok(response) => return response,
-                Err(returned) => run = *returned,
-            }
-            continue;
+        AnswerFault::Failed if open.is_peer_at_fault => {
+            run.refuse_unless_run("lost at another VM", NO_PEER_RETRY_MILLIS)
         }
-        run.count_once();
-        let Some(result) = run.send_once(None).await else {
-            if run.needs_peer() {
-                continue;
-            }
-            if run.has_no_engine() && !run.may_have_run {
-                return run.refuse_resumption(ResumeRefusal::NoEngine);
-            }
-            return run.give_up(NO_ENDPOINT_TAKES_WORK, NO_ENDPOINT_RETRY_MILLIS);
-        };
-        let failed: &'static str = match result {
-            SendResult::NotSent => {
-                if !run.needs_peer() && (run.tried.len() >= MAX_CONNECT_FAILURES || run.has_lost_path()) {
-                    return run.give_up(NO_ENDPOINT_REACHED, NO_ENDPOINT_RETRY_MILLIS);
-                }
-                continue;
-            }
-            SendResult::Late(return_delay_millis) => {
-                return run.refuse("no engine has room in time", return_delay_millis);
-            }
-            SendResult::Limited(return_delay_millis) => {
-                return run.refuse_unless_run("its endpoints take no more in time", return_delay_millis);
-            }
-            SendResult::OutOfTime => return run.time_out(),
-            SendResult::Quarantined => return run.refuse_quarantined(),
-            SendResult::Refused => "refused by the endpoint",
-            SendResult::Replaced => "another endpoint has its address",
-            SendResult::Lost(cause) => cause,
-            SendResult::Answer(received) => match handle_answer(run, *received).await {
-                Ok(response) => return response,
-                Err(failed) => {
-                    run = failed.run;
-                    failed.cause
-                }
-            },
-        };
-        if run.may_send_again() {
-            log::info!(request = run.context.id_text(), endpoint = run.endpoint.as_str(), cause = failed;
-                "request.sent_again");
-            continue;
+        AnswerFault::Failed => run.give_up("refused by the endpoint", REFUSED_RETRY_MILLIS),
+        AnswerFault::Unsent(Unsent::NoEndpoint) if run.has_no_engine() && !run.may_have_run => {
+            run.refuse_resumption(ResumeRefusal::NoEngine)
         }
-        if run.may_have_run && run.gateway.now() >= run.context.deadline {
-            return run.time_out();
+        // A request waits while there is no room.
+        AnswerFault::Unsent(Unsent::NoEndpoint | Unsent::NoRoom | Unsent::NoShare(_)) => {
+            run.give_up(NO_ENDPOINT_TAKES_WORK, NO_ENDPOINT_RETRY_MILLIS)
         }
-        return run.give_up("refused by the endpoint", REFUSED_RETRY_MILLIS);
-    }
-}
-
-/// A request whose answer cannot be forwarded.
-pub(crate) struct FailedAnswer {
-    pub run: RequestRun,
-    pub cause: &'static str,
-}
-
-async fn handle_answer(
-    mut run: RequestRun,
-    received: ReceivedHead,
-) -> Result<Response<AnswerBody>, FailedAnswer> {
-    let mut received = received;
-    if run.context.is_stream() && received.head.status.is_success() {
-        // Its state would enlarge the futures of all requests.
-        return Box::pin(stream_relay::forward_stream(run, received)).await;
-    }
-    let bytes = match run.gateway.complete_before(run.context.deadline, read_answer(&mut received.body)).await
-    {
-        Ok(Ok(AnswerStart::Whole(bytes))) => bytes,
-        Ok(Ok(AnswerStart::Long(prefix))) => return Ok(forward_long(run, received, prefix).await),
-        Ok(Err(_)) => {
-            received.flight.record_outcome(SendOutcome::Broken);
-            run.record_broken(&received.flight);
-            return Err(FailedAnswer { run, cause: "the answer broke off" });
+        AnswerFault::Unsent(Unsent::Unreached) => run.give_up(NO_ENDPOINT_REACHED, NO_ENDPOINT_RETRY_MILLIS),
+        AnswerFault::Unsent(Unsent::NoPeer) => {
+            run.refuse_unless_run("no other VM takes it", NO_PEER_RETRY_MILLIS)
         }
-        Err(DeadlinePassed) => {
-            received.flight.record_outcome(SendOutcome::Silent);
-            return Err(FailedAnswer { run, cause: "the answer did not end" });
+        AnswerFault::Unsent(Unsent::Late(return_delay_millis)) => {
+            run.refuse("no engine has room in time", return_delay_millis)
         }
-    };
-    let ReceivedHead { head, mut flight, .. } = received;
-    run.record_first_event();
-    run.record_answered();
-    flight.record_answer_start();
-    flight.complete();
-    if head.status.is_server_error() {
-        flight.record_outcome(SendOutcome::Failed);
-        run.failure = Some((Box::new(head), bytes));
-        return Err(FailedAnswer { run, cause: "the endpoint failed" });
+        AnswerFault::Unsent(Unsent::Limited(return_delay_millis)) => {
+            run.refuse_unless_run("its endpoints take no more in time", return_delay_millis)
+        }
+        AnswerFault::Unsent(Unsent::Quarantined) => run.refuse_quarantined(),
     }
-    flight.record_outcome(SendOutcome::Answered);
-    Ok(run.forward_answer(&head, bytes))
-}
-
-/// The part of an answer's body that was read.
-pub(crate) enum AnswerStart {
-    Whole(Bytes),
-    /// The beginning of the body, because the body exceeds the buffer limit.
-    Long(Bytes),
 }
 
-/// Reads an answer's body, or the beginning of a long one.
-pub(crate) async fn read_answer(body: &mut Incoming) -> Result<AnswerStart, hyper::Error> {
-    let mut prefix = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        if let Ok(chunk) = frame?.into_data() {
-            prefix.extend_from_slice(&chunk);
-        }
-        if prefix.len() > MAX_BUFFERED_ANSWER_BYTES {
-            return Ok(AnswerStart::Long(prefix.freeze()));
+/// Answers with a whole plain answer.
+fn pass_whole(run: &mut RequestRun, mut send: OpenSend, bytes: Bytes) -> Response<AnswerBody> {
+    run.record_first_event();
+    send.complete();
+    let outcome = match &send.route {
+        SendRoute::Endpoint { flight, .. } => {
+            run.record_answered();
+            flight.record_outcome(SendOutcome::Answered);
+            "answered"
         }
-    }
-    Ok(AnswerStart::Whole(prefix.freeze()))
+        SendRoute::Peer(peer) => peer.outcome(),
+    };
+    let response = send.response(full_body(bytes));
+    run.set_status(response.status().as_u16());
+    run.set_outcome(outcome);
+    response
 }
 
 /// Builds the caller's response from an endpoint's, without its hop-by-hop headers and its content length.
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -57,7 +57,7 @@
     /// Whether an endpoint may have run it.
     pub may_have_run: bool,
     /// The last placement, for the log.
-    pub choice: Option<PlacementChoice>,
+    pub choice: Option<Arc<PlacementChoice>>,
     pub endpoint: String,
     /// The software that began the stream, once its first event has arrived or if it is resumed.
     pub origin: Option<StreamOrigin>,
@@ -199,6 +199,15 @@
         self.gateway.quarantine_tracker().quarantine.quarantined(key, now).is_some()
     }
 
+    /// Whether endpoints have crashed under it.
+    pub(crate) fn is_suspected(&mut self) -> bool {
+        if self.gateway.quarantine_tracker().quarantine.is_idle() {
+            return false;
+        }
+        let Some(key) = self.request_key() else { return false };
+        self.gateway.quarantine_tracker().quarantine.has_records(key)
+    }
+
     /// Waits until evidence that may quarantine the request is evaluated: whether the endpoint of its last
     /// send crashed, and other evidence that was just received.
     pub(crate) async fn wait_for_evaluation(&mut self) {
@@ -287,6 +296,12 @@
         format!("{account} {} {}{} ({} bytes)", context.method, context.host, context.path, self.body.len())
     }
 
+    /// Returns the id of the event after which its caller resumes a stream.
+    pub(crate) fn resumed_event(&self) -> Option<Bytes> {
+        let id = self.context.headers.get(LAST_EVENT_ID).filter(|_| self.origin.is_some())?;
+        Some(Bytes::copy_from_slice(id.as_bytes()))
+    }
+
     /// Sets the outcome for the request's log line.
     pub(crate) fn set_outcome(&mut self, outcome: &'static str) {
         self.outcome = outcome;
