Send each record of a stream to three VMs, and until three have confirmed it

Streams that a VM began soon after its start had fewer than three copies of their record at other VMs; if that VM then died, their callers could be refused.

Cause: copies went only to VMs that the writer had heard. A listed VM counts as reachable for 1.2 s without a digest, and the first one may come later.

Copies go to the VMs that others ask for a record, heard or not. A record that stays short has a log line and a counter.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -56,7 +56,10 @@
     RouteCounts, StoredStatus, SumKey, VersionSplit,
 };
 pub(crate) use streams::SoftwareHistory;
-pub use streams::{RecordHolders, SoleSoftware, StreamKey, StreamOrigin, StreamRecords};
+pub use streams::{
+    CopyLedger, CopyTarget, DueCopies, DueCopy, RECORD_COPIES, RecordHolders, ShortRecord, SoleSoftware,
+    StreamCopy, StreamKey, StreamOrigin, StreamRecords,
+};
 pub use weights::{
     EngineState, LeaseHolder, LeaseOwnership, PublicationRecord, PublicationTime, PublishedVersion,
     PublishedWeights, RequiredWeights, WeightScheduler, WeightStep,
--- a/crates/decide/src/streams/stream_origin.rs
+++ b/crates/decide/src/streams/stream_origin.rs
@@ -2,11 +2,12 @@
 
 use crate::{EndpointKey, short_digest};
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// Identifies a stream: its client account, and the attempt that brought its first event.
 ///
 /// Another account's attempt of the same id has another key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct StreamKey(u128);
 
 impl StreamKey {
@@ -32,6 +33,12 @@
     }
 }
 
+impl fmt::Display for StreamKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
 /// The software that wrote a stream's first event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamOrigin {
--- a/crates/decide/tests/record_holders.rs
+++ b/crates/decide/tests/record_holders.rs
@@ -138,3 +138,33 @@
         assert_eq!((holders.reachable.len(), holders.silent.len()), (5, 3));
     }
 }
+
+/// Guards against copies at VMs that nobody asks, because their writer hears a part of the others.
+#[yare::parameterized(
+    nobody_of_91 = { Fleet { vms: 91, data_centres: 5 }, 0 },
+    a_tenth_of_91 = { Fleet { vms: 91, data_centres: 5 }, 9 },
+    a_tenth_of_985 = { Fleet { vms: 985, data_centres: 17 }, 98 },
+)]
+fn a_reader_asks_a_holder_of_a_writer_that_hears_few(fleet: Fleet, heard: usize) {
+    let mut writer = PeerTable::new(fleet.entry(0));
+    for number in 1..fleet.vms {
+        let entry = fleet.entry(number);
+        let vm = VmKey::of(&entry.name);
+        writer.list_at(entry, Moment(0));
+        if number <= heard {
+            writer.record_digest(vm, 1, 1, NOW.after_millis(2_000));
+        }
+    }
+    let later = NOW.after_millis(2_000);
+    // In the writer's data centre, and in another one.
+    for number in [fleet.data_centres, 1] {
+        let reader = fleet.table(number, &HashSet::new());
+        let own = fleet.entry(number).address;
+        for stream in (0..STREAMS).map(stream) {
+            let copies = writer.record_copies(stream, later);
+            assert_eq!(copies.len(), COPIES);
+            let asked = asked(&reader, stream);
+            assert!(copies.iter().any(|copy| asked.contains(copy) || *copy == own));
+        }
+    }
+}
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -12,6 +12,7 @@
 use crate::store::lease_keeper::OrderRight;
 use crate::store::store_view::OrdersView;
 use crate::store::{follow, lease_keeper};
+use crate::streams::copy_task;
 use crate::{FleetSweep, PathState, WireDialect, clock, rollout, store};
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::Moment;
@@ -120,6 +121,7 @@
             tokio::spawn(operator_port::serve_operators(handle(), metrics, operator_port::answer_management)),
             tokio::spawn(accept_loop::serve_callers(handle(), callers, listener_state.subscribe())),
             tokio::spawn(path_probe::watch_path(handle())),
+            tokio::spawn(copy_task::keep_copies(handle())),
             tokio::spawn(forward_state::follow_path(handle())),
             tokio::spawn(sweep(handle())),
         ];
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -209,6 +209,8 @@
 pub(crate) struct StreamMetrics {
     /// Requests that resume a stream, by result.
     resumptions: Family<KindLabel, Counter>,
+    /// Copies of streams' records at other VMs, by what became of them.
+    copies: Family<KindLabel, Counter>,
     /// Streams whose version this VM has recorded.
     pub records: Gauge,
     /// Records that were evicted before their time.
@@ -217,8 +219,14 @@
 
 impl StreamMetrics {
     fn register(registry: &mut Registry) -> Self {
-        let metrics =
-            Self { resumptions: Family::default(), records: Gauge::default(), evictions: Counter::default() };
+        let metrics = Self {
+            resumptions: Family::default(),
+            copies: Family::default(),
+            records: Gauge::default(),
+            evictions: Counter::default(),
+        };
+        let copies = metrics.copies.clone();
+        registry.register("stream_copies", "Copies of records of streams at other VMs, by kind", copies);
         let resumptions = metrics.resumptions.clone();
         registry.register("resumptions", "Streams that callers resume, by result", resumptions);
         registry.register("stream_records", "Streams with a recorded version", metrics.records.clone());
@@ -227,6 +235,11 @@
         metrics
     }
 
+    /// Counts copies of records, or records that lack some.
+    pub(crate) fn count_copies(&self, kind: &str, count: usize) {
+        self.copies.get_or_create(&KindLabel::new(kind)).inc_by(count as u64);
+    }
+
     /// Counts a request that resumes a stream.
     pub(crate) fn count_resumption(&self, kind: &str) {
         self.resumptions.get_or_create(&KindLabel::new(kind)).inc();
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -174,6 +174,7 @@
             PeerMessage::StoreAsk(_, from) => drop(queue.try_send((stamp.vm, StoreMessage::Request(from)))),
             PeerMessage::Kept(_, digest) => digest.apply(&gateway),
             PeerMessage::Stream(stamp, message) => gateway.apply_stream_message(stamp, message, source).await,
+            PeerMessage::StreamCopies(stamp, keys) => gateway.streams.copies.confirm(stamp.vm, &keys),
             PeerMessage::Load(_, digest) => apply_digest(&gateway, stamp, &digest),
             PeerMessage::Batch(_, digests) => apply_batch(&gateway, stamp, &digests),
         }
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -11,7 +11,7 @@
 use crate::peers::load_digest::LoadDigest;
 use crate::store::store_updates::StoreUpdates;
 use crate::streams::stream_message::StreamMessage;
-use crate::{StorePosition, VmKey};
+use crate::{StorePosition, StreamKey, VmKey};
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format; messages of other versions are ignored.
@@ -45,6 +45,8 @@
     Kept(PeerStamp, CacheDigest),
     /// Software version that began a stream, or a question for it.
     Stream(PeerStamp, StreamMessage),
+    /// Confirms copies of streams' records that the sender has received.
+    StreamCopies(PeerStamp, Vec<StreamKey>),
 }
 
 impl PeerMessage {
@@ -55,7 +57,8 @@
             | Self::Store(stamp, _)
             | Self::StoreAsk(stamp, _)
             | Self::Kept(stamp, _)
-            | Self::Stream(stamp, _) => *stamp,
+            | Self::Stream(stamp, _)
+            | Self::StreamCopies(stamp, _) => *stamp,
         }
     }
 
@@ -68,6 +71,7 @@
             Self::StoreAsk(..) => "store_ask",
             Self::Kept(..) => "kept",
             Self::Stream(..) => "stream",
+            Self::StreamCopies(..) => "stream_copies",
         }
     }
 
--- a/crates/gateway/src/streams/mod.rs
+++ b/crates/gateway/src/streams/mod.rs
@@ -4,6 +4,7 @@
 //! that event to the caller records the version here and at a few other VMs before the event leaves. A VM
 //! without a record asks others; what none of them knows is refused, never guessed.
 
+pub(crate) mod copy_task;
 pub(crate) mod resumption;
 pub(crate) mod stream_message;
 pub(crate) mod stream_tracker;
--- a/crates/gateway/src/streams/stream_message.rs
+++ b/crates/gateway/src/streams/stream_message.rs
@@ -2,6 +2,7 @@
 
 use crate::{SoleSoftware, StreamKey, StreamOrigin};
 use serde::{Deserialize, Serialize};
+use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
 /// A message about one stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -47,3 +48,10 @@
     /// Time until the record expires, in milliseconds.
     pub remaining_millis: u32,
 }
+
+impl StreamRecord {
+    /// Creates the record of a stream that expires at a moment.
+    pub(crate) fn new(origin: StreamOrigin, expires_at: Moment, now: Moment) -> Self {
+        Self { origin, remaining_millis: (expires_at.micros_since(now) / MICROS_PER_MILLI) as u32 }
+    }
+}
--- a/crates/gateway/src/streams/stream_tracker.rs
+++ b/crates/gateway/src/streams/stream_tracker.rs
@@ -1,12 +1,14 @@
 //! Records the software versions of streams, and asks other VMs for them.
 
+use super::copy_task::CopyState;
 use super::stream_message::{SoughtStream, StreamKnowledge, StreamMessage, StreamRecord};
 use crate::clock::DeadlinePassed;
 use crate::gateway::Gateway;
 use crate::peers::gossip::send_message;
 use crate::peers::peer_message::{PeerMessage, PeerStamp};
 use crate::{
-    EndpointKey, RecordHolders, SoleSoftware, StreamKey, StreamOrigin, StreamRecords, VmKey, short_digest,
+    EndpointKey, RecordHolders, SoleSoftware, StreamCopy, StreamKey, StreamOrigin, StreamRecords, VmKey,
+    short_digest,
 };
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::collections::{BTreeSet, HashMap};
@@ -36,6 +38,8 @@
 #[derive(Debug)]
 pub(crate) struct StreamTracker {
     records: Mutex<StreamRecords>,
+    /// Copies of records at other VMs.
+    pub copies: CopyState,
     /// Questions to other VMs that are not answered yet, by number.
     questions: Mutex<HashMap<u64, AnswerSender>>,
     /// Socket of messages between VMs; none until this VM has started.
@@ -117,6 +121,7 @@
         let capacity = (memory_mb * 1e6 * MEMORY_FRACTION / RECORD_BYTES) as usize;
         Self {
             records: Mutex::new(StreamRecords::new(capacity)),
+            copies: CopyState::default(),
             questions: Mutex::default(),
             socket: OnceLock::new(),
         }
@@ -128,6 +133,11 @@
         let _ = self.socket.set(socket);
     }
 
+    /// Returns the socket of messages between VMs; none until this VM has started.
+    pub(super) fn socket(&self) -> Option<&UdpSocket> {
+        self.socket.get().map(Arc::as_ref)
+    }
+
     fn records(&self) -> MutexGuard<'_, StreamRecords> {
         self.records.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -150,12 +160,11 @@
     ) {
         let now = self.now();
         let expires_at = deadline.after_millis(RETURN_MILLIS).min(now.after_millis(MAX_LIFETIME_MILLIS));
-        let record = StreamRecord { origin, remaining_millis: remaining_millis(expires_at, now) };
         let account = short_digest(account);
         for key in keys {
-            self.insert_record(*key, account, record);
-            let copies = self.peers().record_copies(*key, now);
-            self.send_about_stream(StreamMessage::Record { key: *key, account, record }, &copies).await;
+            let copy = StreamCopy { key: *key, account, origin, expires_at };
+            self.insert_record(&copy);
+            self.send_copies(copy).await;
         }
     }
 
@@ -179,7 +188,7 @@
         // What has been answered by the deadline counts.
         let _ = self.complete_before(deadline, self.ask(question, &mut search, answers)).await;
         if let Some(record) = search.known.record {
-            self.insert_record(stream.key, short_digest(account), record);
+            self.insert_received(stream.key, short_digest(account), record);
         }
         search.result()
     }
@@ -210,10 +219,7 @@
     fn knowledge(&self, stream: &SoughtStream) -> StreamKnowledge {
         let now = self.now();
         let found = self.streams.records().find(stream.key, now);
-        let record = found.map(|(origin, expires_at)| StreamRecord {
-            origin,
-            remaining_millis: remaining_millis(expires_at, now),
-        });
+        let record = found.map(|(origin, expires_at)| StreamRecord::new(origin, expires_at, now));
         let since = Moment(now.0.saturating_sub(u64::from(stream.window_millis) * MICROS_PER_MILLI));
         let is_current = self.list_membership().is_list_current(now);
         let software =
@@ -229,7 +235,10 @@
         source: SocketAddr,
     ) {
         match message {
-            StreamMessage::Record { key, account, record } => self.insert_record(key, account, record),
+            StreamMessage::Record { key, account, record } => {
+                self.insert_received(key, account, record);
+                self.streams.copies.record_received(key, source);
+            }
             StreamMessage::Question { number, stream } => {
                 let answer = StreamMessage::Answer { number, knowledge: self.knowledge(&stream) };
                 self.send_about_stream(answer, &[source]).await;
@@ -251,23 +260,24 @@
         self.metrics.streams.records.set(records.len() as i64);
     }
 
-    fn insert_record(&self, key: StreamKey, account: u64, record: StreamRecord) {
+    /// Records what another VM states of a stream.
+    fn insert_received(&self, key: StreamKey, account: u64, record: StreamRecord) {
         let lifetime_millis = u64::from(record.remaining_millis).min(MAX_LIFETIME_MILLIS);
         let expires_at = self.now().after_millis(lifetime_millis);
-        if self.streams.records().insert(key, account, record.origin, expires_at) {
+        self.insert_record(&StreamCopy { key, account, origin: record.origin, expires_at });
+    }
+
+    fn insert_record(&self, copy: &StreamCopy) {
+        if self.streams.records().insert(copy.key, copy.account, copy.origin, copy.expires_at) {
             self.metrics.streams.evictions.inc();
         }
     }
 
-    async fn send_about_stream(&self, message: StreamMessage, to: &[SocketAddr]) {
-        if let Some(socket) = self.streams.socket.get()
+    pub(super) async fn send_about_stream(&self, message: StreamMessage, to: &[SocketAddr]) {
+        if let Some(socket) = self.streams.socket()
             && !to.is_empty()
         {
             send_message(self, socket, &PeerMessage::Stream(self.next_stamp(), message), to).await;
         }
     }
 }
-
-fn remaining_millis(expires_at: Moment, now: Moment) -> u32 {
-    (expires_at.micros_since(now) / MICROS_PER_MILLI) as u32
-}
