Wait for all probes before a send that may crash a fourth engine

Cause: a request waited for one probe, and only if two crashes were confirmed. An undecided probe ended the wait, too.

Confirmed crashes and endpoints that are being probed now count together, by the request's identity, and the wait lasts until all probes are decided, the deadline passes or the path is lost. The odds are unchanged. New lines: quarantine.awaited, quarantine.short, probe.undecided.

--- a/crates/decide/src/quarantine/crash_history.rs
+++ b/crates/decide/src/quarantine/crash_history.rs
@@ -99,8 +99,19 @@
 impl CrashVerdict {
     /// Whether the request crashes endpoints.
     pub fn is_fatal(&self) -> bool {
-        let needed = MIN_LOG_ODDS + f64::from(self.service_size.max(1)).ln();
-        self.counted >= MIN_CRASHES_PER_VERDICT && self.log_odds >= needed
+        self.counted >= MIN_CRASHES_PER_VERDICT && self.log_odds >= self.needed_log_odds()
+    }
+
+    /// Returns the log odds that a verdict of a request's guilt needs.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::CrashVerdict;
+    /// let verdict = |service_size| CrashVerdict { service_size, ..CrashVerdict::default() };
+    /// assert!(verdict(6).needed_log_odds() < verdict(5_500).needed_log_odds());
+    /// ```
+    pub fn needed_log_odds(&self) -> f64 {
+        MIN_LOG_ODDS + f64::from(self.service_size.max(1)).ln()
     }
 
     /// Whether a request on probation crashes endpoints again.
--- a/crates/decide/src/quarantine/request_quarantine.rs
+++ b/crates/decide/src/quarantine/request_quarantine.rs
@@ -23,6 +23,9 @@
 /// and the VMs of this one that receive relayed reports through a leader.
 const AUDIENCE_COUNT: usize = 3;
 
+/// Maximum number of verdicts that are kept for the log.
+const MAX_SHORT_VERDICTS: usize = 64;
+
 /// Change to the set of quarantined requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuarantineChange {
@@ -59,6 +62,8 @@
     /// Requests to evaluate, and when.
     pending_evaluations: BTreeMap<RequestKey, Moment>,
     repeat_schedules: [RepeatSchedule; AUDIENCE_COUNT],
+    /// Verdicts that did not suffice, until they are logged.
+    short_verdicts: Vec<(RequestKey, CrashVerdict)>,
 }
 
 /// Repetition of messages to one audience.
@@ -104,9 +109,24 @@
         self.history.crashes_of(request)
     }
 
-    /// Whether one more crash may put a request in quarantine.
-    pub fn is_near_threshold(&self, request: RequestKey) -> bool {
-        self.table.is_on_probation(request) || self.history.crashes_of(request) + 1 >= MIN_CRASHES_PER_VERDICT
+    /// Whether a request may be put in quarantine if `pending` endpoints, whose connections broke under it,
+    /// turn out to have crashed.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::{RequestKey, RequestQuarantine};
+    /// let quarantine = RequestQuarantine::default();
+    /// assert!(!quarantine.is_near_threshold(RequestKey::default(), 2));
+    /// assert!(quarantine.is_near_threshold(RequestKey::default(), 3));
+    /// ```
+    pub fn is_near_threshold(&self, request: RequestKey, pending: usize) -> bool {
+        let may_suffice = self.history.crashes_of(request) + pending >= MIN_CRASHES_PER_VERDICT;
+        pending > 0 && (may_suffice || self.table.is_on_probation(request))
+    }
+
+    /// Returns the verdicts since the last call that did not suffice for a quarantine.
+    pub fn take_short_verdicts(&mut self) -> Vec<(RequestKey, CrashVerdict)> {
+        std::mem::take(&mut self.short_verdicts)
     }
 
     /// Returns all requests that are or were quarantined.
@@ -285,6 +305,9 @@
         let is_fatal =
             verdict.is_fatal() || (self.table.is_on_probation(request) && verdict.is_fatal_again());
         if !is_fatal {
+            if self.short_verdicts.len() < MAX_SHORT_VERDICTS {
+                self.short_verdicts.push((request, verdict));
+            }
             return Vec::new();
         }
         let Some(round) = self.table.begin(request, verdict.crashes as u32, now) else { return Vec::new() };
--- a/crates/gateway/src/endpoints/crash_detector.rs
+++ b/crates/gateway/src/endpoints/crash_detector.rs
@@ -64,18 +64,12 @@
 pub(crate) type ProbeCompletion = watch::Receiver<bool>;
 
 impl CrashDetector {
-    /// Adds a send. Returns the completion of its endpoint's probe, and whether to probe the endpoint now;
-    /// none if [`MAX_BROKEN_SENDS`] are recorded already.
-    fn add(
-        &self,
-        endpoint: &BrokenEndpoint,
-        send: BrokenSend,
-        now: Moment,
-    ) -> Option<(ProbeCompletion, bool)> {
+    /// Adds a send; returns whether to probe its endpoint now. Beyond [`MAX_BROKEN_SENDS`], sends are dropped.
+    fn add(&self, endpoint: &BrokenEndpoint, send: BrokenSend, now: Moment) -> bool {
         let mut suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         suspicions.retain(|_, suspicion| now < suspicion.expires_at);
         if suspicions.values().map(|suspicion| suspicion.sends.len()).sum::<usize>() >= MAX_BROKEN_SENDS {
-            return None;
+            return false;
         }
         let suspicion = suspicions.entry(send.crash.start).or_insert_with(|| {
             let (endpoint, probed) = (endpoint.clone(), watch::channel(false).0);
@@ -85,8 +79,7 @@
         suspicion.sends.push(send);
         // An endpoint that was found alive is probed again: it may have crashed since.
         suspicion.probed.send_replace(false);
-        let is_due = !std::mem::replace(&mut suspicion.is_probing, true);
-        Some((suspicion.probed.subscribe(), is_due))
+        !std::mem::replace(&mut suspicion.is_probing, true)
     }
 
     fn record_alive(&self, endpoint: EndpointKey) {
@@ -101,16 +94,40 @@
     fn record_unproven(&self, endpoint: EndpointKey, now: Moment) -> bool {
         let mut suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let Some(suspicion) = suspicions.get_mut(&endpoint) else { return false };
-        suspicion.probed.send_replace(true);
         suspicion.is_probing = now < suspicion.expires_at;
+        if !suspicion.is_probing {
+            suspicion.probed.send_replace(true);
+        }
         suspicion.is_probing
     }
 
-    /// Removes and returns the sends of a crashed endpoint; none if they have expired: the endpoint may have
-    /// survived these broken connections.
-    fn take(&self, endpoint: EndpointKey, now: Moment) -> Option<CrashSuspicion> {
-        let suspicion = self.0.lock().unwrap_or_else(PoisonError::into_inner).remove(&endpoint);
-        suspicion.filter(|suspicion| now < suspicion.expires_at)
+    /// Whether no endpoint is being probed.
+    pub(crate) fn is_idle(&self) -> bool {
+        let suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        suspicions.values().all(|suspicion| !suspicion.is_probing)
+    }
+
+    /// Returns the completions of the probes of all endpoints that a request was at when their connections
+    /// broke.
+    pub(crate) fn pending_probes(&self, request: RequestKey) -> Vec<ProbeCompletion> {
+        let suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let pending = suspicions.values().filter(|suspicion| {
+            suspicion.is_probing && suspicion.sends.iter().any(|send| send.request == request)
+        });
+        pending.map(|suspicion| suspicion.probed.subscribe()).collect()
+    }
+
+    /// Removes the sends of a crashed endpoint and passes them to `record`, unless they have expired: the
+    /// endpoint may have survived these broken connections.
+    ///
+    /// Until they are recorded, they count as pending.
+    fn confirm(&self, endpoint: EndpointKey, now: Moment, record: impl FnOnce(&CrashSuspicion)) {
+        let mut suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let suspicion = suspicions.remove(&endpoint).filter(|suspicion| now < suspicion.expires_at);
+        if let Some(suspicion) = suspicion {
+            record(&suspicion);
+            suspicion.probed.send_replace(true);
+        }
     }
 
     /// Returns the endpoints of broken sends that had `address`.
@@ -125,31 +142,28 @@
 }
 
 impl Gateway {
-    /// Records a broken send, and probes its endpoint from a task of its own. Returns the completion of the
-    /// probe.
-    pub(crate) fn record_broken_send(
-        self: &Arc<Self>,
-        endpoint: &BrokenEndpoint,
-        send: BrokenSend,
-    ) -> Option<ProbeCompletion> {
+    /// Records a broken send, and probes its endpoint from a task of its own.
+    pub(crate) fn record_broken_send(self: &Arc<Self>, endpoint: &BrokenEndpoint, send: BrokenSend) {
         let key = send.crash.start;
-        let (completion, is_due) = self.crash_detector.add(endpoint, send, self.now())?;
-        if is_due {
+        if self.crash_detector.add(endpoint, send, self.now()) {
             tokio::spawn(probe(Arc::clone(self), key, endpoint.address));
         }
-        Some(completion)
     }
 
     /// Records that an endpoint crashed, as `sign` shows: its broken sends are evidence.
     pub(crate) fn confirm_crash(&self, endpoint: EndpointKey, sign: &'static str) {
-        let Some(suspicion) = self.crash_detector.take(endpoint, self.now()) else { return };
-        log::warn!(endpoint = suspicion.endpoint.id.as_str(), sends = suspicion.sends.len(), sign;
-            "endpoint.ended");
-        for send in &suspicion.sends {
-            let BrokenSend { request, crash, age_micros, .. } = *send;
-            self.record_own_crash(&CrashReport { request, crash, age_micros }, send, &suspicion.endpoint.id);
-        }
-        suspicion.probed.send_replace(true);
+        let now = self.now();
+        self.crash_detector.confirm(endpoint, now, |suspicion| {
+            let broke_at = suspicion.sends.iter().map(|send| send.crash.at).min();
+            let took_ms = broke_at.map_or(0, |at| millis(now.micros_since(at)));
+            log::warn!(endpoint = suspicion.endpoint.id.as_str(), sends = suspicion.sends.len(), sign, took_ms;
+                "endpoint.ended");
+            for send in &suspicion.sends {
+                let BrokenSend { request, crash, age_micros, .. } = *send;
+                let report = CrashReport { request, crash, age_micros };
+                self.record_own_crash(&report, send, &suspicion.endpoint.id);
+            }
+        });
     }
 
     /// Records that the endpoint `started` has an address: any other endpoint with broken sends there has
@@ -175,6 +189,7 @@
                 }
                 break;
             }
+            log::info!(address:% = address; "probe.undecided");
             if !gateway.crash_detector.record_unproven(endpoint, gateway.now()) {
                 return;
             }
--- a/crates/gateway/src/quarantine/quarantine_tracker.rs
+++ b/crates/gateway/src/quarantine/quarantine_tracker.rs
@@ -97,14 +97,16 @@
         self.evidence_received.notify_one();
     }
 
-    /// Whether one more crash may quarantine a request.
-    pub(crate) fn is_near_quarantine(&self, request: RequestKey) -> bool {
-        self.quarantine_tracker().quarantine.is_near_threshold(request)
-    }
-
     /// Evaluates the requests whose evidence is due.
     pub(crate) fn evaluate_requests(&self) {
-        let changes = self.quarantine_tracker().quarantine.evaluate_due(self.now());
+        let (changes, short) = {
+            let mut tracker = self.quarantine_tracker();
+            (tracker.quarantine.evaluate_due(self.now()), tracker.quarantine.take_short_verdicts())
+        };
+        for (request, verdict) in short {
+            log::warn!(digest:% = request, endings = verdict.crashes, blamed = verdict.counted,
+                log_odds = verdict.log_odds, needed = verdict.needed_log_odds(); "quarantine.short");
+        }
         self.publish_changes(&changes);
     }
 
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -14,8 +14,8 @@
 use crate::requests::relay::answer_with;
 use crate::requests::request_context::{RequestContext, header_text};
 use crate::{
-    CanaryDraw, EndpointCrash, EndpointKey, EndpointRow, PlacementChoice, QueueEntry, RequestIdentity,
-    RequestKey, StreamKey, StreamOrigin, short_digest,
+    CanaryDraw, EndpointCrash, EndpointKey, EndpointRow, PathState, PlacementChoice, QueueEntry,
+    RequestIdentity, RequestKey, StreamKey, StreamOrigin, short_digest,
 };
 use bytes::Bytes;
 use hyper::header::HeaderName;
@@ -80,8 +80,6 @@
     pub failure: Option<(Box<response::Parts>, Bytes)>,
     /// Its identity, if that was computed.
     key: Option<RequestKey>,
-    /// Signals that the endpoint of the last broken send has been probed.
-    pub probe_completion: Option<ProbeCompletion>,
     outcome: &'static str,
     status: u16,
     pub resources: CallerResources,
@@ -165,7 +163,6 @@
             first_at: None,
             failure: None,
             key: None,
-            probe_completion: None,
             outcome: "caller left",
             status: 0,
             resources,
@@ -199,35 +196,53 @@
         self.gateway.quarantine_tracker().quarantine.quarantined(key, now).is_some()
     }
 
-    /// Whether endpoints have crashed under it.
+    /// Whether endpoints have crashed under it, or may have.
     pub(crate) fn is_suspected(&mut self) -> bool {
-        if self.gateway.quarantine_tracker().quarantine.is_idle() {
-            return false;
-        }
-        let Some(key) = self.request_key() else { return false };
-        self.gateway.quarantine_tracker().quarantine.has_records(key)
+        let Some(key) = self.suspected_key() else { return false };
+        let has_records = self.gateway.quarantine_tracker().quarantine.has_records(key);
+        has_records || !self.gateway.crash_detector.pending_probes(key).is_empty()
     }
 
-    /// Waits until evidence that may quarantine the request is evaluated: whether the endpoint of its last
-    /// send crashed, and other evidence that was just received.
+    /// Returns its key, if any request is suspected.
+    fn suspected_key(&mut self) -> Option<RequestKey> {
+        let is_idle = self.gateway.quarantine_tracker().quarantine.is_idle();
+        if is_idle && self.gateway.crash_detector.is_idle() { None } else { self.request_key() }
+    }
+
+    /// Waits until evidence that may quarantine the request is evaluated: whether the endpoints of its broken
+    /// sends crashed, and other evidence that was just received.
     pub(crate) async fn wait_for_evaluation(&mut self) {
-        if self.gateway.quarantine_tracker().quarantine.is_idle() {
-            return;
-        }
-        let Some(key) = self.request_key() else { return };
-        if let Some(mut completion) = self.probe_completion.take()
-            && self.gateway.is_near_quarantine(key)
-        {
-            // The sender is dropped once the endpoint's crash is recorded, which ends the wait, too.
-            let _ = completion.wait_for(|is_probed| *is_probed).await;
+        let Some(key) = self.suspected_key() else { return };
+        let pending = self.gateway.crash_detector.pending_probes(key);
+        let is_near = self.gateway.quarantine_tracker().quarantine.is_near_threshold(key, pending.len());
+        if is_near {
+            self.wait_for_probes(pending).await;
         }
         let next_evaluation_at = self.gateway.quarantine_tracker().quarantine.evaluation_at_of(key);
         if let Some(next_evaluation_at) = next_evaluation_at {
-            self.gateway.wait_until(next_evaluation_at).await;
+            self.gateway.wait_until(next_evaluation_at.min(self.context.deadline)).await;
             self.gateway.evaluate_requests();
         }
     }
 
+    /// Waits until probes are decided. Without a path to the endpoints they cannot be.
+    async fn wait_for_probes(&self, pending: Vec<ProbeCompletion>) {
+        let (gateway, started_at, probes) = (&self.gateway, self.gateway.now(), pending.len());
+        let mut path = gateway.path.subscribe();
+        let all_decided = async {
+            for mut completion in pending {
+                // The sender is dropped once the endpoint's crash is recorded, which ends the wait, too.
+                let _ = completion.wait_for(|is_probed| *is_probed).await;
+            }
+        };
+        let decided = tokio::select! {
+            decided = gateway.complete_before(self.context.deadline, all_decided) => decided.is_ok(),
+            _ = path.wait_for(|state| *state != PathState::Open) => false,
+        };
+        let took_ms = millis(gateway.now().micros_since(started_at));
+        log::info!(request = self.context.id_text(), probes, decided, took_ms; "quarantine.awaited");
+    }
+
     /// Refuses a quarantined request: the answer states whether it may have run, and has no retry delay.
     pub(crate) fn refuse_quarantined(&mut self) -> Response<AnswerBody> {
         if let Some(key) = self.key {
@@ -268,7 +283,7 @@
         let endpoint = BrokenEndpoint { id: flight.endpoint.clone(), address: flight.address };
         let request_id = self.context.id_text().to_owned();
         let send = BrokenSend { request, request_id, crash, age_micros };
-        self.probe_completion = self.gateway.record_broken_send(&endpoint, send);
+        self.gateway.record_broken_send(&endpoint, send);
     }
 
     /// Returns what to record if a send's endpoint crashed; none if it is departing or not listed.
