Log the shared parts of prompts at broken sends

Cause: the lines of sends that broke name a request's identity only, so whether prompts at several crashes share a part cannot be told.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -316,6 +316,8 @@
     pub rollout_status: fn(RolloutPhase, &str) -> Vec<u8>,
     /// Decodes the segments of a prompt from their header.
     pub prompt_segments: fn(&str) -> Option<Vec<PromptSegment>>,
+    /// Returns the names of a prompt's segments, as its caller states them in the same header.
+    pub segment_names: fn(&str) -> Vec<&str>,
     /// Decodes the count of prompt tokens and the limit of generated tokens.
     pub token_usage: fn(&str) -> Option<(u32, u32)>,
     /// Decodes the head of an endpoint's answer.
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -274,7 +274,8 @@
         let (is_answering, age_micros) = flight.age();
         let key = self.request_key();
         let digest = key.map_or_else(String::new, |key| key.to_string());
-        log::warn!(request = self.context.id_text(), digest = digest.as_str(),
+        let parts = self.context.shared_segment_names(&self.gateway).join(",");
+        log::warn!(request = self.context.id_text(), digest = digest.as_str(), parts = parts.as_str(),
             endpoint = flight.endpoint.as_str(), begun = is_answering, age_ms = millis(age_micros);
             "send.broke");
         let (Some(request), Some(crash)) = (key, self.crash_of(flight)) else { return };
