--- a/crates/decide/src/fleet/peer_table.rs
+++ b/crates/decide/src/fleet/peer_table.rs
@@ -9,7 +9,7 @@
 //! sends to every other one, which gives more current data at little cost.
 
 use crate::admit::SHARE_RETENTION_MILLIS;
-use crate::{ForwardPeer, ForwardPeers, ListMembership, ShareRight, VmKey};
+use crate::{ForwardPeer, ForwardPeers, ListMembership, ShareRight, VmKey, short_digest};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::cmp::Reverse;
@@ -574,6 +574,14 @@
         self.rows.len() + 1
     }
 
+    /// Whether this VM precedes all other live ones in the order of rendezvous hashing for `key`.
+    pub fn is_first_for(&self, key: u64, now: Moment) -> bool {
+        let order = |name: &str| short_digest(&format!("{key:x} {name}"));
+        let own = order(&self.own.name);
+        let live = self.rows.values().filter(|row| row.sent_within(PEER_TIMEOUT_MILLIS, now));
+        live.map(|row| order(&row.entry.name)).all(|other| own < other)
+    }
+
     /// Returns this VM's index among all VMs of the deployment by name, from zero.
     pub fn own_name_index(&self) -> usize {
         self.rows.values().filter(|row| row.entry.name < self.own.name).count()
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,7 +9,7 @@
 //! | `fleet` | state of the deployment: endpoints with their loads, VMs, routes, updates of the store |
 //! | `kept` | contents of engines and cache stores, and which segments of a prompt are transferred or saved |
 //! | `admit` | placement of requests, refusal, and repeated sends |
-//! | `quarantine` | which requests are quarantined because endpoints crash under them |
+//! | `quarantine` | which requests and segments are quarantined because endpoints crash under them |
 //! | `weights` | which engine loads which weights next |
 //! | `streams` | which software version began a stream, and which VMs know it |
 //! | `rollout` | which share of a service's requests goes to a new version, and whether it is rolled back |
@@ -46,9 +46,9 @@
     outdated_segments, salted_key,
 };
 pub use quarantine::{
-    CrashHistory, CrashReport, CrashVerdict, EndpointCrash, IdentityKey, KeyTextError,
+    CrashHistory, CrashReport, CrashVerdict, EndpointCrash, IdentityKey, KeyTextError, MIN_CRASHES_PER_TRIAL,
     MIN_CRASHES_PER_VERDICT, QuarantineChange, QuarantineMessage, QuarantinePhase, QuarantineTable,
-    QuarantinedRequest, RequestIdentity, RequestKey, RequestQuarantine,
+    QuarantinedSuspect, RequestIdentity, RequestQuarantine, SuspectKey, SuspectKind, SuspectMessage,
 };
 pub use rollout::{
     AnswerCounts, CanaryDraw, ExposureTerms, PendingSums, RolloutAnswer, RolloutEvidence, RolloutOrder,
--- a/crates/decide/src/quarantine/crash_history.rs
+++ b/crates/decide/src/quarantine/crash_history.rs
@@ -1,42 +1,37 @@
-//! Evidence that a request crashes the endpoints that run it.
+//! Evidence that a suspect crashes the endpoints that run it: a request, or a segment that prompts share.
 //!
-//! A request that was running at an endpoint when it crashed is not suspicious by that alone: about 24 others
-//! were running there too, endpoints crash for many reasons, and requests that may be repeated are sent again
-//! and meet the next crash by chance.
+//! A suspect that was running at an endpoint when it crashed is not suspicious by that alone: about 24
+//! requests with their segments were running there, endpoints crash for many reasons, requests that may be
+//! repeated are sent again and meet the next crash by chance, and a popular segment runs everywhere.
 //!
-//! Invariant: a request is found fatal only if
-//! - at least [`MIN_CRASHES_PER_VERDICT`] endpoints crashed under it, each time another start of an endpoint;
-//! - no endpoint has completed it since: a completion discards the evidence;
-//! - at each of these crashes no other request was running under which more endpoints crashed, since a crash
-//!   has one cause;
-//! - together the crashes are too unlikely to be unrelated to it. An unrelated request that an endpoint has
+//! Invariant: a suspect is found fatal only if
+//! - at least [`MIN_CRASHES_PER_VERDICT`](crate::MIN_CRASHES_PER_VERDICT) endpoints crashed under it, each
+//!   time another start of an endpoint;
+//! - no endpoint has answered it since: an answer discards the evidence, so the crashes follow one another
+//!   without an answer in between;
+//! - at each of these crashes no other suspect was running under which more endpoints crashed, since a crash
+//!   has one cause. Of a request and its segments with equally many crashes, the request is the cause;
+//! - together the crashes are too unlikely to be unrelated to it. An unrelated suspect that an endpoint has
 //!   been running for `age` meets its crash with a probability of `rate * age`, where `rate` is how often
-//!   endpoints of the service crash for other reasons at that time and address. The product of these
-//!   probabilities must be below one in ten million divided by the number of the service's endpoints, since
-//!   the number of requests that may meet crashes by chance grows with it.
+//!   endpoints of the service crash for other reasons at that time and address. Of several crashes at the same
+//!   time, an unrelated segment meets each further one with the probability that an endpoint is among those
+//!   that crash then. The product of these probabilities must be below one in ten million divided by the
+//!   number of the service's endpoints, since the number of requests that may meet crashes by chance grows
+//!   with it.
+//!
+//! Segments that came together in all crashes have the same evidence. They are found fatal together, as
+//! [`companions`](CrashHistory::companions): only prompts with all of them are then refused.
 //!
 //! In a fleet without other crashes, three crashes within a second of the request's start suffice; where
 //! endpoints crash by themselves, or a data centre fails at once, many more are needed.
 
-use crate::{CrashReport, EndpointCrash, EndpointKey, RequestKey};
+use crate::quarantine::crash_verdict::{CrashVerdict, MIN_CRASHES_PER_VERDICT};
+use crate::{CrashReport, EndpointCrash, EndpointKey, SuspectKey, SuspectKind};
 use spanfold_entity::{MICROS_PER_MILLI, MICROS_PER_SECOND, Moment};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-/// Minimum number of crashes under a request before it can be found fatal.
-pub const MIN_CRASHES_PER_VERDICT: usize = 3;
-/// Minimum log odds against a request: the natural logarithm of ten million, to which that of the number of
-/// endpoints is added.
-///
-/// A request that is sent up to four times while endpoints crash at `r` a second each is then quarantined by
-/// mistake with a probability of `r^4 * Q(4, t - 4 ln(1/r))`, `Q` being the upper incomplete gamma ratio and
-/// `t` this sum. With 5,500 endpoints that each crash every ten seconds, and 40,000 requests a second, that
-/// is one in 30 minutes of such failures; where one endpoint a minute crashes, one in 29 years.
-/// `tests/crash_history.rs` counts mistakes in random histories.
-const MIN_LOG_ODDS: f64 = 16.1;
-/// Minimum log odds against a request on probation: one crash suffices if its probability is below one in
-/// 200.
-const MIN_PROBATION_LOG_ODDS: f64 = 5.3;
-/// Minimum number of crashes at which a tie is resolved. Among requests with equally many crashes the youngest
+/// Minimum number of crashes at which a tie is resolved. Among suspects with equally many crashes the youngest
 /// is then taken as the cause: requests that were first sent again together no longer run at the same
 /// endpoints by that time.
 const MIN_TIED_CRASHES: usize = 4;
@@ -50,8 +45,10 @@
 const MAX_RUNS: usize = 2_048;
 /// Fraction evicted at once, as a divisor: a burst of crashes then doesn't cause a sort for each.
 const EVICTION_DIVISOR: usize = 8;
-/// Maximum number of stored answered requests, by which late reports of earlier crashes are ignored.
-const MAX_ANSWERED_REQUESTS: usize = 512;
+/// Maximum number of companions of a segment.
+const MAX_COMPANIONS: usize = 31;
+/// Maximum number of stored answered suspects, by which late reports of earlier crashes are ignored.
+const MAX_ANSWERED_SUSPECTS: usize = 512;
 /// Times before and after a crash in which other crashes are counted: for a rack that loses power, a series
 /// of crashes, and a fleet with repeated failures.
 const RATE_WINDOWS_MILLIS: [u64; 3] = [500, 2_500, 12_500];
@@ -67,10 +64,18 @@
 /// more.
 const MIN_PROBABILITY: f64 = 1e-6;
 
-/// Request that was running at an endpoint when it crashed.
+/// Time to which the crashes of one event are related, in seconds: the shortest window around a crash.
+const EVENT_SECONDS: f64 = (2 * RATE_WINDOWS_MILLIS[0]) as f64 / 1_000.0;
+/// Time for which an endpoint that crashed is down, although it counts as one of its service.
+const RESTART_MILLIS: u64 = 3_000;
+/// Time by which the start of a run and a crash may appear to overlap although one followed the other.
+const OVERLAP_MARGIN_MICROS: u64 = 20_000;
+
+/// Suspect that was running at an endpoint when it crashed.
 #[derive(Clone, Copy, Debug)]
 struct AffectedRun {
-    request: RequestKey,
+    suspect: SuspectKey,
+    kind: SuspectKind,
     age_micros: u64,
 }
 
@@ -78,66 +83,57 @@
 struct CrashRow {
     crash: EndpointCrash,
     runs: Vec<AffectedRun>,
-    /// Whether a quarantined request caused the crash; it then doesn't count towards the crash rate of
+    /// Whether a quarantined suspect caused the crash; it then doesn't count towards the crash rate of
     /// endpoints.
     is_explained: bool,
 }
 
-/// Evaluation of the evidence against a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct CrashVerdict {
-    /// Number of endpoints that crashed under it.
-    pub crashes: usize,
-    /// Number of these crashes that are not attributed to another request.
-    pub counted: usize,
-    /// Natural logarithm of one over the probability that it is unrelated to them.
-    pub log_odds: f64,
-    /// Number of endpoints of the service.
-    pub service_size: u32,
+/// Crashes of endpoints, and the suspects that were running there.
+#[derive(Debug, Default)]
+pub struct CrashHistory {
+    crashes: BTreeMap<EndpointKey, CrashRow>,
+    suspects: BTreeMap<SuspectKey, SuspectRow>,
+    answered: BTreeMap<SuspectKey, Moment>,
+    runs: usize,
+    /// Number of suspects that are segments.
+    segments: usize,
+}
+
+#[derive(Debug)]
+struct SuspectRow {
+    kind: SuspectKind,
+    /// The starts of endpoints that crashed under it.
+    starts: Vec<EndpointKey>,
 }
 
-impl CrashVerdict {
-    /// Whether the request crashes endpoints.
-    pub fn is_fatal(&self) -> bool {
-        self.counted >= MIN_CRASHES_PER_VERDICT && self.log_odds >= self.needed_log_odds()
+impl CrashHistory {
+    /// Whether no suspect is recorded with a recent crash.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
     }
 
-    /// Returns the log odds that a verdict of a request's guilt needs.
-    ///
-    /// # Examples
-    /// ```
-    /// use spanfold_decide::CrashVerdict;
-    /// let verdict = |service_size| CrashVerdict { service_size, ..CrashVerdict::default() };
-    /// assert!(verdict(6).needed_log_odds() < verdict(5_500).needed_log_odds());
-    /// ```
-    pub fn needed_log_odds(&self) -> f64 {
-        MIN_LOG_ODDS + f64::from(self.service_size.max(1)).ln()
+    /// Whether a segment is recorded with a recent crash.
+    pub const fn has_segments(&self) -> bool {
+        self.segments > 0
     }
 
-    /// Whether a request on probation crashes endpoints again.
-    pub fn is_fatal_again(&self) -> bool {
-        self.counted > 0 && self.log_odds >= MIN_PROBATION_LOG_ODDS
+    /// Returns the number of endpoints that crashed under a suspect.
+    pub fn crashes_of(&self, suspect: SuspectKey) -> usize {
+        self.starts_of(suspect).len()
     }
-}
 
-/// Crashes of endpoints, and the requests that were running there.
-#[derive(Debug, Default)]
-pub struct CrashHistory {
-    crashes: BTreeMap<EndpointKey, CrashRow>,
-    requests: BTreeMap<RequestKey, Vec<EndpointKey>>,
-    answered: BTreeMap<RequestKey, Moment>,
-    runs: usize,
-}
+    /// Returns the kind of a suspect that is recorded with a recent crash.
+    pub fn kind_of(&self, suspect: SuspectKey) -> Option<SuspectKind> {
+        self.suspects.get(&suspect).map(|row| row.kind)
+    }
 
-impl CrashHistory {
-    /// Whether no request is recorded with a recent crash.
-    pub fn is_empty(&self) -> bool {
-        self.requests.is_empty()
+    /// Whether an endpoint answered a suspect since it was last recorded with a crash.
+    pub fn is_answered(&self, suspect: SuspectKey) -> bool {
+        self.answered.contains_key(&suspect) && !self.suspects.contains_key(&suspect)
     }
 
-    /// Returns the number of endpoints that crashed under a request.
-    pub fn crashes_of(&self, request: RequestKey) -> usize {
-        self.requests.get(&request).map_or(0, Vec::len)
+    fn starts_of(&self, suspect: SuspectKey) -> &[EndpointKey] {
+        self.suspects.get(&suspect).map_or(&[], |row| &row.starts)
     }
 
     /// Records the crash of an endpoint, whatever it was running.
@@ -149,72 +145,133 @@
         self.crashes.entry(crash.start).or_insert(row);
     }
 
-    /// Adds a report; returns false if it is recorded already, or older than an answer to the request.
+    /// Adds a report; returns false if it is recorded already, or older than an answer to the suspect.
+    ///
+    /// Of several runs of a suspect at one endpoint, the oldest counts.
     pub fn add_report(&mut self, report: &CrashReport) -> bool {
-        let CrashReport { request, crash, age_micros } = *report;
-        if self.answered.get(&request).is_some_and(|at| crash.at <= *at) {
+        let CrashReport { suspect, kind, crash, age_micros } = *report;
+        if self.answered.get(&suspect).is_some_and(|at| crash.at <= *at) {
             return false;
         }
-        let starts = self.requests.get(&request);
-        if starts.is_some_and(|starts| starts.contains(&crash.start)) {
-            return false;
+        if self.starts_of(suspect).contains(&crash.start) {
+            let row = self.crashes.get_mut(&crash.start);
+            let run = row.and_then(|row| row.runs.iter_mut().find(|run| run.suspect == suspect));
+            return run.is_some_and(|run| {
+                let is_older = age_micros > run.age_micros;
+                run.age_micros = run.age_micros.max(age_micros);
+                is_older
+            });
         }
         if self.runs >= MAX_RUNS {
             self.evict_runs();
         }
         self.record_crash(crash);
         let Some(row) = self.crashes.get_mut(&crash.start) else { return false };
-        row.runs.push(AffectedRun { request, age_micros });
-        self.requests.entry(request).or_default().push(crash.start);
+        row.runs.push(AffectedRun { suspect, kind, age_micros });
+        if !self.suspects.contains_key(&suspect) {
+            self.segments += usize::from(kind == SuspectKind::Segment);
+        }
+        let row = self.suspects.entry(suspect).or_insert_with(|| SuspectRow { kind, starts: Vec::new() });
+        row.starts.push(crash.start);
         self.runs += 1;
         true
     }
 
-    /// Records that an endpoint completed a request; returns whether endpoints had crashed under it before.
-    pub fn record_answered(&mut self, request: RequestKey, at: Moment) -> bool {
-        if !self.discard(request) {
+    /// Records that an endpoint answered a suspect; returns whether endpoints had crashed under it before.
+    pub fn record_answered(&mut self, suspect: SuspectKey, at: Moment) -> bool {
+        if !self.discard(suspect) {
             return false;
         }
-        if self.answered.len() < MAX_ANSWERED_REQUESTS {
-            self.answered.insert(request, at);
+        if self.answered.len() < MAX_ANSWERED_SUSPECTS {
+            self.answered.insert(suspect, at);
         }
         true
     }
 
-    /// Discards the evidence against a request; returns whether there was any.
-    pub fn discard(&mut self, request: RequestKey) -> bool {
-        let Some(starts) = self.requests.remove(&request) else { return false };
+    /// Discards the evidence against a suspect; returns whether there was any.
+    pub fn discard(&mut self, suspect: SuspectKey) -> bool {
+        let Some(SuspectRow { kind, starts }) = self.suspects.remove(&suspect) else { return false };
+        self.segments -= usize::from(kind == SuspectKind::Segment);
         for start in starts {
             if let Some(row) = self.crashes.get_mut(&start) {
                 let before = row.runs.len();
-                row.runs.retain(|run| run.request != request);
+                row.runs.retain(|run| run.suspect != suspect);
                 self.runs -= before - row.runs.len();
             }
         }
         true
     }
 
-    /// Marks the crashes under a quarantined request as caused by it.
-    pub fn mark_explained(&mut self, request: RequestKey) {
-        for start in self.requests.get(&request).into_iter().flatten() {
+    /// Returns the suspects that may be found fatal once the evidence against `suspect` is discarded: those
+    /// at its crashes with enough crashes of their own.
+    pub fn rivals_of(&self, suspect: SuspectKey) -> Vec<SuspectKey> {
+        let rows = self.starts_of(suspect).iter().filter_map(|start| self.crashes.get(start));
+        let others = rows.flat_map(|row| &row.runs).map(|run| run.suspect);
+        let mut rivals: Vec<_> = others
+            .filter(|other| *other != suspect && self.crashes_of(*other) >= MIN_CRASHES_PER_VERDICT)
+            .collect();
+        rivals.sort_unstable();
+        rivals.dedup();
+        rivals
+    }
+
+    /// Marks the crashes under a quarantined suspect as caused by it.
+    pub fn mark_explained(&mut self, suspect: SuspectKey) {
+        for start in self.suspects.get(&suspect).into_iter().flat_map(|row| &row.starts) {
             if let Some(row) = self.crashes.get_mut(start) {
                 row.is_explained = true;
             }
         }
     }
 
-    /// Evaluates the evidence against a request.
-    pub fn verdict(&self, request: RequestKey) -> CrashVerdict {
-        let starts = self.requests.get(&request).map_or(&[][..], Vec::as_slice);
+    /// Returns the segments that were in all crashes of a segment, each time in the same prompt.
+    pub fn companions(&self, suspect: SuspectKey) -> Arc<[SuspectKey]> {
+        let Some(SuspectRow { kind: SuspectKind::Segment, starts }) = self.suspects.get(&suspect) else {
+            return Arc::default();
+        };
+        let mut rows = starts.iter().filter_map(|start| self.crashes.get(start));
+        let Some(first) = rows.next() else { return Arc::default() };
+        let companions_in = |row: &CrashRow| {
+            let own = row.runs.iter().find(|run| run.suspect == suspect).map(|run| run.age_micros);
+            let others = row.runs.iter().filter(move |run| run.suspect != suspect);
+            let same_prompt =
+                others.filter(move |run| run.kind == SuspectKind::Segment && Some(run.age_micros) == own);
+            same_prompt.map(|run| run.suspect).collect::<Vec<_>>()
+        };
+        let mut companions = companions_in(first);
+        companions.retain(|companion| self.crashes_of(*companion) == starts.len());
+        for row in rows {
+            let present = companions_in(row);
+            companions.retain(|companion| present.contains(companion));
+        }
+        companions.sort_unstable();
+        companions.truncate(MAX_COMPANIONS);
+        companions.into()
+    }
+
+    /// Evaluates the evidence against a suspect.
+    pub fn verdict(&self, suspect: SuspectKey) -> CrashVerdict {
+        let starts = self.starts_of(suspect);
         let mut verdict = CrashVerdict { crashes: starts.len(), ..CrashVerdict::default() };
-        for row in starts.iter().filter_map(|start| self.crashes.get(start)) {
-            let Some(run) = row.runs.iter().find(|run| run.request == request) else { continue };
-            if self.is_attributed(run, row) {
-                verdict.counted += 1;
-                verdict.service_size = verdict.service_size.max(row.crash.service_size);
-                verdict.log_odds -= self.probability(run, &row.crash).ln();
-            }
+        let companions = self.companions(suspect);
+        let mut counted: Vec<_> = starts
+            .iter()
+            .filter_map(|start| self.crashes.get(start))
+            .filter_map(|row| Some((row, row.runs.iter().find(|run| run.suspect == suspect)?)))
+            .filter(|(row, run)| self.is_attributed(run, row, &companions))
+            .collect();
+        counted.sort_unstable_by_key(|(row, _)| (row.crash.at, row.crash.start));
+        // Whether each crash may be one event with the next one.
+        let mut precedes: Vec<_> =
+            counted.windows(2).map(|pair| is_joint(pair[0].0, pair[1].0, pair[1].1)).collect();
+        precedes.push(false);
+        let follows = |index: usize| index > 0 && precedes[index - 1];
+        for (index, (row, run)) in counted.iter().enumerate() {
+            let event = (follows(index), precedes[index]);
+            verdict.service_size = verdict.service_size.max(row.crash.service_size);
+            verdict.log_odds -= self.probability(run, &row.crash, event).ln();
         }
+        verdict.counted = counted.len();
         verdict
     }
 
@@ -223,7 +280,8 @@
         let rows = self.crashes.values().flat_map(|row| {
             let reports = row.runs.iter();
             reports.map(|run| CrashReport {
-                request: run.request,
+                suspect: run.suspect,
+                kind: run.kind,
                 crash: row.crash,
                 age_micros: run.age_micros,
             })
@@ -248,25 +306,69 @@
         self.answered.retain(|_, at| !is_expired(*at));
     }
 
-    /// Whether a crash is attributed to `run`: each other request there has fewer crashes, or as many, at least
-    /// [`MIN_TIED_CRASHES`], and is older.
-    fn is_attributed(&self, run: &AffectedRun, row: &CrashRow) -> bool {
-        let own = self.crashes_of(run.request);
-        row.runs.iter().filter(|other| other.request != run.request).all(|other| {
-            let others = self.crashes_of(other.request);
-            let is_younger = (run.age_micros, run.request) < (other.age_micros, other.request);
-            others < own || (others == own && own >= MIN_TIED_CRASHES && is_younger)
+    /// Whether a crash is attributed to `run`: each other suspect there has fewer crashes, or as many, at least
+    /// [`MIN_TIED_CRASHES`], and is older. A request precedes segments with as many crashes, and companions
+    /// are no rivals.
+    fn is_attributed(&self, run: &AffectedRun, row: &CrashRow, companions: &[SuspectKey]) -> bool {
+        let own = self.crashes_of(run.suspect);
+        row.runs.iter().filter(|other| other.suspect != run.suspect).all(|other| {
+            let others = self.crashes_of(other.suspect);
+            let is_younger = (run.age_micros, run.suspect) < (other.age_micros, other.suspect);
+            others < own
+                || others == own
+                    && match (run.kind, other.kind) {
+                        (SuspectKind::Request, SuspectKind::Segment) => true,
+                        (SuspectKind::Segment, SuspectKind::Request) => false,
+                        _ => companions.contains(&other.suspect) || (own >= MIN_TIED_CRASHES && is_younger),
+                    }
         })
     }
 
     /// Returns the probability that an endpoint crashes within the age of a run for an unrelated reason.
-    fn probability(&self, run: &AffectedRun, crash: &EndpointCrash) -> f64 {
+    ///
+    /// `event` tells whether the crash may be one event with the previous, and with the next crash under the
+    /// same segment. The first crash of such an event stands for its time, the others for its extent.
+    fn probability(&self, run: &AffectedRun, crash: &EndpointCrash, event: (bool, bool)) -> f64 {
         let age = run.age_micros.max(MIN_AGE_MICROS) as f64 / MICROS_PER_SECOND as f64;
-        (self.crash_rate(run.request, crash) * age).clamp(MIN_PROBABILITY, 1.0)
+        let probability = self.crash_rate(run, crash) * age;
+        let event = match event {
+            (true, _) => self.crashing_fraction(crash),
+            (false, true) => self.crashing_fraction(crash) * age / EVENT_SECONDS,
+            (false, false) => 0.0,
+        };
+        probability.max(event).clamp(MIN_PROBABILITY, 1.0)
+    }
+
+    /// Returns the fraction of a service's endpoints that crash at the time of `crash`.
+    fn crashing_fraction(&self, crash: &EndpointCrash) -> f64 {
+        let is_near = |row: &&CrashRow| {
+            let distance_micros =
+                row.crash.at.micros_since(crash.at).max(crash.at.micros_since(row.crash.at));
+            row.crash.service == crash.service
+                && !row.is_explained
+                && distance_micros <= RATE_WINDOWS_MILLIS[0] * MICROS_PER_MILLI
+        };
+        // Those that crash now were up before.
+        let crashing = self.crashes.values().filter(is_near).count() as f64;
+        crashing / self.live_endpoints(crash).max(crashing)
     }
 
-    /// Returns an endpoint's crashes a second around `crash` for reasons unrelated to `request`.
-    fn crash_rate(&self, request: RequestKey, crash: &EndpointCrash) -> f64 {
+    /// Returns the number of a service's endpoints that were up before `crash`.
+    fn live_endpoints(&self, crash: &EndpointCrash) -> f64 {
+        let is_down = |row: &&CrashRow| {
+            row.crash.service == crash.service
+                && row.crash.at < crash.at
+                && crash.at < row.crash.at.after_millis(RESTART_MILLIS)
+        };
+        let down = self.crashes.values().filter(is_down).count() as u32;
+        f64::from(crash.service_size.saturating_sub(down).max(1))
+    }
+
+    /// Returns an endpoint's crashes a second around `crash` for reasons unrelated to the suspect of `run`.
+    ///
+    /// A request meets few of the crashes that have other reasons, so those under it don't count. A popular
+    /// segment meets nearly all of them.
+    fn crash_rate(&self, run: &AffectedRun, crash: &EndpointCrash) -> f64 {
         let (mut nearby, mut at_address) = ([0_u32; RATE_WINDOWS_MILLIS.len()], 0_u32);
         let mut has_crashed_before = false;
         let other_crashes =
@@ -278,7 +380,8 @@
             let is_at_address =
                 row.crash.address_digest == crash.address_digest && is_within(ADDRESS_WINDOW_MILLIS);
             has_crashed_before |= is_at_address && row.crash.at <= crash.at;
-            if row.runs.iter().any(|run| run.request == request) {
+            let is_own = || row.runs.iter().any(|other| other.suspect == run.suspect);
+            if run.kind == SuspectKind::Request && is_own() {
                 continue;
             }
             at_address += u32::from(is_at_address);
@@ -287,7 +390,7 @@
             }
         }
         let seconds = |millis: u64| (2 * millis) as f64 / 1_000.0;
-        let service_size = f64::from(crash.service_size.max(1));
+        let service_size = self.live_endpoints(crash);
         let window_rates = nearby
             .iter()
             .zip(RATE_WINDOWS_MILLIS)
@@ -300,21 +403,21 @@
         window_rates.fold(floor.max(address).max(repeat), f64::max)
     }
 
-    /// Evicts the runs of the requests with the least evidence: those with the fewest crashes, and of these
+    /// Evicts the runs of the suspects with the least evidence: those with the fewest crashes, and of these
     /// the oldest.
     fn evict_runs(&mut self) {
         let mut candidates: Vec<_> = self
-            .requests
+            .suspects
             .iter()
-            .map(|(request, starts)| {
+            .map(|(suspect, SuspectRow { starts, .. })| {
                 let oldest =
                     starts.iter().filter_map(|start| self.crashes.get(start)).map(|row| row.crash.at);
-                (starts.len(), oldest.min(), *request)
+                (starts.len(), oldest.min(), *suspect)
             })
             .collect();
         candidates.sort_unstable();
-        for (_, _, request) in candidates.into_iter().take(MAX_RUNS / EVICTION_DIVISOR) {
-            self.discard(request);
+        for (_, _, suspect) in candidates.into_iter().take(MAX_RUNS / EVICTION_DIVISOR) {
+            self.discard(suspect);
         }
     }
 
@@ -332,12 +435,23 @@
         let Some(row) = self.crashes.remove(&start) else { return };
         self.runs -= row.runs.len();
         for run in row.runs {
-            if let Some(starts) = self.requests.get_mut(&run.request) {
-                starts.retain(|other| *other != start);
-                if starts.is_empty() {
-                    self.requests.remove(&run.request);
+            if let Some(row) = self.suspects.get_mut(&run.suspect) {
+                row.starts.retain(|other| *other != start);
+                if row.starts.is_empty() {
+                    self.segments -= usize::from(row.kind == SuspectKind::Segment);
+                    self.suspects.remove(&run.suspect);
                 }
             }
         }
     }
 }
+
+/// Whether a crash may be one event with the `previous` one under the same segment, which `run` was running when
+/// that happened.
+///
+/// A request runs at one endpoint after the other; a segment runs at many, and meets the crash of a data centre at
+/// all of them.
+fn is_joint(previous: &CrashRow, row: &CrashRow, run: &AffectedRun) -> bool {
+    let begun_at = row.crash.at.0.saturating_sub(run.age_micros) + OVERLAP_MARGIN_MICROS;
+    run.kind == SuspectKind::Segment && begun_at < previous.crash.at.0
+}
--- a/crates/decide/src/quarantine/endpoint_crash.rs
+++ b/crates/decide/src/quarantine/endpoint_crash.rs
@@ -1,6 +1,6 @@
-//! Crashes of endpoints, and the requests that were running there.
+//! Crashes of endpoints, and the requests and segments that were running there.
 
-use crate::{EndpointKey, RequestKey};
+use crate::{EndpointKey, SuspectKey, SuspectKind};
 use spanfold_entity::Moment;
 
 /// Crash of an endpoint: a stop that it had not announced.
@@ -18,14 +18,16 @@
     pub at: Moment,
 }
 
-/// Request that was running at an endpoint when it crashed.
+/// Request, or segment of one, that was running at an endpoint when it crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashReport {
-    /// The request.
-    pub request: RequestKey,
+    /// The request or segment.
+    pub suspect: SuspectKey,
+    /// Which of the two it is.
+    pub kind: SuspectKind,
     /// The crash.
     pub crash: EndpointCrash,
-    /// Time for which the endpoint had been running the request, in microseconds: since it began to answer,
-    /// or else since the request was sent.
+    /// Time for which the endpoint had been running it, in microseconds: since the endpoint began to answer,
+    /// or else since the request was sent; of several requests with a segment, the longest.
     pub age_micros: u64,
 }
--- a/crates/decide/tests/crash_history.rs
+++ b/crates/decide/tests/crash_history.rs
@@ -4,14 +4,15 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use spanfold_decide::{
-    CrashHistory, CrashReport, EndpointCrash, EndpointKey, IdentityKey, RequestIdentity, RequestKey,
+    CrashHistory, CrashReport, EndpointCrash, EndpointKey, IdentityKey, RequestIdentity, SuspectKey,
+    SuspectKind,
 };
 use spanfold_entity::Moment;
 
 const MICROS_PER_MILLI: u64 = 1_000;
 const MICROS_PER_SECOND: u64 = 1_000 * MICROS_PER_MILLI;
 
-fn request(number: u64) -> RequestKey {
+fn request(number: u64) -> SuspectKey {
     let body = number.to_le_bytes();
     let identity = RequestIdentity { account: "a", method: "POST", host: "h", path: "/p", body: &body };
     IdentityKey::derive(&[1; 32]).of(&identity)
@@ -24,7 +25,12 @@
 }
 
 fn report(number: u64, crash: EndpointCrash, age_millis: u64) -> CrashReport {
-    CrashReport { request: request(number), crash, age_micros: age_millis * MICROS_PER_MILLI }
+    CrashReport {
+        suspect: request(number),
+        kind: SuspectKind::Request,
+        crash,
+        age_micros: age_millis * MICROS_PER_MILLI,
+    }
 }
 
 fn is_fatal(history: &CrashHistory, number: u64) -> bool {
@@ -252,7 +258,12 @@
             history.record_crash(end);
             for run in std::mem::take(&mut runs[place]) {
                 let age_micros = now - run.begun_at;
-                history.add_report(&CrashReport { request: request(run.number), crash: end, age_micros });
+                history.add_report(&CrashReport {
+                    suspect: request(run.number),
+                    kind: SuspectKind::Request,
+                    crash: end,
+                    age_micros,
+                });
                 ended.push(run);
             }
             starts[place] = next_start;
--- a/crates/decide/tests/request_quarantine.rs
+++ b/crates/decide/tests/request_quarantine.rs
@@ -4,15 +4,17 @@
 use rand::{Rng, SeedableRng};
 use spanfold_decide::{
     CrashReport, EndpointCrash, EndpointKey, IdentityKey, QuarantineChange, QuarantineMessage,
-    QuarantinePhase, QuarantineTable, RequestIdentity, RequestKey, RequestQuarantine,
+    QuarantinePhase, QuarantineTable, RequestIdentity, RequestQuarantine, SuspectKey, SuspectKind,
+    SuspectMessage,
 };
 use spanfold_entity::Moment;
+use std::sync::Arc;
 
 const MICROS_PER_SECOND: u64 = 1_000_000;
 const QUARANTINE_MICROS: u64 = 600 * MICROS_PER_SECOND;
 const EVIDENCE_DELAY_MICROS: u64 = 150_000;
 
-fn request(number: u64) -> RequestKey {
+fn request(number: u64) -> SuspectKey {
     let body = number.to_le_bytes();
     let identity = RequestIdentity { account: "a", method: "POST", host: "h", path: "/p", body: &body };
     IdentityKey::derive(&[1; 32]).of(&identity)
@@ -21,7 +23,7 @@
 fn report(number: u64, start: u64, at: Moment) -> CrashReport {
     let start = EndpointKey(start);
     let crash = EndpointCrash { start, address_digest: start.0, service: 1, service_size: 18, at };
-    CrashReport { request: request(number), crash, age_micros: 60_000 }
+    CrashReport { suspect: request(number), kind: SuspectKind::Request, crash, age_micros: 60_000 }
 }
 
 /// Evaluates the evidence that arrived at `at`.
@@ -71,7 +73,7 @@
     record_three_crashes(&mut quarantine, 10, begun_at);
     let over_at = Moment(begun_at.0 + EVIDENCE_DELAY_MICROS + QUARANTINE_MICROS);
     quarantine.sweep(over_at);
-    assert!(quarantine.record_answered(request(1), over_at));
+    assert!(quarantine.record_answered(request(1), over_at, over_at).0);
     assert!(quarantine.is_idle());
     let later = Moment(over_at.0 + MICROS_PER_SECOND);
     quarantine.record_report(&report(1, 20, later), later);
@@ -93,19 +95,37 @@
 fn repeated_report_never_extends_a_quarantine() {
     let mut quarantine = RequestQuarantine::default();
     let held_message =
-        |rest_micros| QuarantineMessage::Held { request: request(1), round: 1, endings: 3, rest_micros };
-    assert!(quarantine.apply_quarantine_message(&held_message(100 * MICROS_PER_SECOND), Moment(0)).0);
+        |rest_micros| QuarantineMessage::Held { suspect: request(1), round: 1, endings: 3, rest_micros };
+    assert!(
+        quarantine
+            .apply_message(&SuspectMessage::Request(held_message(100 * MICROS_PER_SECOND)), Moment(0))
+            .0
+    );
     assert!(
         !quarantine
-            .apply_quarantine_message(&held_message(100 * MICROS_PER_SECOND), Moment(50 * MICROS_PER_SECOND))
+            .apply_message(
+                &SuspectMessage::Request(held_message(100 * MICROS_PER_SECOND)),
+                Moment(50 * MICROS_PER_SECOND)
+            )
             .0
     );
     assert!(!is_quarantined(&quarantine, 1, Moment(100 * MICROS_PER_SECOND)));
     // A VM whose clock stood still, or the store, reports the quarantine after it has ended.
     quarantine.sweep(Moment(100 * MICROS_PER_SECOND));
-    quarantine
-        .apply_quarantine_message(&held_message(60 * MICROS_PER_SECOND), Moment(101 * MICROS_PER_SECOND));
-    assert_eq!(quarantine.adopt_stored(request(1), (1, 3), Moment(101 * MICROS_PER_SECOND)), Vec::new());
+    quarantine.apply_message(
+        &SuspectMessage::Request(held_message(60 * MICROS_PER_SECOND)),
+        Moment(101 * MICROS_PER_SECOND),
+    );
+    assert_eq!(
+        quarantine.adopt_stored(
+            request(1),
+            SuspectKind::Request,
+            (1, 3),
+            Arc::default(),
+            Moment(101 * MICROS_PER_SECOND)
+        ),
+        Vec::new()
+    );
     assert!(!is_quarantined(&quarantine, 1, Moment(102 * MICROS_PER_SECOND)));
 }
 
@@ -113,8 +133,8 @@
 fn reported_time_is_bounded_by_the_quarantine_duration() {
     let mut quarantine = RequestQuarantine::default();
     let message =
-        QuarantineMessage::Held { request: request(1), round: 1, endings: 3, rest_micros: u64::MAX };
-    quarantine.apply_quarantine_message(&message, Moment(0));
+        QuarantineMessage::Held { suspect: request(1), round: 1, endings: 3, rest_micros: u64::MAX };
+    quarantine.apply_message(&SuspectMessage::Request(message), Moment(0));
     assert!(
         is_quarantined(&quarantine, 1, Moment(QUARANTINE_MICROS - 1))
             && !is_quarantined(&quarantine, 1, Moment(QUARANTINE_MICROS))
@@ -129,8 +149,8 @@
         let now = Moment(at.0 + second * MICROS_PER_SECOND);
         for message in from.repeat_messages(0, now) {
             if random.random() {
-                to.apply_quarantine_message(&message, now);
-                to.apply_quarantine_message(&message, Moment(now.0 + MICROS_PER_SECOND / 2));
+                to.apply_message(&message, now);
+                to.apply_message(&message, Moment(now.0 + MICROS_PER_SECOND / 2));
             }
         }
         to.evaluate_due(Moment(now.0 + MICROS_PER_SECOND));
@@ -173,19 +193,19 @@
     assert_eq!(first_vm.release(request(1), released_at), Some(1));
     assert_eq!(first_vm.release(request(1), released_at), None);
     let message = QuarantineMessage::Held {
-        request: request(1),
+        suspect: request(1),
         round: 1,
         endings: 3,
         rest_micros: 60 * MICROS_PER_SECOND,
     };
-    first_vm.apply_quarantine_message(&message, released_at);
-    first_vm.adopt_stored(request(1), (1, 3), released_at);
+    first_vm.apply_message(&SuspectMessage::Request(message), released_at);
+    first_vm.adopt_stored(request(1), SuspectKind::Request, (1, 3), Arc::default(), released_at);
     assert!(!is_quarantined(&first_vm, 1, released_at));
     repeat_messages(&mut first_vm, &mut second_vm, released_at, 8);
     assert!(!is_quarantined(&second_vm, 1, Moment(released_at.0 + 9 * MICROS_PER_SECOND)));
     // A VM that starts meanwhile reads it from the store.
     let mut restarted = RequestQuarantine::default();
-    restarted.adopt_stored(request(1), (1, 3), released_at);
+    restarted.adopt_stored(request(1), SuspectKind::Request, (1, 3), Arc::default(), released_at);
     assert!(is_quarantined(&restarted, 1, released_at));
     repeat_messages(&mut second_vm, &mut restarted, Moment(released_at.0 + 10 * MICROS_PER_SECOND), 8);
     assert!(!is_quarantined(&restarted, 1, Moment(released_at.0 + 20 * MICROS_PER_SECOND)));
@@ -231,11 +251,17 @@
     assert_eq!(quarantine.due_write(Moment(begun_at.0 + MICROS_PER_SECOND)), None);
     let mut second_vm = RequestQuarantine::default();
     let message =
-        QuarantineMessage::Held { request: request(1), round: 1, endings: 3, rest_micros: QUARANTINE_MICROS };
-    second_vm.apply_quarantine_message(&message, begun_at);
+        QuarantineMessage::Held { suspect: request(1), round: 1, endings: 3, rest_micros: QUARANTINE_MICROS };
+    second_vm.apply_message(&SuspectMessage::Request(message), begun_at);
     assert_eq!(second_vm.due_write(begun_at), None);
     assert!(second_vm.due_write(Moment(begun_at.0 + 2 * MICROS_PER_SECOND)).is_some());
-    second_vm.adopt_stored(request(1), (1, 3), Moment(begun_at.0 + 2 * MICROS_PER_SECOND));
+    second_vm.adopt_stored(
+        request(1),
+        SuspectKind::Request,
+        (1, 3),
+        Arc::default(),
+        Moment(begun_at.0 + 2 * MICROS_PER_SECOND),
+    );
     assert_eq!(second_vm.due_write(Moment(begun_at.0 + 3 * MICROS_PER_SECOND)), None);
 }
 
@@ -249,7 +275,7 @@
     quarantine.release(due, at);
     // The write completes, and the store reports it.
     quarantine.record_written(due, &row, Moment::NEVER);
-    quarantine.adopt_stored(due, (row.round, row.crashes), at);
+    quarantine.adopt_stored(due, SuspectKind::Request, (row.round, row.crashes), Arc::default(), at);
     let (due, row) = quarantine.due_write(at).unwrap();
     assert_eq!((due, row.phase), (request(1), QuarantinePhase::Released));
     quarantine.record_written(due, &row, Moment::NEVER);
@@ -260,11 +286,14 @@
 fn table_is_bounded_and_retains_active_quarantines() {
     let mut table = QuarantineTable::default();
     for number in 0..512 {
-        assert_eq!(table.begin(request(number), 3, Moment(number)), Some(1));
+        assert_eq!(
+            table.begin(request(number), SuspectKind::Request, 3, Arc::default(), Moment(number)),
+            Some(1)
+        );
     }
-    assert_eq!(table.begin(request(1_000), 3, Moment(1_000)), None);
+    assert_eq!(table.begin(request(1_000), SuspectKind::Request, 3, Arc::default(), Moment(1_000)), None);
     table.release(request(5), Moment(2_000));
-    assert_eq!(table.begin(request(1_000), 3, Moment(3_000)), Some(1));
+    assert_eq!(table.begin(request(1_000), SuspectKind::Request, 3, Arc::default(), Moment(3_000)), Some(1));
     assert_eq!(table.rows().filter(|(_, row)| row.phase == QuarantinePhase::Quarantined).count(), 512);
 }
 
--- a/crates/gateway/src/endpoints/crash_detector.rs
+++ b/crates/gateway/src/endpoints/crash_detector.rs
@@ -7,9 +7,9 @@
 
 use crate::endpoints::endpoint_pool::{CALL_UNACKNOWLEDGED_TIMEOUT, open_stream};
 use crate::gateway::Gateway;
-use crate::{CrashReport, EndpointCrash, EndpointKey, PathState, RequestKey};
+use crate::{CrashReport, EndpointCrash, EndpointKey, PathState, SuspectKey, SuspectKind};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -30,7 +30,8 @@
 /// A send whose connection broke before its answer was whole.
 #[derive(Clone, Debug)]
 pub(crate) struct BrokenSend {
-    pub request: RequestKey,
+    /// What its endpoint's crash may be blamed on.
+    pub suspects: Vec<(SuspectKey, SuspectKind)>,
     /// The caller's id of the request, for logs.
     pub request_id: String,
     /// The crash to record if the endpoint crashed.
@@ -107,16 +108,33 @@
         suspicions.values().all(|suspicion| !suspicion.is_probing)
     }
 
-    /// Returns the completions of the probes of all endpoints that a request was at when their connections
+    /// Whether a segment was at an endpoint that is being probed.
+    pub(crate) fn suspects_segments(&self) -> bool {
+        let suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let probing = suspicions.values().filter(|suspicion| suspicion.is_probing);
+        let mut suspects = probing.flat_map(|suspicion| &suspicion.sends).flat_map(|send| &send.suspects);
+        suspects.any(|(_, kind)| *kind == SuspectKind::Segment)
+    }
+
+    /// Returns the completions of the probes of all endpoints that a suspect was at when their connections
     /// broke.
-    pub(crate) fn pending_probes(&self, request: RequestKey) -> Vec<ProbeCompletion> {
+    pub(crate) fn pending_probes(&self, suspect: SuspectKey) -> Vec<ProbeCompletion> {
         let suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let pending = suspicions.values().filter(|suspicion| {
-            suspicion.is_probing && suspicion.sends.iter().any(|send| send.request == request)
-        });
+        let has_suspect = |send: &BrokenSend| send.suspects.iter().any(|(key, _)| *key == suspect);
+        let pending = suspicions
+            .values()
+            .filter(|suspicion| suspicion.is_probing && suspicion.sends.iter().any(has_suspect));
         pending.map(|suspicion| suspicion.probed.subscribe()).collect()
     }
 
+    /// Records that an endpoint answered suspects: no earlier crash is blamed on them.
+    pub(crate) fn exonerate(&self, suspects: &[SuspectKey]) {
+        let mut suspicions = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for send in suspicions.values_mut().flat_map(|suspicion| &mut suspicion.sends) {
+            send.suspects.retain(|(key, _)| !suspects.contains(key));
+        }
+    }
+
     /// Removes the sends of a crashed endpoint and passes them to `record`, unless they have expired: the
     /// endpoint may have survived these broken connections.
     ///
@@ -158,10 +176,8 @@
             let took_ms = broke_at.map_or(0, |at| millis(now.micros_since(at)));
             log::warn!(endpoint = suspicion.endpoint.id.as_str(), sends = suspicion.sends.len(), sign, took_ms;
                 "endpoint.ended");
-            for send in &suspicion.sends {
-                let BrokenSend { request, crash, age_micros, .. } = *send;
-                let report = CrashReport { request, crash, age_micros };
-                self.record_own_crash(&report, send, &suspicion.endpoint.id);
+            for (report, request_id) in reports_of(&suspicion.sends) {
+                self.record_own_crash(&report, request_id, &suspicion.endpoint.id);
             }
         });
     }
@@ -177,6 +193,26 @@
     }
 }
 
+/// Returns a report for each suspect, with the id of a request: of several sends with a segment, the oldest
+/// counts.
+fn reports_of(sends: &[BrokenSend]) -> Vec<(CrashReport, &str)> {
+    let mut oldest: BTreeMap<SuspectKey, (CrashReport, &str)> = BTreeMap::new();
+    for send in sends {
+        for (suspect, kind) in &send.suspects {
+            let (crash, age_micros) = (send.crash, send.age_micros);
+            let report = CrashReport { suspect: *suspect, kind: *kind, crash, age_micros };
+            let row = oldest.entry(*suspect).or_insert((report, &send.request_id));
+            if row.0.age_micros < age_micros {
+                *row = (report, &send.request_id);
+            }
+        }
+    }
+    // Requests first: if messages are dropped, theirs are the narrower evidence.
+    let mut reports: Vec<_> = oldest.into_values().collect();
+    reports.sort_by_key(|(report, _)| report.kind);
+    reports
+}
+
 async fn probe(gateway: Arc<Gateway>, endpoint: EndpointKey, address: SocketAddr) {
     for delay in [Duration::ZERO, SECOND_PROBE_DELAY] {
         tokio::time::sleep(delay).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,7 +22,7 @@
 use crate::{
     AvoidanceCause, AvoidanceChange, AvoidanceReport, BudgetTerms, EndpointRow, FleetTable, IdentityKey,
     ListMembership, PathState, PlacementChoice, PlacementRequest, PublishedVersion, PublishedWeights,
-    QuarantineMessage, RequiredWeights, RetryBudget, RolloutTable, RouteTable, SendReport, StorePosition,
+    RequiredWeights, RetryBudget, RolloutTable, RouteTable, SendReport, StorePosition, SuspectMessage,
     VmEntry, VmKey, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
@@ -99,7 +99,7 @@
     pub remote_send_reports: PendingMessages<ReportedSend>,
     /// Reports of other data centres, to relay locally while this VM leads.
     pub relayed_send_reports: PendingMessages<ReportedSend>,
-    /// Requests that crash endpoints.
+    /// Requests and segments that crash endpoints.
     pub quarantine_tracker: Mutex<QuarantineTracker>,
     /// This VM's share of endpoints that take few requests, and its queue.
     pub quota_queue: QuotaQueue,
@@ -119,12 +119,14 @@
     pub evidence_received: Notify,
     /// Wakes the task that writes quarantines to the store.
     pub quarantine_changed: Notify,
+    /// Wakes the task that claims trials of suspects.
+    pub trial_wanted: Notify,
     /// Evidence and quarantines, to send to the VMs of this data centre.
-    pub local_quarantine_messages: PendingMessages<QuarantineMessage>,
+    pub local_quarantine_messages: PendingMessages<SuspectMessage>,
     /// Evidence and quarantines, to send to other data centres.
-    pub remote_quarantine_messages: PendingMessages<QuarantineMessage>,
+    pub remote_quarantine_messages: PendingMessages<SuspectMessage>,
     /// Evidence and quarantines of other data centres, to relay locally while this VM leads.
-    pub relayed_quarantine_messages: PendingMessages<QuarantineMessage>,
+    pub relayed_quarantine_messages: PendingMessages<SuspectMessage>,
     /// Broken sends, until it is determined whether their endpoints crashed.
     pub crash_detector: CrashDetector,
     /// Snapshots of all endpoints that this VM serves to others.
@@ -216,6 +218,7 @@
             relayed_answers: PendingMessages::default(),
             evidence_received: Notify::new(),
             quarantine_changed: Notify::new(),
+            trial_wanted: Notify::new(),
             local_quarantine_messages: PendingMessages::default(),
             remote_quarantine_messages: PendingMessages::default(),
             relayed_quarantine_messages: PendingMessages::default(),
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -7,7 +7,7 @@
 use crate::operators::operator_port;
 use crate::orders::{order_task, publication_task, release_task};
 use crate::peers::{cache_digest, cache_index_task, digest_relay, gossip};
-use crate::quarantine::quarantine_task;
+use crate::quarantine::{quarantine_task, trial_task};
 use crate::requests::accept_loop::{self, ListenerState};
 use crate::store::lease_keeper::OrderRight;
 use crate::store::store_view::OrdersView;
@@ -107,6 +107,7 @@
             tokio::spawn(rollout::decide_rollouts(handle(), right_view.clone())),
             tokio::spawn(quarantine_task::evaluate_evidence(handle())),
             tokio::spawn(quarantine_task::write_quarantines(handle())),
+            tokio::spawn(trial_task::claim_trials(handle())),
             tokio::spawn(release_task::release_outdated_segments(handle(), right_view)),
             tokio::spawn(gossip::send_digests(handle(), Arc::clone(&socket))),
             tokio::spawn(gossip::send_remote_digests(handle(), Arc::clone(&socket))),
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -122,6 +122,52 @@
     }
 }
 
+/// Metrics of quarantines of requests, and of parts of prompts, under which endpoints crash.
+#[derive(Debug, Default)]
+pub(crate) struct QuarantineMetrics {
+    /// Requests and segments that an endpoint had when it crashed, by reporter: this VM or another one.
+    pub reports: Family<KindLabel, Counter>,
+    /// Quarantines by change at this VM.
+    pub holds: Family<KindLabel, Counter>,
+    /// Requests that this VM refused because endpoints crash while serving them.
+    pub turned_away: Counter,
+    /// Requests that are quarantined now.
+    pub held_requests: Gauge,
+    /// Segments that are quarantined now.
+    pub held_parts: Gauge,
+    /// Requests that this VM refused because of a segment, by the segment's name.
+    pub part_refusals: Family<KindLabel, Counter>,
+}
+
+impl QuarantineMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self::default();
+        registry.register(
+            "quarantine_reports",
+            "Requests that were at an endpoint's end, by who says so",
+            metrics.reports.clone(),
+        );
+        registry.register(
+            "quarantine_holds",
+            "Holds of requests, by what became of them",
+            metrics.holds.clone(),
+        );
+        registry.register(
+            "turned_away",
+            "Requests turned away because endpoints end under them",
+            metrics.turned_away.clone(),
+        );
+        registry.register("held_requests", "Requests that are held back", metrics.held_requests.clone());
+        registry.register("held_parts", "Parts of prompts that are held back", metrics.held_parts.clone());
+        registry.register(
+            "part_refusals",
+            "Requests turned away because endpoints end under a part of their prompts, by part",
+            metrics.part_refusals.clone(),
+        );
+        metrics
+    }
+}
+
 /// The configuration in force, and what requests lost around its changes.
 #[derive(Debug)]
 pub(crate) struct ConfigurationMetrics {
@@ -272,14 +318,8 @@
     pub open_requests: Gauge,
     /// Endpoint entries that could not be decoded, by cause.
     pub unreadable_entries: Family<KindLabel, Counter>,
-    /// Requests that an endpoint had when it crashed, by reporter: this VM or another one.
-    pub quarantine_reports: Family<KindLabel, Counter>,
-    /// Quarantines of requests, by change at this VM.
-    pub quarantine_holds: Family<KindLabel, Counter>,
-    /// Requests that this VM refused because endpoints crash while serving them.
-    pub turned_away: Counter,
-    /// Requests that are quarantined now.
-    pub held_requests: Gauge,
+    /// Quarantines, and the evidence for them.
+    pub quarantine: QuarantineMetrics,
     /// Limits that endpoints reported in answers, by kind of report; `told`: in answers to another VM.
     pub limit_reports: Family<KindLabel, Counter>,
     /// Departures of endpoints, by source of the announcement.
@@ -336,25 +376,7 @@
             "Entries of endpoints that could not be read, by cause",
             unreadable_entries.clone(),
         );
-        let quarantine_reports = Family::<KindLabel, Counter>::default();
-        registry.register(
-            "quarantine_reports",
-            "Requests that were at an endpoint's end, by who says so",
-            quarantine_reports.clone(),
-        );
-        let quarantine_holds = Family::<KindLabel, Counter>::default();
-        registry.register(
-            "quarantine_holds",
-            "Holds of requests, by what became of them",
-            quarantine_holds.clone(),
-        );
-        let (turned_away, held_requests) = (Counter::default(), Gauge::default());
-        registry.register(
-            "turned_away",
-            "Requests turned away because endpoints end under them",
-            turned_away.clone(),
-        );
-        registry.register("held_requests", "Requests that are held back", held_requests.clone());
+        let quarantine = QuarantineMetrics::register(&mut registry);
         registry.register("open_requests", "Requests in flight at this VM", open_requests.clone());
         let limit_reports = Family::<KindLabel, Counter>::default();
         registry.register(
@@ -386,10 +408,7 @@
             peers,
             open_requests,
             unreadable_entries,
-            quarantine_reports,
-            quarantine_holds,
-            turned_away,
-            held_requests,
+            quarantine,
             limit_reports,
             departures,
             rests,
--- a/crates/gateway/src/operators/operator_port.rs
+++ b/crates/gateway/src/operators/operator_port.rs
@@ -3,7 +3,7 @@
 //! Invariant: requests that change state are answered at the metrics address only, since the readiness
 //! address is the balancer's.
 
-use crate::RequestKey;
+use crate::SuspectKey;
 use crate::gateway::Gateway;
 use crate::operators::gateway_status::GatewayStatus;
 use crate::requests::accept_loop::ACCEPT_RETRY_DELAY;
@@ -25,7 +25,7 @@
 const QUARANTINE_PATH: &str = "/held";
 /// Path of this VM's status.
 const STATUS_PATH: &str = "/status";
-/// Last segment of the path that releases a request from quarantine, after the request's digest.
+/// Last segment of the path that releases a suspect from quarantine, after its digest.
 const RELEASE_SEGMENT: &str = "lift";
 
 /// Handler of the requests at one address for operators or the balancer.
@@ -86,14 +86,14 @@
     json_of(&gateway.quarantine_rows())
 }
 
-/// Releases the request that `path` names, `/DIGEST/lift`.
+/// Releases the suspect that `path` names, `/DIGEST/lift`.
 fn release_quarantined(gateway: &Gateway, path: &str) -> Response<AnswerBody> {
     let Some((digest, RELEASE_SEGMENT)) = path.trim_start_matches('/').split_once('/') else {
         return text(StatusCode::NOT_FOUND, "not found\n");
     };
-    match digest.parse::<RequestKey>() {
+    match digest.parse::<SuspectKey>() {
         Err(error) => text(StatusCode::BAD_REQUEST, format!("{error}\n")),
-        Ok(request) if gateway.release_request(request) => json("{\"lifted\":true}"),
+        Ok(suspect) if gateway.release_suspect(suspect) => json("{\"lifted\":true}"),
         Ok(_) => text(StatusCode::NOT_FOUND, "no such hold\n"),
     }
 }
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -80,7 +80,7 @@
         if is_relay(&gateway, now) {
             gateway.relay.push(stamp, digest.clone());
         }
-        send_message(&gateway, &socket, &PeerMessage::Load(stamp, digest), &targets).await;
+        send_message(&gateway, &socket, &PeerMessage::Load(stamp, Box::new(digest)), &targets).await;
     }
 }
 
@@ -99,8 +99,8 @@
             tokio::time::sleep(LEADER_POLL_INTERVAL).await;
             continue;
         }
-        let message =
-            PeerMessage::Load(gateway.next_stamp(), LoadDigest::of_data_centre(&gateway, leader_rank == 0));
+        let digest = LoadDigest::of_data_centre(&gateway, leader_rank == 0);
+        let message = PeerMessage::Load(gateway.next_stamp(), Box::new(digest));
         let targets = gateway.peers().remote_leaders(leader_rank, now);
         send_message(&gateway, &socket, &message, &targets).await;
         let interval_factor = if leader_rank == 0 { 1 } else { SECOND_LEADER_INTERVAL_FACTOR };
@@ -126,8 +126,8 @@
             tokio::time::sleep(LEADER_POLL_INTERVAL).await;
             continue;
         }
-        let message =
-            PeerMessage::Load(gateway.next_stamp(), LoadDigest::of_elsewhere(&gateway, leader_rank == 0));
+        let digest = LoadDigest::of_elsewhere(&gateway, leader_rank == 0);
+        let message = PeerMessage::Load(gateway.next_stamp(), Box::new(digest));
         let bytes = send_message(&gateway, &socket, &message, &targets).await;
         let interval_factor = if leader_rank == 0 { 1 } else { SECOND_LEADER_INTERVAL_FACTOR };
         let regular_interval = REMOTE_DIGEST_INTERVAL * remote_data_centre_count as u32 * interval_factor;
--- a/crates/gateway/src/peers/load_digest.rs
+++ b/crates/gateway/src/peers/load_digest.rs
@@ -12,7 +12,7 @@
 use crate::peers::placement_message::PlacementMessage;
 use crate::{
     EndpointKey, FleetTable, LEADERS_PER_DATA_CENTRE, LinkTransfers, LoadCount, LoadSource, PeerHeartbeat,
-    PeerTable, QuarantineMessage, RouteCounts, SumKey, VmKey, short_digest,
+    PeerTable, QuarantineMessage, RouteCounts, SumKey, SuspectMessage, VmKey, short_digest,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -47,6 +47,9 @@
     reports: Vec<ReportedSend>,
     /// Quarantine evidence and entries: requests under which endpoints crash.
     cases: Vec<QuarantineMessage>,
+    /// The same about segments, and trials. They follow the message, where VMs of the former form do not look.
+    #[serde(skip)]
+    pub extended_cases: Vec<SuspectMessage>,
     /// Records that endpoints reported about themselves in answers.
     answers: Vec<AnswerRecord>,
     /// Counts of answers, by version, for services in a rollout.
@@ -70,7 +73,7 @@
 struct DigestMessages {
     placed: Vec<PlacementMessage>,
     reports: Vec<ReportedSend>,
-    cases: Vec<QuarantineMessage>,
+    cases: Vec<SuspectMessage>,
     answers: Vec<ObservedAnswer>,
     rollouts: Vec<(SumKey, RouteCounts)>,
 }
@@ -138,11 +141,13 @@
         self.placed.splice(0..0, earlier.placed);
         self.reports.splice(0..0, earlier.reports);
         self.cases.splice(0..0, earlier.cases);
+        self.extended_cases.splice(0..0, earlier.extended_cases);
         self.answers.splice(0..0, earlier.answers);
         self.rollouts.extend(earlier.rollouts);
         self.placed.truncate(MAX_MESSAGES);
         self.reports.truncate(MAX_MESSAGES);
         self.cases.truncate(MAX_MESSAGES);
+        self.extended_cases.truncate(MAX_MESSAGES);
         // The newest report of an endpoint counts, and comes last.
         let excess = self.answers.len().saturating_sub(MAX_MESSAGES);
         self.answers.drain(..excess);
@@ -164,6 +169,7 @@
         };
         let DigestMessages { placed, reports, mut cases, answers, rollouts } = messages;
         cases.extend(gateway.quarantine_tracker().quarantine.repeat_messages(audience, now));
+        let (cases, extended_cases) = split_cases(cases);
         let loads = loads.into_iter();
         Self {
             scope,
@@ -173,6 +179,7 @@
             placed,
             reports,
             cases,
+            extended_cases,
             answers: answers.iter().map(|answer| AnswerRecord::of(answer, now)).collect(),
             rollouts,
             closed: cordoned_engines(table, scope, now),
@@ -265,7 +272,9 @@
         }
         drop(table);
         gateway.apply_publication_ages(&self.named);
-        gateway.apply_quarantine_messages(&self.cases, self.scope, vm, is_leader);
+        let cases = self.cases.iter().copied().map(SuspectMessage::Request);
+        let cases: Vec<_> = cases.chain(self.extended_cases.iter().cloned()).collect();
+        gateway.apply_quarantine_messages(&cases, self.scope, vm, is_leader);
         let forward = ForwardScope::of(self.scope, is_local, is_leader);
         gateway.apply_answer_records(&self.answers, forward);
         gateway.add_rollout_sums(&self.rollouts, forward);
@@ -279,6 +288,18 @@
     }
 }
 
+/// Separates the messages that VMs of the former form read.
+fn split_cases(messages: Vec<SuspectMessage>) -> (Vec<QuarantineMessage>, Vec<SuspectMessage>) {
+    let (mut cases, mut extended_cases) = (Vec::new(), Vec::new());
+    for message in messages {
+        match message {
+            SuspectMessage::Request(message) => cases.push(message),
+            message => extended_cases.push(message),
+        }
+    }
+    (cases, extended_cases)
+}
+
 /// VMs that take no requests of others, and that a digest of `scope` names.
 fn closed_peers(gateway: &Gateway, scope: DigestScope, now: Moment) -> Vec<VmKey> {
     let own = gateway.is_closed_to_peers().then(|| VmKey::of(&gateway.settings.name));
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -4,6 +4,9 @@
 //! platform's store; a forged one could put a configuration in force. The whole deployment shares one key:
 //! VMs trust one another, and their messages are no secret from the network.
 //!
+//! What a message of the former form has no place for follows it in the same datagram: VMs of that form do not
+//! read to the end.
+//!
 //! Messages are sent over UDP rather than QUIC: each replaces the previous one, or its loss is detected from
 //! messages that build on it.
 
@@ -11,7 +14,7 @@
 use crate::peers::load_digest::LoadDigest;
 use crate::store::store_updates::StoreUpdates;
 use crate::streams::stream_message::StreamMessage;
-use crate::{StorePosition, StreamKey, VmKey};
+use crate::{StorePosition, StreamKey, SuspectMessage, VmKey};
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format; messages of other versions are ignored.
@@ -34,7 +37,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
     /// Loads and all else that matters for placement.
-    Load(PeerStamp, LoadDigest),
+    Load(PeerStamp, Box<LoadDigest>),
     /// Digests of several VMs of the sender's data centre, each with its own stamp.
     Batch(PeerStamp, Vec<(PeerStamp, LoadDigest)>),
     /// Changes in the platform's store.
@@ -75,9 +78,33 @@
         }
     }
 
+    /// Returns its digests.
+    fn digests_mut(&mut self) -> Vec<&mut LoadDigest> {
+        match self {
+            Self::Load(_, digest) => vec![digest],
+            Self::Batch(_, digests) => digests.iter_mut().map(|(_, digest)| digest).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns what follows the message: the extended cases of each of its digests.
+    fn extension(&self) -> Vec<&[SuspectMessage]> {
+        match self {
+            Self::Load(_, digest) => vec![&digest.extended_cases],
+            Self::Batch(_, digests) => {
+                digests.iter().map(|(_, digest)| digest.extended_cases.as_slice()).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
     /// Returns the datagram of this message; none if it has no binary form.
     pub(crate) fn seal(&self, key: &PeerKey) -> Option<Vec<u8>> {
         let mut bytes = postcard::to_extend(self, vec![FORMAT_VERSION]).ok()?;
+        let extension = self.extension();
+        if extension.iter().any(|cases| !cases.is_empty()) {
+            bytes = postcard::to_extend(&extension, bytes).ok()?;
+        }
         let code = blake3::keyed_hash(key, &bytes);
         bytes.extend_from_slice(&code.as_bytes()[..CODE_BYTES]);
         Some(bytes)
@@ -96,6 +123,14 @@
         if *version != FORMAT_VERSION {
             return None;
         }
-        postcard::from_bytes(message).ok()
+        let (mut message, extension) = postcard::take_from_bytes::<Self>(message).ok()?;
+        if !extension.is_empty() {
+            // A VM of a later form may send others, which say nothing here.
+            let extension: Vec<Vec<SuspectMessage>> = postcard::from_bytes(extension).unwrap_or_default();
+            for (digest, cases) in message.digests_mut().into_iter().zip(extension) {
+                digest.extended_cases = cases;
+            }
+        }
+        Some(message)
     }
 }
--- a/crates/gateway/src/requests/answer_wait.rs
+++ b/crates/gateway/src/requests/answer_wait.rs
@@ -415,8 +415,8 @@
         send.complete();
         match &mut send.route {
             SendRoute::Endpoint { flight, .. } => {
+                // It says nothing of what happens to endpoints that succeed.
                 self.record_first_event();
-                self.record_answered();
                 flight.record_answer_start();
                 flight.record_outcome(SendOutcome::Failed);
             }
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -79,6 +79,8 @@
     Limited(u64),
     /// It is quarantined, because endpoints crash under it.
     Quarantined,
+    /// It is on trial: it may run once at a time in the whole deployment.
+    OnTrial,
     /// Its deadline passed before.
     OutOfTime,
 }
@@ -95,6 +97,7 @@
             Self::Late(_) => "late",
             Self::Limited(_) => "limited",
             Self::Quarantined => "held back",
+            Self::OnTrial => "on trial",
             Self::OutOfTime => "out of time",
         }
     }
@@ -139,6 +142,7 @@
                     self.waits_for_capacity = true;
                     self.wait_for_capacity().await;
                 }
+                Err(Unsent::OnTrial) if self.wait_for_trial().await => {}
                 Err(Unsent::NoShare(next_at)) => {
                     self.waits_for_capacity = false;
                     self.wait_for_share(next_at).await;
@@ -173,6 +177,17 @@
         if self.is_quarantined() {
             return Err(Unsent::Quarantined);
         }
+        if !self.begin_trial() {
+            return Err(Unsent::OnTrial);
+        }
+        let opened = self.send_to_endpoint(last_event_id);
+        if opened.is_err() {
+            self.give_back_trial();
+        }
+        opened
+    }
+
+    fn send_to_endpoint(&mut self, last_event_id: Option<&Bytes>) -> Result<OpenSend, Unsent> {
         let (choice, flight) = match self.choose().ok_or(Unsent::NoEndpoint)? {
             PlaceResult::Placed(choice, flight) => (choice, *flight),
             PlaceResult::Late(return_delay_millis) => return Err(Unsent::Late(return_delay_millis)),
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -15,4 +15,5 @@
 pub(crate) mod relay;
 pub(crate) mod request_context;
 pub(crate) mod request_run;
+pub(crate) mod request_suspects;
 pub(crate) mod stream_relay;
--- a/crates/gateway/src/requests/own_answer.rs
+++ b/crates/gateway/src/requests/own_answer.rs
@@ -111,6 +111,17 @@
     pub(crate) const QUARANTINED_AFTER_RUN: Self =
         Self::plain(StatusCode::BAD_GATEWAY, "held back: endpoints end under this request; it may have run");
 
+    /// Endpoints crash under a segment of the prompt, and the request has reached none.
+    pub(crate) const SEGMENT_QUARANTINED: Self = Self::plain(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "held back: endpoints end under a part of this prompt; it was not run",
+    );
+    /// Endpoints crash under a segment of the prompt, and the request has reached one.
+    pub(crate) const SEGMENT_QUARANTINED_AFTER_RUN: Self = Self::plain(
+        StatusCode::BAD_GATEWAY,
+        "held back: endpoints end under a part of this prompt; it may have run",
+    );
+
     pub(crate) const fn plain(status: StatusCode, reason: &'static str) -> Self {
         Self { status, reason, retry_after_millis: None, resume_refusal: None }
     }
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -36,6 +36,8 @@
 const NO_PEER_RETRY_MILLIS: u64 = 1_000;
 /// Retry delay if memory ran out: bodies that other callers send slowly take some seconds.
 const NO_MEMORY_RETRY_MILLIS: u64 = 2_000;
+/// Retry delay of a request while another one is on trial; a random delay is added.
+const TRIAL_RETRY_MILLIS: u64 = 1_000;
 /// Retry delay after an endpoint's refusal; a random delay is added.
 const REFUSED_RETRY_MILLIS: u64 = 100;
 /// Timeout of reading the body of a refused request.
@@ -171,6 +173,9 @@
             run.refuse_unless_run("its endpoints take no more in time", return_delay_millis)
         }
         AnswerFault::Unsent(Unsent::Quarantined) => run.refuse_quarantined(),
+        AnswerFault::Unsent(Unsent::OnTrial) => {
+            run.refuse_unless_run("another request tries whether endpoints end under it", TRIAL_RETRY_MILLIS)
+        }
     }
 }
 
@@ -180,7 +185,9 @@
     send.complete();
     let outcome = match &send.route {
         SendRoute::Endpoint { flight, .. } => {
-            run.record_answered();
+            if send.head().is_some_and(|head| head.status.is_success()) {
+                run.record_answered();
+            }
             flight.record_outcome(SendOutcome::Answered);
             "answered"
         }
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -3,7 +3,7 @@
 //! Invariant: each request writes one log line when it ends, with the inputs of its last decision, also if
 //! its caller left.
 
-use crate::endpoints::crash_detector::{BrokenEndpoint, BrokenSend, ProbeCompletion, millis};
+use crate::endpoints::crash_detector::{BrokenEndpoint, BrokenSend, millis};
 use crate::forward::forward_client::ForwardPlan;
 use crate::gateway::{CountGuard, Gateway};
 use crate::memory::MemoryReservation;
@@ -13,9 +13,10 @@
 use crate::requests::own_answer::{AnswerBody, OwnAnswer, full_body};
 use crate::requests::relay::answer_with;
 use crate::requests::request_context::{RequestContext, header_text};
+use crate::requests::request_suspects::RequestSuspects;
 use crate::{
-    CanaryDraw, EndpointCrash, EndpointKey, EndpointRow, PathState, PlacementChoice, QueueEntry,
-    RequestIdentity, RequestKey, StreamKey, StreamOrigin, short_digest,
+    CanaryDraw, EndpointCrash, EndpointKey, EndpointRow, PlacementChoice, QueueEntry, StreamKey,
+    StreamOrigin, short_digest,
 };
 use bytes::Bytes;
 use hyper::header::HeaderName;
@@ -78,8 +79,8 @@
     pub first_at: Option<Moment>,
     /// An endpoint's own failure, forwarded if no later send succeeds.
     pub failure: Option<(Box<response::Parts>, Bytes)>,
-    /// Its identity, if that was computed.
-    key: Option<RequestKey>,
+    /// What crashes under it may be blamed on.
+    pub suspects: RequestSuspects,
     outcome: &'static str,
     status: u16,
     pub resources: CallerResources,
@@ -90,6 +91,9 @@
     fn drop(&mut self) {
         let gateway = &self.gateway;
         let now = gateway.now();
+        if let Some(suspect) = self.suspects.trial {
+            gateway.end_trial(suspect);
+        }
         gateway.quota_queue.queue().remove(&self.context.service, self.queue_entry.number);
         let outcome = self.outcome;
         gateway.metrics.answers.get_or_create(&KindLabel::new(outcome)).inc();
@@ -102,7 +106,9 @@
             route = self.context.route.name.as_str(),
             account = self.context.account.as_deref().unwrap_or(""),
             config = self.context.config_version,
-            digest = self.key.map_or_else(String::new, |key| key.to_string()).as_str(),
+            digest = self.suspects.request.map_or_else(String::new, |key| key.to_string()).as_str(),
+            blamed = self.suspects.blamed.map_or_else(String::new, |key| key.to_string()).as_str(),
+            part = self.blamed_part().as_str(),
             endpoint = self.endpoint.as_str(),
             taken_from = self.plan.taken_from.as_str(),
             given_to = self.plan.given_to.as_str(),
@@ -162,113 +168,13 @@
             plan: ForwardPlan::new(),
             first_at: None,
             failure: None,
-            key: None,
+            suspects: RequestSuspects::default(),
             outcome: "caller left",
             status: 0,
             resources,
         }
     }
 
-    /// Returns the request's key, the same on every VM; none until the deployment's secret is known.
-    fn request_key(&mut self) -> Option<RequestKey> {
-        if self.key.is_none() {
-            let context = &self.context;
-            let identity = RequestIdentity {
-                account: context.account.as_deref().unwrap_or_default(),
-                method: context.method.as_str(),
-                host: &context.host,
-                path: &context.path,
-                body: &self.body,
-            };
-            self.key = Some(self.gateway.identity_key()?.of(&identity));
-        }
-        self.key
-    }
-
-    /// Whether it is refused, because endpoints crash under it.
-    pub(crate) fn is_quarantined(&mut self) -> bool {
-        // Most of the time no request is suspected: then no body is hashed.
-        if self.gateway.quarantine_tracker().quarantine.is_idle() {
-            return false;
-        }
-        let Some(key) = self.request_key() else { return false };
-        let now = self.gateway.now();
-        self.gateway.quarantine_tracker().quarantine.quarantined(key, now).is_some()
-    }
-
-    /// Whether endpoints have crashed under it, or may have.
-    pub(crate) fn is_suspected(&mut self) -> bool {
-        let Some(key) = self.suspected_key() else { return false };
-        let has_records = self.gateway.quarantine_tracker().quarantine.has_records(key);
-        has_records || !self.gateway.crash_detector.pending_probes(key).is_empty()
-    }
-
-    /// Returns its key, if any request is suspected.
-    fn suspected_key(&mut self) -> Option<RequestKey> {
-        let is_idle = self.gateway.quarantine_tracker().quarantine.is_idle();
-        if is_idle && self.gateway.crash_detector.is_idle() { None } else { self.request_key() }
-    }
-
-    /// Waits until evidence that may quarantine the request is evaluated: whether the endpoints of its broken
-    /// sends crashed, and other evidence that was just received.
-    pub(crate) async fn wait_for_evaluation(&mut self) {
-        let Some(key) = self.suspected_key() else { return };
-        let pending = self.gateway.crash_detector.pending_probes(key);
-        let is_near = self.gateway.quarantine_tracker().quarantine.is_near_threshold(key, pending.len());
-        if is_near {
-            self.wait_for_probes(pending).await;
-        }
-        let next_evaluation_at = self.gateway.quarantine_tracker().quarantine.evaluation_at_of(key);
-        if let Some(next_evaluation_at) = next_evaluation_at {
-            self.gateway.wait_until(next_evaluation_at.min(self.context.deadline)).await;
-            self.gateway.evaluate_requests();
-        }
-    }
-
-    /// Waits until probes are decided. Without a path to the endpoints they cannot be.
-    async fn wait_for_probes(&self, pending: Vec<ProbeCompletion>) {
-        let (gateway, started_at, probes) = (&self.gateway, self.gateway.now(), pending.len());
-        let mut path = gateway.path.subscribe();
-        let all_decided = async {
-            for mut completion in pending {
-                // The sender is dropped once the endpoint's crash is recorded, which ends the wait, too.
-                let _ = completion.wait_for(|is_probed| *is_probed).await;
-            }
-        };
-        let decided = tokio::select! {
-            decided = gateway.complete_before(self.context.deadline, all_decided) => decided.is_ok(),
-            _ = path.wait_for(|state| *state != PathState::Open) => false,
-        };
-        let took_ms = millis(gateway.now().micros_since(started_at));
-        log::info!(request = self.context.id_text(), probes, decided, took_ms; "quarantine.awaited");
-    }
-
-    /// Refuses a quarantined request: the answer states whether it may have run, and has no retry delay.
-    pub(crate) fn refuse_quarantined(&mut self) -> Response<AnswerBody> {
-        if let Some(key) = self.key {
-            let label = self.label();
-            let mut tracker = self.gateway.quarantine_tracker();
-            tracker.quarantine.count_turned_away(key);
-            tracker.describe(key, &label);
-        }
-        self.gateway.metrics.turned_away.inc();
-        self.finish_with(if self.may_have_run {
-            OwnAnswer::QUARANTINED_AFTER_RUN
-        } else {
-            OwnAnswer::QUARANTINED
-        })
-    }
-
-    /// Records that an endpoint ran it to its end.
-    pub(crate) fn record_answered(&mut self) {
-        if self.gateway.quarantine_tracker().quarantine.is_idle() {
-            return;
-        }
-        if let Some(key) = self.request_key() {
-            self.gateway.record_answered(key);
-        }
-    }
-
     /// Records a connection that broke before the answer was whole: it is evidence if the endpoint crashed.
     pub(crate) fn record_broken(&mut self, flight: &SendFlight) {
         let (is_answering, age_micros) = flight.age();
@@ -278,12 +184,12 @@
         log::warn!(request = self.context.id_text(), digest = digest.as_str(), parts = parts.as_str(),
             endpoint = flight.endpoint.as_str(), begun = is_answering, age_ms = millis(age_micros);
             "send.broke");
-        let (Some(request), Some(crash)) = (key, self.crash_of(flight)) else { return };
-        let label = self.label();
-        self.gateway.quarantine_tracker().describe(request, &label);
+        let (Some(_), Some(crash)) = (key, self.crash_of(flight)) else { return };
+        let suspects = self.all_suspects();
+        self.describe_suspects();
         let endpoint = BrokenEndpoint { id: flight.endpoint.clone(), address: flight.address };
         let request_id = self.context.id_text().to_owned();
-        let send = BrokenSend { request, request_id, crash, age_micros };
+        let send = BrokenSend { suspects, request_id, crash, age_micros };
         self.gateway.record_broken_send(&endpoint, send);
     }
 
@@ -305,13 +211,6 @@
         })
     }
 
-    /// Describes the request to operators: client account, method, host and path.
-    fn label(&self) -> String {
-        let context = &self.context;
-        let account = context.account.as_deref().unwrap_or("-");
-        format!("{account} {} {}{} ({} bytes)", context.method, context.host, context.path, self.body.len())
-    }
-
     /// Returns the id of the event after which its caller resumes a stream.
     pub(crate) fn resumed_event(&self) -> Option<Bytes> {
         let id = self.context.headers.get(LAST_EVENT_ID).filter(|_| self.origin.is_some())?;
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -16,8 +16,12 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
+use spanfold_entity::Moment;
 use std::sync::Arc;
 
+/// Time after a stream's first event after which no crash of its endpoint is blamed on segments of its prompt.
+const SURVIVAL_MILLIS: u64 = 1_000;
+
 /// The software that began a stream, on the answer that carries its first event.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StreamBeginning(pub Option<StreamOrigin>);
@@ -54,7 +58,8 @@
         // The channel is empty and its receiver exists: only lack of memory fails it, and the next send, too.
         let _ = chunks.send(first).await;
     }
-    tokio::spawn(StreamForwarder { run, open, chunks }.forward(has_ended));
+    let survived_at = run.gateway.now().after_millis(SURVIVAL_MILLIS);
+    tokio::spawn(StreamForwarder { run, open, chunks, survived_at }.forward(has_ended));
     // A VM that forwarded the request learns it from the marked answer.
     response.extensions_mut().insert(StreamBeginning(origin));
     response
@@ -83,6 +88,8 @@
     run: RequestRun,
     open: OpenSends,
     chunks: ChunkSender,
+    /// When the endpoint will have gone on for long enough to be no victim of the stream.
+    survived_at: Moment,
 }
 
 impl StreamForwarder {
@@ -97,6 +104,7 @@
             match next {
                 Ok(AnswerPart::Events(Some(events))) => {
                     self.open.record_passed();
+                    self.record_progress();
                     observe_weights(&self.run, &self.open, &events);
                     match self.chunks.send(events).await {
                         Ok(()) => {}
@@ -131,6 +139,15 @@
         self.run.set_outcome("answered");
     }
 
+    /// Records from time to time that the endpoint goes on with the stream.
+    fn record_progress(&mut self) {
+        let now = self.run.gateway.now();
+        if now >= self.survived_at && self.open.newest().is_some_and(|send| send.peer().is_none()) {
+            self.survived_at = now.after_millis(SURVIVAL_MILLIS);
+            self.run.record_survived();
+        }
+    }
+
     async fn abort(&mut self, cause: &str) {
         // No engine works on while the caller still reads.
         drop(self.open.take_last());
--- a/crates/gateway/src/store/store_view.rs
+++ b/crates/gateway/src/store/store_view.rs
@@ -9,12 +9,12 @@
 use crate::gateway::Gateway;
 use crate::operators::gateway_metrics::KindLabel;
 use crate::quarantine::quarantine_task::QUARANTINE_PREFIX;
-use crate::quarantine::quarantine_tracker::StoredQuarantine;
+use crate::quarantine::stored_quarantine::StoredQuarantine;
 use crate::rollout::RECORD_PREFIX;
 use crate::store::lease_keeper::{ORDERS_KEY, VM_PREFIX};
 use crate::{
-    EndpointCrash, EndpointEntry, EndpointSnapshot, EntryError, RequestKey, RouteTable, StoreEvent,
-    StoreItem, StorePosition, VmEntry, short_digest,
+    EndpointCrash, EndpointEntry, EndpointSnapshot, EntryError, RouteTable, StoreEvent, StoreItem,
+    StorePosition, SuspectKey, VmEntry, short_digest,
 };
 use spanfold_entity::Moment;
 use std::collections::HashMap;
@@ -329,11 +329,11 @@
     }
 
     fn apply_quarantine(&self, digest: &str, item: &StoreItem) {
-        let request = digest.parse::<RequestKey>().map_err(|error| error.to_string());
+        let suspect = digest.parse::<SuspectKey>().map_err(|error| error.to_string());
         let quarantine =
             serde_json::from_slice::<StoredQuarantine>(&item.value).map_err(|error| error.to_string());
-        match request.and_then(|request| Ok((request, quarantine?))) {
-            Ok((request, quarantine)) => self.gateway.apply_stored_quarantine(request, &quarantine),
+        match suspect.and_then(|suspect| Ok((suspect, quarantine?))) {
+            Ok((suspect, quarantine)) => self.gateway.apply_stored_quarantine(suspect, &quarantine),
             Err(cause) => {
                 log::error!(key = item.key.as_str(), cause = cause.as_str(); "quarantine.unreadable");
             }
--- a/crates/spanfold/src/explain.rs
+++ b/crates/spanfold/src/explain.rs
@@ -5,7 +5,8 @@
 //! - events at its VMs in the 15 s before its last line: those of `ENDPOINT_STATE_EVENTS` at any endpoint,
 //!   all that name no request and concern an endpoint that it used, and those about the store, the
 //!   configuration or the weights (`VM_STATE_EVENTS`);
-//! - quarantine events of all VMs for requests with the same digest.
+//! - quarantine events of all VMs for requests with the same digest, and for the part of its prompt because of
+//!   which it was refused.
 //!
 //! Lines that are not JSON are skipped and counted.
 
@@ -64,8 +65,11 @@
         .map(|line| line.text("endpoint"))
         .filter(|endpoint| !endpoint.is_empty())
         .collect();
-    let digests: BTreeSet<_> =
-        request_lines.iter().map(|line| line.text("digest")).filter(|digest| !digest.is_empty()).collect();
+    let digests: BTreeSet<_> = request_lines
+        .iter()
+        .flat_map(|line| [line.text("digest"), line.text("blamed")])
+        .filter(|digest| !digest.is_empty())
+        .collect();
     let is_same_quarantine = |line: &LogLine| {
         line.event.starts_with(QUARANTINE_EVENT_PREFIX) && digests.contains(line.text("digest"))
     };
--- a/crates/spanfold/src/held.rs
+++ b/crates/spanfold/src/held.rs
@@ -1,4 +1,5 @@
-//! `spanfold held`: requests that gateways have quarantined because endpoints crash under them.
+//! `spanfold held`: requests, and parts of prompts, that gateways have quarantined because endpoints crash under
+//! them.
 
 use crate::client::{answers_json, exit_code_of, query_vms};
 use crate::outcome::{CommandOutcome, EXIT_FINDINGS, EXIT_UNREACHABLE};
@@ -7,7 +8,7 @@
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 
-/// Lists the requests that each VM has in quarantine, or on probation after one.
+/// Lists the requests and parts that each VM has in quarantine, or on trial.
 pub(crate) async fn list(as_json: bool, vms: &[SocketAddr]) -> CommandOutcome {
     let answers = query_vms(vms, "/held").await;
     let code = exit_code_of(&answers);
@@ -34,17 +35,29 @@
     let number_field = |key: &str| row[key].as_u64().unwrap_or(0);
     let _ = writeln!(
         text,
-        "{vm}  {}  {} (hold {}) for {} s more  {} endpoints ended  {} turned away here  {}",
+        "{vm}  {}  {} (hold {}) for {} s more  {} endpoints ended  {} turned away here  {}{}",
         text_field("digest"),
         text_field("phase"),
         number_field("round"),
         number_field("rest_s"),
         number_field("endings"),
         number_field("turned_away"),
+        part_text(row),
         text_field("request"),
     );
 }
 
+/// Returns the name of a held part, with those without which it is not held; empty for a request.
+fn part_text(row: &Value) -> String {
+    let Some(part) = row["part"].as_str().filter(|part| !part.is_empty()) else { return String::new() };
+    let together: Vec<_> =
+        row["together"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
+    match together[..] {
+        [] => format!("part {part} of "),
+        _ => format!("part {part} together with {} of ", together.join(", ")),
+    }
+}
+
 /// Releases a request from quarantine at one VM, which propagates this to the other VMs and the store.
 pub(crate) async fn lift(vm: SocketAddr, digest: &str) -> CommandOutcome {
     match post_json(vm, &format!("/held/{digest}/lift"), &json!({})).await {
--- a/crates/spanfold/tests/explain.rs
+++ b/crates/spanfold/tests/explain.rs
@@ -53,6 +53,21 @@
     assert_eq!(text, expected);
 }
 
+/// Guards against a refusal because of a part of the prompt that leads to none of the crashes under it.
+#[test]
+fn explain_of_a_request_with_a_quarantined_part_prints_the_crashes_under_that_part() {
+    let (code, text) = explain_from("r-9", ["parts-1.log", "parts-2.log"]);
+    assert_eq!(code, 0);
+    let expected = "\
+-  8000 ms  same     parts-1  quarantine.evidence  age_ms=60  digest=00aa  endings=2  endpoint=i-1  part=dead  request=r-1
+-  7000 ms  same     parts-2  quarantine.evidence  age_ms=55  digest=00aa  endings=3  endpoint=i-2  part=dead  request=r-2
+-  5700 ms  same     parts-2  quarantine.begun  digest=00aa  endings=3  part=dead  request=prompts for m of llm  round=1  together=
+-  5680 ms  same     parts-1  quarantine.adopted  digest=00aa  part=dead  round=1
+-     0 ms  request  parts-1  request.ended  blamed=00aa  digest=00ff  endpoint=  outcome=held back: endpoints end under a part of this prompt; it was not run  part=dead  status=503
+";
+    assert_eq!(text, expected);
+}
+
 /// The departure and the backoff of the endpoints were reported in answers to other requests.
 #[test]
 fn explain_of_a_request_without_endpoint_prints_departures_and_backoffs() {
--- a/crates/spanfold/tests/held.rs
+++ b/crates/spanfold/tests/held.rs
@@ -51,6 +51,21 @@
     assert_eq!(run_held(&["list", &none]), (0, "nothing is held back\n".to_owned()));
 }
 
+/// Guards against a list in which a held part looks like a request.
+#[test]
+fn list_names_held_parts_and_those_that_came_with_them() {
+    const PARTS: &str = r#"[{"digest":"00aa","request":"prompts for m of llm","part":"dead","together":["a1","b2"],
+        "phase":"held","round":2,"endings":4,"rest_s":540,"turned_away":7},
+        {"digest":"00bb","request":"prompts for m of llm","part":"beef","together":[],"phase":"trial","round":1,
+        "endings":4,"rest_s":50,"turned_away":0}]"#;
+    let vm = start_scripted_vm("GET /held ", PARTS).to_string();
+    let rows = format!(
+        "{vm}  00aa  held (hold 2) for 540 s more  4 endpoints ended  7 turned away here  part dead together with a1, b2 of prompts for m of llm\n\
+         {vm}  00bb  trial (hold 1) for 50 s more  4 endpoints ended  0 turned away here  part beef of prompts for m of llm\n"
+    );
+    assert_eq!(run_held(&["list", &vm]), (0, rows));
+}
+
 #[test]
 fn lift_prints_the_digest_and_fails_for_an_unknown_one() {
     let vm = start_scripted_vm("POST /held/00ff/lift ", "{\"lifted\":true}").to_string();
