--- a/crates/decide/src/quarantine/suspect_key.rs
+++ b/crates/decide/src/quarantine/suspect_key.rs
@@ -1,7 +1,7 @@
 //! Identity of what a crash may be blamed on: a request, or a segment that prompts share.
 //!
 //! A request is identified by its client account, method, host, path and body; a segment by its service, its
-//! model and its id.
+//! model and its name.
 //!
 //! Invariant: the key is the same on every VM of a deployment and cannot be computed outside it, so a caller
 //! can choose neither its position in a table nor two suspects that share a key.
@@ -87,20 +87,19 @@
         finish(&hasher)
     }
 
-    /// Returns the key of the segment `id` in prompts for `model` at `service`.
+    /// Returns the key of the segment `name` in prompts for `model` at `service`; case is ignored.
     ///
     /// # Examples
     /// ```
     /// use spanfold_decide::IdentityKey;
     /// let key = IdentityKey::derive(&[7; 32]);
-    /// assert_eq!(key.of_segment("llm", "m", 5), key.of_segment("llm", "m", 5));
-    /// assert_ne!(key.of_segment("llm", "m", 5), key.of_segment("llm", "m", 6));
-    /// assert_ne!(key.of_segment("llm", "m", 5), key.of_segment("other", "m", 5));
+    /// assert_eq!(key.of_segment("llm", "m", "5c1e"), key.of_segment("llm", "m", "5C1E"));
+    /// assert_ne!(key.of_segment("llm", "m", "5c1e"), key.of_segment("llm", "m", "5c1f"));
+    /// assert_ne!(key.of_segment("llm", "m", "5c1e"), key.of_segment("other", "m", "5c1e"));
     /// ```
-    pub fn of_segment(&self, service: &str, model: &str, id: u64) -> SuspectKey {
+    pub fn of_segment(&self, service: &str, model: &str, name: &str) -> SuspectKey {
         let mut hasher = blake3::Hasher::new_keyed(&self.segments);
-        update_with_texts(&mut hasher, &[service, model]);
-        hasher.update(&id.to_le_bytes());
+        update_with_texts(&mut hasher, &[service, model, &name.to_ascii_lowercase()]);
         finish(&hasher)
     }
 }
--- a/crates/decide/tests/segment_history.rs
+++ b/crates/decide/tests/segment_history.rs
@@ -22,7 +22,7 @@
 const FATAL: u64 = 7;
 
 fn segment(number: u64) -> SuspectKey {
-    IdentityKey::derive(&[1; 32]).of_segment("llm", "m", number)
+    IdentityKey::derive(&[1; 32]).of_segment("llm", "m", &number.to_string())
 }
 
 fn crash(start: u64, at_millis: u64) -> EndpointCrash {
--- a/crates/gateway/src/requests/request_context.rs
+++ b/crates/gateway/src/requests/request_context.rs
@@ -18,8 +18,6 @@
 const UNCONFIGURED_RETRY_MILLIS: u64 = 500;
 /// Largest priority number that engines accept.
 const MAX_PRIORITY: u8 = 9;
-/// Maximum number of a prompt's segments that a log line names.
-const MAX_NAMED_SEGMENTS: usize = 16;
 /// Isolation scope of all accounts that share cached segments.
 const SHARED_SCOPE: &str = "shared";
 
@@ -132,12 +130,12 @@
         })
     }
 
-    /// Returns the names of the prompt's shared segments, for logs; the last segment is the request's own.
+    /// Returns the names of the segments that the prompt may share with others: all but the last, which is its
+    /// own.
     pub(crate) fn shared_segment_names(&self, gateway: &Gateway) -> Vec<&str> {
         let text = header_text(&self.headers, &gateway.dialect.headers.prompt_segments).unwrap_or_default();
         let mut names = (gateway.dialect.decoders.segment_names)(text);
         names.pop();
-        names.truncate(MAX_NAMED_SEGMENTS);
         names
     }
 
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -28,6 +28,8 @@
 
 /// Header with the id of the last event that the caller of a resumed stream has received.
 pub(crate) const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// Maximum number of a prompt's segments that a log line names.
+const MAX_LOGGED_SEGMENTS: usize = 16;
 /// Bound of the random addition to retry delays, so that requests refused together return apart.
 const MAX_RETRY_SPREAD_MILLIS: u64 = 300;
 
@@ -180,7 +182,9 @@
         let (is_answering, age_micros) = flight.age();
         let key = self.request_key();
         let digest = key.map_or_else(String::new, |key| key.to_string());
-        let parts = self.context.shared_segment_names(&self.gateway).join(",");
+        let mut names = self.context.shared_segment_names(&self.gateway);
+        names.truncate(MAX_LOGGED_SEGMENTS);
+        let parts = names.join(",");
         log::warn!(request = self.context.id_text(), digest = digest.as_str(), parts = parts.as_str(),
             endpoint = flight.endpoint.as_str(), begun = is_answering, age_ms = millis(age_micros);
             "send.broke");
--- a/crates/gateway/src/requests/request_suspects.rs
+++ b/crates/gateway/src/requests/request_suspects.rs
@@ -36,20 +36,18 @@
     trial_deadline: Option<Moment>,
 }
 
-/// Returns the keys of the segments of a prompt that others may share, each once. The last segment belongs to
-/// the request alone.
-fn segment_keys(gateway: &Gateway, context: &RequestContext) -> Option<Vec<SuspectKey>> {
-    let Some((_, shared)) = context.segments.split_last() else { return Some(Vec::new()) };
+/// Returns the keys and names of the segments of a prompt that others may share, each once.
+fn shared_segments<'a>(gateway: &Gateway, context: &'a RequestContext) -> Option<Vec<(SuspectKey, &'a str)>> {
     let identity = gateway.identity_key()?;
     let model = context.model.as_deref().unwrap_or_default();
-    let mut keys = Vec::new();
-    for segment in shared.iter().take(MAX_SEGMENTS) {
-        let key = identity.of_segment(&context.service, model, segment.key);
-        if !keys.contains(&key) {
-            keys.push(key);
+    let mut segments: Vec<(SuspectKey, &str)> = Vec::new();
+    for name in context.shared_segment_names(gateway).into_iter().take(MAX_SEGMENTS) {
+        let key = identity.of_segment(&context.service, model, name);
+        if segments.iter().all(|(other, _)| *other != key) {
+            segments.push((key, name));
         }
     }
-    Some(keys)
+    Some(segments)
 }
 
 impl RequestRun {
@@ -71,7 +69,8 @@
 
     fn segment_keys(&mut self) -> &[SuspectKey] {
         if self.suspects.segments.is_none() {
-            self.suspects.segments = segment_keys(&self.gateway, &self.context);
+            let segments = shared_segments(&self.gateway, &self.context);
+            self.suspects.segments = segments.map(|segments| segments.iter().map(|(key, _)| *key).collect());
         }
         self.suspects.segments.as_deref().unwrap_or_default()
     }
@@ -246,31 +245,20 @@
 
     /// Describes its suspects to operators: client account, method, host and path, and the segments' names.
     pub(crate) fn describe_suspects(&mut self) {
-        let suspects = self.all_suspects();
+        let request_key = self.request_key();
         let context = &self.context;
         let account = context.account.as_deref().unwrap_or("-");
         let (method, host, path, bytes) = (&context.method, &context.host, &context.path, self.body.len());
         let request = format!("{account} {method} {host}{path} ({bytes} bytes)");
-        let prompts =
-            format!("prompts for {} of {}", context.model.as_deref().unwrap_or("any model"), context.service);
-        let names = context.shared_segment_names(&self.gateway);
-        let identity = self.gateway.identity_key();
-        let model = context.model.as_deref().unwrap_or_default();
-        let name_of = |suspect: SuspectKey| {
-            let segments = context.segments.iter().zip(&names);
-            let mut keys = segments.map(|(segment, name)| {
-                (identity.map(|key| key.of_segment(&context.service, model, segment.key)), *name)
-            });
-            keys.find(|(key, _)| *key == Some(suspect)).map(|(_, name)| name)
-        };
+        let model = context.model.as_deref().unwrap_or("any model");
+        let prompts = format!("prompts for {model} of {}", context.service);
+        let segments = shared_segments(&self.gateway, context).unwrap_or_default();
         let mut tracker = self.gateway.quarantine_tracker();
-        for (suspect, kind) in suspects {
-            match kind {
-                SuspectKind::Request => tracker.describe(suspect, &request, None),
-                SuspectKind::Segment => {
-                    tracker.describe(suspect, &prompts, Some(name_of(suspect).unwrap_or_default()));
-                }
-            }
+        if let Some(key) = request_key {
+            tracker.describe(key, &request, None);
+        }
+        for (key, name) in segments {
+            tracker.describe(key, &prompts, Some(name));
         }
     }
 
