Probe the endpoint of an unframed answer before its end is passed on

What callers saw: a whole empty 200 from an engine that crashed after an answer's head without a length or chunks; a stream of that form that broke between two events looked whole. It also cleared the request that had crashed the engine. Cause: a crash closes connections as the end of such an answer does. Change: the end is passed on once the address has accepted connections twice, 30 ms apart, unless the endpoint has announced its departure. Otherwise the send is broken, as any other.

--- a/crates/gateway/src/endpoints/crash_detector.rs
+++ b/crates/gateway/src/endpoints/crash_detector.rs
@@ -7,7 +7,7 @@
 
 use crate::endpoints::endpoint_pool::{CALL_UNACKNOWLEDGED_TIMEOUT, open_stream};
 use crate::gateway::Gateway;
-use crate::{CrashReport, EndpointCrash, EndpointKey, PathState, SuspectKey, SuspectKind};
+use crate::{CrashReport, EndpointCrash, EndpointKey, EndpointRow, PathState, SuspectKey, SuspectKind};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::collections::{BTreeMap, HashMap};
 use std::io;
@@ -18,6 +18,8 @@
 
 /// Delay of the second probe of an address: a process that stops closes one socket after the other.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(100);
+/// Delay of the second probe after an unframed answer, which waits for it.
+const END_PROBE_DELAY: Duration = Duration::from_millis(30);
 /// Delay before an address is probed again that refused connections while no other endpoint was reached.
 const UNPROVEN_PROBE_DELAY: Duration = Duration::from_millis(250);
 /// Service discovery reports a crash within this time: three heartbeats of 1.2 s, plus a
@@ -239,6 +241,27 @@
     gateway.crash_detector.record_alive(endpoint);
 }
 
+impl Gateway {
+    /// Whether an endpoint is still there after an answer that ended with its connection.
+    ///
+    /// A crash ends connections in the same way. An endpoint that has announced its departure may end after its
+    /// answer.
+    pub(crate) async fn is_there_after_end(
+        self: Arc<Self>,
+        endpoint: EndpointKey,
+        address: SocketAddr,
+    ) -> bool {
+        for delay in [Duration::ZERO, END_PROBE_DELAY] {
+            tokio::time::sleep(delay).await;
+            let is_departing = self.table().row(endpoint).is_some_and(EndpointRow::has_announced_departure);
+            if !is_departing && refuses_connections(address).await {
+                return false;
+            }
+        }
+        true
+    }
+}
+
 async fn refuses_connections(address: SocketAddr) -> bool {
     open_stream(address, CALL_UNACKNOWLEDGED_TIMEOUT)
         .await
--- a/crates/gateway/src/requests/answer_wait.rs
+++ b/crates/gateway/src/requests/answer_wait.rs
@@ -13,7 +13,7 @@
 use crate::operators::gateway_metrics::KindLabel;
 use crate::requests::dispatch::{HeadVerdict, Unsent};
 use crate::requests::event_reader::EventError;
-use crate::requests::open_send::{AnswerStart, ExchangeResult, OpenSend, SendRoute, SendStep};
+use crate::requests::open_send::{AnswerStart, ExchangeResult, OpenSend, SendRoute, SendStep, UnframedEnd};
 use crate::requests::open_sends::OpenSends;
 use crate::requests::request_run::RequestRun;
 use bytes::Bytes;
@@ -295,7 +295,27 @@
     ) -> Result<Option<AnswerPart>, AnswerFault> {
         match step {
             SendStep::Head(result) => self.apply_head(open, index, result)?,
-            SendStep::Body(Ok(start)) => return Ok(self.apply_body(open, index, start)),
+            SendStep::Body(Ok(start)) => {
+                let has_ended = matches!(start, AnswerStart::Whole(_));
+                if has_ended && open.send_mut(index).is_unframed() {
+                    self.check_end(open, index, UnframedEnd::Body(start));
+                } else {
+                    return Ok(self.apply_body(open, index, start));
+                }
+            }
+            SendStep::Events(Ok(None)) if open.send_mut(index).is_unframed() => {
+                self.check_end(open, index, UnframedEnd::Events);
+            }
+            SendStep::Checked(_, false) => {
+                self.fail_broken(open, index, "its endpoint crashed", "the answer broke off");
+            }
+            SendStep::Checked(UnframedEnd::Body(start), true) => {
+                return Ok(self.apply_body(open, index, start));
+            }
+            SendStep::Checked(UnframedEnd::Events, true) => {
+                self.select(open, index);
+                return Ok(Some(AnswerPart::Events(None)));
+            }
             SendStep::Body(Err(error)) => {
                 self.fail_broken(open, index, &error.to_string(), "the answer broke off");
             }
@@ -311,6 +331,15 @@
         Ok(None)
     }
 
+    /// Probes the endpoint of an unframed answer before its end is passed on.
+    fn check_end(&self, open: &mut OpenSends, index: usize, end: UnframedEnd) {
+        let send = open.send_mut(index);
+        if let SendRoute::Endpoint { flight, .. } = &send.route {
+            let check = Arc::clone(&self.gateway).is_there_after_end(flight.key, flight.address);
+            send.check_end(end, Box::pin(check));
+        }
+    }
+
     fn apply_head(
         &mut self,
         open: &mut OpenSends,
--- a/crates/gateway/src/requests/long_answer.rs
+++ b/crates/gateway/src/requests/long_answer.rs
@@ -85,6 +85,14 @@
                 }
             }
         }
+        if self.send.is_unframed()
+            && let SendRoute::Endpoint { flight, .. } = &self.send.route
+            && !Arc::clone(&self.run.gateway).is_there_after_end(flight.key, flight.address).await
+        {
+            flight.record_outcome(SendOutcome::Broken);
+            self.run.record_broken(flight);
+            return Err(BrokenAnswer("its endpoint crashed".to_owned()));
+        }
         self.chunks.finish();
         self.send.complete();
         if let SendRoute::Endpoint { flight, .. } = &self.send.route {
--- a/crates/gateway/src/requests/open_send.rs
+++ b/crates/gateway/src/requests/open_send.rs
@@ -16,11 +16,12 @@
 use http_body_util::BodyExt;
 use hyper::Response;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
 use spanfold_entity::Moment;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 /// Answers up to this size are read whole before they are forwarded, so that a broken one can be reported
 /// or its request repeated. Longer ones are forwarded as they arrive.
@@ -39,6 +40,17 @@
     Peer(PeerSend),
 }
 
+/// An answer that ended with its connection, without a length or chunks that tell its end from a crash.
+pub(crate) enum UnframedEnd {
+    /// The end of a stream.
+    Events,
+    /// A plain answer, or its beginning.
+    Body(AnswerStart),
+}
+
+/// Whether the endpoint of an unframed answer is still there after its end.
+type EndCheck = Pin<Box<dyn Future<Output = bool> + Send>>;
+
 /// How far the answer of a send has arrived.
 enum AnswerStage {
     Head(ExchangeFuture),
@@ -54,6 +66,8 @@
     Body(Result<AnswerStart, hyper::Error>),
     /// The next events of a stream; none at its end.
     Events(Result<Option<Bytes>, EventError>),
+    /// An unframed answer has ended, and whether its endpoint is still there.
+    Checked(UnframedEnd, bool),
 }
 
 /// The part of a plain answer that was read.
@@ -73,6 +87,8 @@
     seen: (usize, usize),
     /// Whether it is recorded as silent.
     pub is_silent: bool,
+    /// The end of an unframed answer, while its endpoint is probed.
+    end_check: Option<(UnframedEnd, EndCheck)>,
     /// Whether it asks for the rest of a stream, and has brought none of it.
     pub is_resuming: bool,
     pub sent_at: Moment,
@@ -89,11 +105,17 @@
     ) -> Self {
         let seen = (upload.as_ref().map_or(0, BodyProgress::remaining), 0);
         let stage = AnswerStage::Head(exchange);
-        Self { route, stage, upload, seen, is_silent: false, is_resuming, sent_at }
+        Self { route, stage, upload, seen, is_silent: false, end_check: None, is_resuming, sent_at }
     }
 
     /// Polls for the next step. Nothing is lost if it is not polled to its end.
     pub(crate) fn poll_step(&mut self, context: &mut Context<'_>) -> Poll<SendStep> {
+        if let Some((_, check)) = &mut self.end_check {
+            let is_alive = ready!(check.as_mut().poll(context));
+            if let Some((end, _)) = self.end_check.take() {
+                return Poll::Ready(SendStep::Checked(end, is_alive));
+            }
+        }
         match &mut self.stage {
             AnswerStage::Head(exchange) => exchange.as_mut().poll(context).map(SendStep::Head),
             AnswerStage::Body { body, prefix, .. } => {
@@ -103,6 +125,19 @@
         }
     }
 
+    /// Whether the end of its answer may be its endpoint's crash: the answer has neither a length nor chunks.
+    pub(crate) fn is_unframed(&self) -> bool {
+        let is_framed = |head: &response::Parts| {
+            head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING)
+        };
+        self.peer().is_none() && self.head().is_some_and(|head| !is_framed(head))
+    }
+
+    /// Waits for `check` before the answer's `end` is passed on.
+    pub(crate) fn check_end(&mut self, end: UnframedEnd, check: EndCheck) {
+        self.end_check = Some((end, check));
+    }
+
     /// Goes on to read a plain answer.
     pub(crate) fn read_body(&mut self, head: response::Parts, body: Incoming) {
         self.stage = AnswerStage::Body { head: Box::new(head), body, prefix: BytesMut::new() };
