Serve at other VMs what this VM's shares of limited endpoints do not suffice for

What callers saw: with callers at one of six VMs and four endpoints that name a limit, most were refused although the endpoints had room. Cause: each VM has a share of a limit; shares assume that callers are spread. The limit itself holds as before, since each VM uses its own share.

--- a/crates/decide/src/admit/shared_rate.rs
+++ b/crates/decide/src/admit/shared_rate.rs
@@ -239,6 +239,27 @@
         (count / senders + usize::from(position < remainder)) as u64
     }
 
+    /// Returns the other VMs that have shares of an endpoint of `data_centre`; none if this VM's data centre has no
+    /// share there.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_decide::{EndpointKey, RateTerms, ShareRight, VmKey};
+    /// let others: Vec<_> = ["vm-2", "vm-3"].map(VmKey::of).to_vec();
+    /// let right = ShareRight { local_vms: others.clone(), ..ShareRight::alone(VmKey::of("vm-1"), "dc-a") };
+    /// let senders = right.other_senders(EndpointKey::of("i-1"), "dc-a", &RateTerms::of_limit(6.0));
+    /// assert_eq!(senders.len(), 2);
+    /// ```
+    pub fn other_senders(&self, endpoint: EndpointKey, data_centre: &str, terms: &RateTerms) -> Vec<VmKey> {
+        let others = self.senders(data_centre).unwrap_or_default();
+        let count = usize::try_from(terms.count).unwrap_or(usize::MAX);
+        let mut senders: Vec<_> = others.iter().copied().chain([self.own]).collect();
+        senders.sort_unstable_by_key(|vm| rendezvous(*vm, endpoint));
+        senders.truncate(terms.max_senders.min(count));
+        senders.retain(|vm| *vm != self.own);
+        senders
+    }
+
     /// Returns this VM's share of a count for the VMs of all data centres.
     ///
     /// # Examples
--- a/crates/decide/src/fleet/fleet_limits.rs
+++ b/crates/decide/src/fleet/fleet_limits.rs
@@ -7,9 +7,10 @@
 use crate::admit::candidates;
 use crate::{
     ColdSpec, ColdTerms, EndpointEntry, EndpointKey, EndpointRow, FleetTable, LimitChange, LimitReport,
-    PlacementRequest, RateTerms, ShareCapacity, ShareView,
+    PlacementRequest, RateTerms, ShareCapacity, ShareView, VmKey,
 };
 use spanfold_entity::Moment;
+use std::collections::BTreeSet;
 
 /// Longest time for which an endpoint is treated as cold, in milliseconds, whatever its entry states.
 pub(super) const MAX_COLD_MILLIS: u64 = 600_000;
@@ -126,6 +127,16 @@
         has_candidates.then_some(capacity)
     }
 
+    /// Returns the other VMs that have shares of the rate-limited endpoints that may serve a request.
+    pub fn share_holders(&self, request: &PlacementRequest<'_>, now: Moment) -> BTreeSet<VmKey> {
+        let Some(right) = request.shares.right else { return BTreeSet::new() };
+        let holders = candidates(self, request, now).into_iter().flat_map(|(key, row)| {
+            let terms = self.rate_terms(row, request.shares.cold, now).into_iter().flatten();
+            terms.flat_map(move |terms| right.other_senders(key, &row.entry.data_centre, &terms))
+        });
+        holders.collect()
+    }
+
     /// Applies an endpoint's report of its limit, from an answer to this VM or from another VM.
     pub fn observe_limit(&mut self, key: EndpointKey, report: LimitReport) -> LimitChange {
         let change = self.rows.get_mut(&key).map_or(LimitChange::None, |row| row.limit.observe(report));
--- a/crates/decide/src/fleet/forward_peers.rs
+++ b/crates/decide/src/fleet/forward_peers.rs
@@ -70,6 +70,20 @@
         pick(first, tried, &in_flight, &mut draw).or_else(|| pick(second, tried, &in_flight, &mut draw))
     }
 
+    /// Returns those that `is_suitable`.
+    ///
+    /// # Examples
+    /// ```
+    /// assert_eq!(spanfold_decide::ForwardPeers::default().only(|_| true).local, []);
+    /// ```
+    pub fn only(&self, is_suitable: impl Fn(VmKey) -> bool) -> Self {
+        let suitable = |peers: &[ForwardPeer]| {
+            peers.iter().filter(|peer| is_suitable(peer.vm)).cloned().collect::<Vec<_>>()
+        };
+        let closed_local_count = self.closed_local_count;
+        Self { local: suitable(&self.local), remote: suitable(&self.remote), closed_local_count }
+    }
+
     /// Returns the fraction of requests that go to VMs of the same data centre.
     fn local_share(&self) -> f64 {
         self.local.len() as f64 * MAX_CUT_VMS_PER_PEER / self.closed_local_count.max(1) as f64
--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -16,6 +16,7 @@
 use hyper::Request;
 use hyper::header::{AUTHORIZATION, HOST, HeaderValue};
 use spanfold_entity::MICROS_PER_MILLI;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// VMs to which one request is sent at most.
@@ -32,6 +33,8 @@
     pub given_to: String,
     /// VMs that it was forwarded to.
     pub tried: Vec<VmKey>,
+    /// VMs that have shares of the endpoints that this VM's shares do not suffice for.
+    pub share_holders: BTreeSet<VmKey>,
     /// Whether its endpoint needs a new connection, and only pooled ones work.
     pub needs_connection: bool,
     /// Whether it is sent to endpoints although others are still forwarded.
@@ -49,6 +52,7 @@
             taken_from: String::new(),
             given_to: String::new(),
             tried: Vec::new(),
+            share_holders: BTreeSet::new(),
             needs_connection: false,
             is_direct: false,
             is_counted: false,
@@ -140,7 +144,10 @@
         let sent = (self.plan.tried.len() < MAX_PEERS)
             .then(|| gateway.choose_peer(&self.plan.tried))
             .flatten()
-            .and_then(|place| self.send_to_peer(place, last_event_id));
+            .and_then(|place| {
+                let cause = gateway.path.borrow().label();
+                self.send_to_peer(place, cause, last_event_id)
+            });
         if sent.is_some() {
             return Ok(sent);
         }
@@ -154,9 +161,31 @@
         Err(Unsent::NoPeer)
     }
 
-    fn send_to_peer(&mut self, place: ForwardPlace, last_event_id: Option<&Bytes>) -> Option<OpenSend> {
+    /// Sends a request that this VM's shares of rate-limited endpoints do not suffice for to a VM that has others;
+    /// none if there is none to try.
+    ///
+    /// Shares assume that callers are spread over the VMs.
+    pub(crate) fn open_spilled_send(
+        &mut self,
+        holders: &BTreeSet<VmKey>,
+        last_event_id: Option<&Bytes>,
+    ) -> Option<OpenSend> {
+        let gateway = Arc::clone(&self.gateway);
+        let may_spill = self.plan.taken_from.is_empty()
+            && self.plan.tried.len() < MAX_PEERS
+            && gateway.forwards.may_spill(gateway.now());
+        let place = may_spill.then(|| gateway.choose_share_holder(holders, &self.plan.tried)).flatten()?;
+        self.leave_queue();
+        self.send_to_peer(place, "limited", last_event_id)
+    }
+
+    fn send_to_peer(
+        &mut self,
+        place: ForwardPlace,
+        cause: &'static str,
+        last_event_id: Option<&Bytes>,
+    ) -> Option<OpenSend> {
         let gateway = Arc::clone(&self.gateway);
-        let cause = gateway.path.borrow().label();
         self.plan.tried.push(place.peer.vm);
         self.plan.given_to.clone_from(&place.peer.name);
         log::info!(request = self.context.id_text(), peer = place.peer.name.as_str(), cause;
@@ -210,6 +239,9 @@
             // It has no body.
             send.complete();
             count("refused");
+            if gateway.path.borrow().opens_connections() {
+                gateway.forwards.pause_spills(gateway.now());
+            }
             return HeadVerdict::NotSent;
         }
         self.may_have_run |= kind != AnswerKind::NotRun;
--- a/crates/gateway/src/forward/forward_state.rs
+++ b/crates/gateway/src/forward/forward_state.rs
@@ -7,7 +7,7 @@
     EndpointKey, ForwardPeer, ForwardPeers, PathState, UsedSequences, VmKey, direct_share, short_digest,
 };
 use spanfold_entity::Moment;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -18,6 +18,8 @@
 const TAKEN_PER_MEGABYTE: f64 = 1.0;
 /// Interval between checks whether another VM is silent: as long as that between its digests.
 const SILENCE_POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which no request goes to another VM for its shares after one had none left, in milliseconds.
+const SPILL_PAUSE_MILLIS: u64 = 100;
 /// Fraction of the bytes that a VM may buffer beyond which it takes no forwarded requests.
 const MAX_HELD_FRACTION: f64 = 0.5;
 
@@ -39,6 +41,8 @@
     pub taken: AtomicU64,
     /// When this VM's path to the endpoints came back, in microseconds; zero if it was never gone.
     opened_at: AtomicU64,
+    /// No request goes to another VM for its shares before, in microseconds.
+    spills_from: AtomicU64,
 }
 
 /// A request's place at the VM that it is forwarded to, until it is dropped.
@@ -83,6 +87,16 @@
         direct_share(Moment(self.opened_at.load(Ordering::Relaxed)), now)
     }
 
+    /// Whether a request may go to another VM because this VM's shares of endpoints do not suffice.
+    pub(super) fn may_spill(&self, now: Moment) -> bool {
+        now.0 >= self.spills_from.load(Ordering::Relaxed)
+    }
+
+    /// Records that another VM's shares did not suffice either: more requests arrive than endpoints take.
+    pub(super) fn pause_spills(&self, now: Moment) {
+        self.spills_from.store(now.after_millis(SPILL_PAUSE_MILLIS).0, Ordering::Relaxed);
+    }
+
     /// Returns the sequence number of the next forwarded request.
     pub(super) fn next_sequence(&self) -> u64 {
         self.sequence.fetch_add(1, Ordering::Relaxed) + 1
@@ -104,7 +118,19 @@
 
     /// Chooses another VM for a request; none if no VM takes requests.
     pub(super) fn choose_peer(self: &Arc<Self>, tried: &[VmKey]) -> Option<ForwardPlace> {
-        let peers = self.forward_peers();
+        self.choose_peer_among(&self.forward_peers(), tried)
+    }
+
+    /// Chooses one of `holders` for a request that this VM's shares of endpoints do not suffice for.
+    pub(super) fn choose_share_holder(
+        self: &Arc<Self>,
+        holders: &BTreeSet<VmKey>,
+        tried: &[VmKey],
+    ) -> Option<ForwardPlace> {
+        self.choose_peer_among(&self.forward_peers().only(|vm| holders.contains(&vm)), tried)
+    }
+
+    fn choose_peer_among(self: &Arc<Self>, peers: &ForwardPeers, tried: &[VmKey]) -> Option<ForwardPlace> {
         let mut in_flight = self.forwards.in_flight();
         let load = |vm: VmKey| in_flight.get(&vm).copied().unwrap_or(0);
         let peer = peers.choose(tried, load, rand::random)?.clone();
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -17,7 +17,8 @@
 use crate::salted_key;
 use crate::{
     AdmissionVerdict, AdmissionView, CanaryDraw, EndpointKey, FleetTable, PlacementChoice, PlacementRequest,
-    SendOutcome, ShareVerdict, ShareView, VersionSplit, claim_probability, format_cache_salt, short_digest,
+    SendOutcome, ShareVerdict, ShareView, VersionSplit, VmKey, claim_probability, format_cache_salt,
+    short_digest,
 };
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -25,6 +26,7 @@
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -54,8 +56,9 @@
     Wait,
     /// Its endpoints are rate limited, and this VM may send one the next request at this moment.
     WaitForShare(Moment),
-    /// Its endpoints take no request from this VM in time. Contains the retry delay, in milliseconds.
-    Limited(u64),
+    /// Its endpoints take no request from this VM in time. Contains the retry delay, in milliseconds, and the
+    /// VMs from which they may take one.
+    Limited(u64, BTreeSet<VmKey>),
     /// The answer would be too late for its caller. Contains the retry delay, in milliseconds.
     Late(u64),
 }
@@ -166,6 +169,11 @@
             }
             match self.open_endpoint_send(last_event_id) {
                 Err(Unsent::NoEndpoint | Unsent::Unreached) if self.needs_peer() => {}
+                Err(Unsent::Limited(delay_millis)) => {
+                    let holders = std::mem::take(&mut self.plan.share_holders);
+                    let spilled = self.open_spilled_send(&holders, last_event_id);
+                    return spilled.ok_or(Unsent::Limited(delay_millis));
+                }
                 opened => return opened,
             }
         }
@@ -191,7 +199,10 @@
         let (choice, flight) = match self.choose().ok_or(Unsent::NoEndpoint)? {
             PlaceResult::Placed(choice, flight) => (choice, *flight),
             PlaceResult::Late(return_delay_millis) => return Err(Unsent::Late(return_delay_millis)),
-            PlaceResult::Limited(return_delay_millis) => return Err(Unsent::Limited(return_delay_millis)),
+            PlaceResult::Limited(return_delay_millis, holders) => {
+                self.plan.share_holders = holders;
+                return Err(Unsent::Limited(return_delay_millis));
+            }
             // It would wait for engines that it does not reach.
             PlaceResult::Wait | PlaceResult::WaitForShare(_) if self.has_lost_path() => {
                 return Err(Unsent::Unreached);
@@ -395,7 +406,7 @@
                 log::info!(request = self.context.id_text(), service = request.service, blocked:%,
                     own_per_s = capacity.own_per_s, all_per_s = capacity.all_per_s,
                     back_ms = return_delay_millis; "request.limited");
-                PlaceResult::Limited(return_delay_millis)
+                PlaceResult::Limited(return_delay_millis, gateway.table().share_holders(request, now))
             }
         })
     }
--- a/crates/gateway/src/requests/own_answer.rs
+++ b/crates/gateway/src/requests/own_answer.rs
@@ -14,6 +14,9 @@
 /// Reason of a refusal because there is no endpoint to send to.
 pub(crate) const NO_ENDPOINT_TAKES_WORK: &str = "no endpoint takes work";
 
+/// Reason of a refusal because this VM may not send more to rate-limited endpoints in time.
+pub(crate) const ENDPOINTS_LIMITED: &str = "its endpoints take no more in time";
+
 /// Header with the reason why a stream is not resumed.
 const RESUME_REFUSED: HeaderName = HeaderName::from_static("resume-refused");
 /// Retry delay of a resumption while other VMs do not answer; a random delay is added.
@@ -131,9 +134,9 @@
         Self { retry_after_millis: Some(millis), ..Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason) }
     }
 
-    /// Whether it says that no endpoint was reached, which another VM may do.
+    /// Whether it says that no endpoint was reached, or may be used, which may differ at another VM.
     pub(crate) fn is_unreached(&self) -> bool {
-        [NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK].contains(&self.reason)
+        [NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, ENDPOINTS_LIMITED].contains(&self.reason)
     }
 
     /// Builds the HTTP response.
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -15,7 +15,8 @@
 use crate::requests::open_send::{AnswerStart, OpenSend, SendRoute};
 use crate::requests::open_sends::OpenSends;
 use crate::requests::own_answer::{
-    AnswerBody, NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, OwnAnswer, ResumeRefusal, full_body,
+    AnswerBody, ENDPOINTS_LIMITED, NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, OwnAnswer, ResumeRefusal,
+    full_body,
 };
 use crate::requests::request_context::{RequestContext, header_text, is_hop_by_hop};
 use crate::requests::request_run::{CallerResources, RequestRun};
@@ -170,7 +171,7 @@
             run.refuse("no engine has room in time", return_delay_millis)
         }
         AnswerFault::Unsent(Unsent::Limited(return_delay_millis)) => {
-            run.refuse_unless_run("its endpoints take no more in time", return_delay_millis)
+            run.refuse_unless_run(ENDPOINTS_LIMITED, return_delay_millis)
         }
         AnswerFault::Unsent(Unsent::Quarantined) => run.refuse_quarantined(),
         AnswerFault::Unsent(Unsent::OnTrial) => {
