Tell quarantines of segments from those of requests, and apply a crash's evidence at once

Cause: VMs of the former form read a segment's quarantine from the store and repeat it as a request's, without companions; adopted here it would have refused all prompts with a sound companion. Evidence against the suspects of one crash was recorded one by one, so an evaluation in between could compare incomplete counts. Change: a row applies to suspects of its own kind only, and a segment's row replaces a mistaken one. All reports of a crash, and all messages of a datagram, are applied under one lock.

--- a/crates/decide/src/quarantine/quarantine_table.rs
+++ b/crates/decide/src/quarantine/quarantine_table.rs
@@ -67,9 +67,10 @@
 }
 
 impl QuarantinedSuspect {
-    /// Whether this row applies to a request with the suspects `keys`.
-    fn applies_to(&self, keys: &[SuspectKey]) -> bool {
-        self.companions.iter().all(|companion| keys.contains(companion))
+    /// Whether this row of a suspect of `kind` applies to a request with `suspects`.
+    fn applies_to(&self, kind: SuspectKind, suspects: &[(SuspectKey, SuspectKind)]) -> bool {
+        let is_present = |key: &SuspectKey| suspects.contains(&(*key, SuspectKind::Segment));
+        self.kind == kind && self.companions.iter().all(is_present)
     }
 }
 
@@ -118,18 +119,21 @@
         (row.phase == QuarantinePhase::Quarantined && now < row.until).then_some(row)
     }
 
-    /// Returns which of the suspects of a request is quarantined, if the request is to be refused now.
-    pub fn refusal_of(&self, keys: &[SuspectKey], now: Moment) -> Option<SuspectKey> {
-        let refuses = |key: &SuspectKey| self.quarantined(*key, now).is_some_and(|row| row.applies_to(keys));
-        keys.iter().copied().find(refuses)
+    /// Returns which of the `suspects` of a request is quarantined, if the request is to be refused now.
+    pub fn refusal_of(&self, suspects: &[(SuspectKey, SuspectKind)], now: Moment) -> Option<SuspectKey> {
+        let refuses = |(key, kind): &&(SuspectKey, SuspectKind)| {
+            self.quarantined(*key, now).is_some_and(|row| row.applies_to(*kind, suspects))
+        };
+        suspects.iter().find(refuses).map(|(key, _)| *key)
     }
 
-    /// Returns which of the suspects of a request is on trial now.
-    pub fn trial_of(&self, keys: &[SuspectKey], now: Moment) -> Option<SuspectKey> {
-        keys.iter().copied().find(|key| {
+    /// Returns which of the `suspects` of a request is on trial now.
+    pub fn trial_of(&self, suspects: &[(SuspectKey, SuspectKind)], now: Moment) -> Option<SuspectKey> {
+        let is_on_trial = |(key, kind): &&(SuspectKey, SuspectKind)| {
             let row = self.rows.get(key).filter(|row| now < row.until);
-            row.is_some_and(|row| row.phase.is_trial() && row.applies_to(keys))
-        })
+            row.is_some_and(|row| row.phase.is_trial() && row.applies_to(*kind, suspects))
+        };
+        suspects.iter().find(is_on_trial).map(|(key, _)| *key)
     }
 
     /// Whether there is a row of a suspect.
@@ -219,8 +223,14 @@
             QuarantinePhase::Probation => PROBATION_MILLIS,
         };
         let until = reported.until.min(now.after_millis(longest_millis));
-        if let Some(row) = self.rows.get_mut(&suspect).filter(|row| row.round >= reported.round) {
-            if row.round == reported.round && row.phase == reported.phase {
+        // VMs of the former form take the stored quarantine of a segment for that of a request.
+        let is_mistaken =
+            |row: &QuarantinedSuspect| row.kind == SuspectKind::Request && row.kind != reported.kind;
+        if let Some(row) = self.rows.get_mut(&suspect)
+            && !is_mistaken(row)
+            && (row.round >= reported.round || row.kind != reported.kind)
+        {
+            if row.kind == reported.kind && row.round == reported.round && row.phase == reported.phase {
                 row.until = row.until.min(until);
                 if reported.is_stored && row.phase == QuarantinePhase::Quarantined {
                     row.write_at = Moment::NEVER;
--- a/crates/decide/src/quarantine/request_quarantine.rs
+++ b/crates/decide/src/quarantine/request_quarantine.rs
@@ -122,28 +122,30 @@
         self.table.quarantined(suspect, now)
     }
 
-    /// Returns why a request with the suspects `keys` is refused now.
+    /// Returns because of which of its `suspects` a request is refused now.
     ///
     /// # Examples
     /// ```
-    /// use spanfold_decide::{RequestQuarantine, SuspectKey};
+    /// use spanfold_decide::{RequestQuarantine, SuspectKey, SuspectKind};
     /// use spanfold_entity::Moment;
-    /// assert_eq!(RequestQuarantine::default().refusal_of(&[SuspectKey::default()], Moment(0)), None);
+    /// let suspects = [(SuspectKey::default(), SuspectKind::Request)];
+    /// assert_eq!(RequestQuarantine::default().refusal_of(&suspects, Moment(0)), None);
     /// ```
-    pub fn refusal_of(&self, keys: &[SuspectKey], now: Moment) -> Option<SuspectKey> {
-        self.table.refusal_of(keys, now)
+    pub fn refusal_of(&self, suspects: &[(SuspectKey, SuspectKind)], now: Moment) -> Option<SuspectKey> {
+        self.table.refusal_of(suspects, now)
     }
 
-    /// Returns which of the suspects `keys` of a request may run only once at a time.
+    /// Returns which of the `suspects` of a request may run only once at a time.
     ///
     /// # Examples
     /// ```
-    /// use spanfold_decide::{RequestQuarantine, SuspectKey};
+    /// use spanfold_decide::{RequestQuarantine, SuspectKey, SuspectKind};
     /// use spanfold_entity::Moment;
-    /// assert_eq!(RequestQuarantine::default().trial_of(&[SuspectKey::default()], Moment(0)), None);
+    /// let suspects = [(SuspectKey::default(), SuspectKind::Request)];
+    /// assert_eq!(RequestQuarantine::default().trial_of(&suspects, Moment(0)), None);
     /// ```
-    pub fn trial_of(&self, keys: &[SuspectKey], now: Moment) -> Option<SuspectKey> {
-        self.table.trial_of(keys, now)
+    pub fn trial_of(&self, suspects: &[(SuspectKey, SuspectKind)], now: Moment) -> Option<SuspectKey> {
+        self.table.trial_of(suspects, now)
     }
 
     /// Whether there is evidence against a suspect, or a row of it in the table of quarantines.
--- a/crates/gateway/src/endpoints/crash_detector.rs
+++ b/crates/gateway/src/endpoints/crash_detector.rs
@@ -178,9 +178,7 @@
             let took_ms = broke_at.map_or(0, |at| millis(now.micros_since(at)));
             log::warn!(endpoint = suspicion.endpoint.id.as_str(), sends = suspicion.sends.len(), sign, took_ms;
                 "endpoint.ended");
-            for (report, request_id) in reports_of(&suspicion.sends) {
-                self.record_own_crash(&report, request_id, &suspicion.endpoint.id);
-            }
+            self.record_own_crash(&reports_of(&suspicion.sends), &suspicion.endpoint.id);
         });
     }
 
--- a/crates/gateway/src/quarantine/quarantine_tracker.rs
+++ b/crates/gateway/src/quarantine/quarantine_tracker.rs
@@ -121,29 +121,36 @@
         self.quarantine_tracker.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records that an endpoint crashed while it had requests of this VM with a suspect.
-    pub(crate) fn record_own_crash(&self, report: &CrashReport, request_id: &str, endpoint: &str) {
+    /// Records that an endpoint crashed while it had requests of this VM; each report has a request's id.
+    pub(crate) fn record_own_crash(&self, reports: &[(CrashReport, &str)], endpoint: &str) {
         let now = self.now();
-        let mut tracker = self.quarantine_tracker();
-        if !tracker.quarantine.record_report(report, now) {
-            return;
+        // All at once: the evidence against suspects of one crash is compared.
+        let new_reports: Vec<_> = {
+            let mut tracker = self.quarantine_tracker();
+            let is_new = |(report, _): &&(CrashReport, &str)| tracker.quarantine.record_report(report, now);
+            reports.iter().filter(is_new).collect()
+        };
+        for (report, request_id) in new_reports {
+            self.log_evidence(report, request_id, endpoint);
+            self.metrics.quarantine.reports.get_or_create(&KindLabel::new("own")).inc();
+            let message = QuarantineMessage::of_report(report, now);
+            self.push_quarantine_message(&SuspectMessage::of(report.kind, message));
         }
+        self.loads_changed.notify_one();
+        self.evidence_received.notify_one();
+    }
+
+    /// Logs evidence. Segments that were at a single crash are many, and are named by the line of the broken
+    /// send.
+    fn log_evidence(&self, report: &CrashReport, request_id: &str, endpoint: &str) {
+        let tracker = self.quarantine_tracker();
         let crash_count = tracker.quarantine.crashes_of(report.suspect);
-        let part = tracker.part_name(report.suspect).to_owned();
-        drop(tracker);
-        self.metrics.quarantine.reports.get_or_create(&KindLabel::new("own")).inc();
-        // Segments that were at a single crash are many, and are named by the line of the broken send.
         if report.kind == SuspectKind::Request || crash_count > 1 {
-            log::warn!(request = request_id, digest:% = report.suspect, part = part.as_str(), endpoint,
+            log::warn!(request = request_id, digest:% = report.suspect,
+                part = tracker.part_name(report.suspect), endpoint,
                 age_ms = millis(report.age_micros), endings = crash_count;
                 "quarantine.evidence");
         }
-        self.push_quarantine_message(&SuspectMessage::of(
-            report.kind,
-            QuarantineMessage::of_report(report, now),
-        ));
-        self.loads_changed.notify_one();
-        self.evidence_received.notify_one();
     }
 
     /// Queues a message for the VMs of this data centre, and for other data centres.
@@ -195,8 +202,11 @@
     ) {
         let now = self.now();
         let is_local = self.peers().is_local(reporter);
-        for message in messages {
-            let (is_new, changes) = self.quarantine_tracker().quarantine.apply_message(message, now);
+        let outcomes: Vec<_> = {
+            let mut tracker = self.quarantine_tracker();
+            messages.iter().map(|message| tracker.quarantine.apply_message(message, now)).collect()
+        };
+        for (message, (is_new, changes)) in messages.iter().zip(outcomes) {
             self.publish_changes(&changes);
             if !is_new {
                 continue;
--- a/crates/gateway/src/requests/request_suspects.rs
+++ b/crates/gateway/src/requests/request_suspects.rs
@@ -104,12 +104,12 @@
 
     /// Whether it is refused, because endpoints crash under it or under a segment of its prompt.
     pub(crate) fn is_quarantined(&mut self) -> bool {
-        let keys = self.current_keys();
-        if keys.is_empty() {
+        let suspects = self.current_suspects();
+        if suspects.is_empty() {
             return false;
         }
         let now = self.gateway.now();
-        self.suspects.blamed = self.gateway.quarantine_tracker().quarantine.refusal_of(&keys, now);
+        self.suspects.blamed = self.gateway.quarantine_tracker().quarantine.refusal_of(&suspects, now);
         self.suspects.blamed.is_some()
     }
 
@@ -170,13 +170,13 @@
     /// Uses the right to run the suspect of the request that is on trial, if one is; false if this VM does not
     /// have the right.
     pub(crate) fn begin_trial(&mut self) -> bool {
-        let keys = self.current_keys();
-        if keys.is_empty() {
+        let suspects = self.current_suspects();
+        if suspects.is_empty() {
             return true;
         }
         let now = self.gateway.now();
         let mut tracker = self.gateway.quarantine_tracker();
-        let Some(suspect) = tracker.quarantine.trial_of(&keys, now) else { return true };
+        let Some(suspect) = tracker.quarantine.trial_of(&suspects, now) else { return true };
         match tracker.trials.request(suspect, now) {
             TrialStep::Run => {
                 drop(tracker);
