--- a/crates/decide/src/quarantine/crash_history.rs
+++ b/crates/decide/src/quarantine/crash_history.rs
@@ -22,8 +22,9 @@
 //! Segments that came together in all crashes have the same evidence. They are found fatal together, as
 //! [`companions`](CrashHistory::companions): only prompts with all of them are then refused.
 //!
-//! In a fleet without other crashes, three crashes within a second of the request's start suffice; where
-//! endpoints crash by themselves, or a data centre fails at once, many more are needed.
+//! In a fleet without other crashes, three crashes within a second of a request's start suffice, and four or
+//! five under a segment; where endpoints crash by themselves, or a data centre fails at once, many more are
+//! needed.
 
 use crate::quarantine::crash_verdict::{CrashVerdict, MIN_CRASHES_PER_VERDICT};
 use crate::{CrashReport, EndpointCrash, EndpointKey, SuspectKey, SuspectKind};
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -138,7 +138,8 @@
     /// Sends the request to an endpoint, or to another VM if this one reaches none, once one takes it.
     pub(crate) async fn open_send(&mut self, last_event_id: Option<&Bytes>) -> Result<OpenSend, Unsent> {
         loop {
-            // The request may have been quarantined while it waited.
+            // The request may have been quarantined while it waited, or while this VM was suspended.
+            self.gateway.wait_until_current().await;
             self.wait_for_evaluation().await;
             match self.try_open_send(last_event_id) {
                 Err(Unsent::NoRoom) => {
