Keep the connection that shows that an unframed answer's endpoint is there

Cause: the probes opened connections that nobody used; request_path's test of unframed answers, which counts connections, failed. Change: the probe's connection replaces the one that ended: it has to stay open for 30 ms and then goes to the pool. Measured: request_path and unframed_answers green.

--- a/crates/gateway/src/endpoints/crash_detector.rs
+++ b/crates/gateway/src/endpoints/crash_detector.rs
@@ -18,8 +18,8 @@
 
 /// Delay of the second probe of an address: a process that stops closes one socket after the other.
 const SECOND_PROBE_DELAY: Duration = Duration::from_millis(100);
-/// Delay of the second probe after an unframed answer, which waits for it.
-const END_PROBE_DELAY: Duration = Duration::from_millis(30);
+/// Time for which a connection that was opened after an unframed answer has to stay open.
+const SPARE_CONNECTION_DELAY: Duration = Duration::from_millis(30);
 /// Delay before an address is probed again that refused connections while no other endpoint was reached.
 const UNPROVEN_PROBE_DELAY: Duration = Duration::from_millis(250);
 /// Service discovery reports a crash within this time: three heartbeats of 1.2 s, plus a
@@ -243,19 +243,23 @@
     /// Whether an endpoint is still there after an answer that ended with its connection.
     ///
     /// A crash ends connections in the same way. An endpoint that has announced its departure may end after its
-    /// answer.
+    /// answer. The connection that shows it replaces the one that ended.
     pub(crate) async fn is_there_after_end(
         self: Arc<Self>,
         endpoint: EndpointKey,
         address: SocketAddr,
     ) -> bool {
-        for delay in [Duration::ZERO, END_PROBE_DELAY] {
-            tokio::time::sleep(delay).await;
-            let is_departing = self.table().row(endpoint).is_some_and(EndpointRow::has_announced_departure);
-            if !is_departing && refuses_connections(address).await {
-                return false;
-            }
+        let is_departing = || self.table().row(endpoint).is_some_and(EndpointRow::has_announced_departure);
+        let connection = match self.pool.open_spare(address).await {
+            Ok(connection) => connection,
+            Err(error) => return error.kind() != io::ErrorKind::ConnectionRefused || is_departing(),
+        };
+        // A process that stops may accept connections a moment longer than it keeps others.
+        tokio::time::sleep(SPARE_CONNECTION_DELAY).await;
+        if connection.is_closed() {
+            return is_departing() || !refuses_connections(address).await;
         }
+        self.pool.return_connection(endpoint, connection, None);
         true
     }
 }
--- a/crates/gateway/src/endpoints/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -71,6 +71,11 @@
     pub(crate) fn end(&self) -> Option<ConnectionEnd> {
         self.end.end()
     }
+
+    /// Whether it was closed, by whichever side.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
 }
 
 impl Drop for EndpointConnection {
@@ -142,6 +147,11 @@
         }
     }
 
+    /// Opens a connection to an endpoint, to be returned to the pool if it is still open later.
+    pub(crate) async fn open_spare(&self, address: SocketAddr) -> io::Result<EndpointConnection> {
+        handshake(self.traffic.open(address).await?, false, &self.traffic).await
+    }
+
     /// Returns a connection to the pool after a whole answer, for as long as its endpoint grants.
     pub(crate) fn return_connection(
         &self,
@@ -209,13 +219,21 @@
         // each probe. How long a body may take is decided by the request's own deadline.
         SockRef::from(&stream).set_tcp_user_timeout(None).map_err(not_sent)?;
     }
+    handshake(stream, has_long_body, traffic).await.map_err(not_sent)
+}
+
+async fn handshake(
+    stream: TcpStream,
+    has_long_body: bool,
+    traffic: &Arc<TrafficCounters>,
+) -> io::Result<EndpointConnection> {
     let stream = ObservedStream::new(stream, traffic);
     let end = stream.record();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(WRITE_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|error| ExchangeError::NotSent(error.to_string()))?;
+        .map_err(io::Error::other)?;
     // The exchange that uses the connection reports its result.
     let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
     Ok(EndpointConnection {
