Tests: segments that another account names, and nothing suspected before a crash

Cause: no test said whether a caller can hold back another account's prompts by naming their segments in its own, fatal ones, nor when keys of segments are computed. Change: three tests. An answer to the segment once in three crashes keeps it free over 20; one that always came with a segment of the fatal prompts' own is not held back without it.

--- a/crates/decide/tests/segment_quarantine.rs
+++ b/crates/decide/tests/segment_quarantine.rs
@@ -166,3 +166,45 @@
         assert!(postcard::to_stdvec(message).unwrap().len() <= 90);
     }
 }
+
+/// Guards against an account that holds back another one's prompts by naming their segments in its own, fatal
+/// ones: an answer to any of them in between clears the segment.
+#[test]
+fn an_account_that_names_segments_of_others_does_not_hold_them_back_while_they_are_answered() {
+    let mut quarantine = RequestQuarantine::default();
+    for start in 0..20 {
+        let at = Moment((100 + start) * MICROS_PER_SECOND);
+        crash(&mut quarantine, &["theirs"], start, at);
+        // The other account uses it once in three crashes.
+        if start % 3 == 2 {
+            quarantine.record_answered(segment("theirs"), at, at);
+        }
+        let now = Moment(at.0 + EVIDENCE_DELAY_MICROS);
+        assert!(!is_refused(&quarantine, &["theirs", "own"], now), "after {start} crashes");
+        assert!(quarantine.trial_of(&prompt(&["theirs", "own"]), now).is_none(), "after {start} crashes");
+    }
+}
+
+/// Guards against an account that always names a segment of its own beside one of another account, which then
+/// is refused with it although it is never answered alone.
+#[test]
+fn a_segment_that_came_with_one_of_the_fatal_prompts_own_is_not_held_back_alone() {
+    let (quarantine, now) = quarantined(&["theirs", "mine"]);
+    assert!(is_refused(&quarantine, &["theirs", "mine"], now));
+    assert!(!is_refused(&quarantine, &["theirs", "other"], now));
+}
+
+/// Guards against evidence that says that something is suspected, and against keys that are computed, where
+/// nothing crashed or all of it was answered.
+#[test]
+fn no_segment_is_suspected_before_a_crash_and_after_an_answer() {
+    let mut quarantine = RequestQuarantine::default();
+    assert!(quarantine.is_idle() && !quarantine.suspects_segments());
+    let at = Moment(100 * MICROS_PER_SECOND);
+    crash(&mut quarantine, &["aa", "bb"], 1, at);
+    assert!(quarantine.suspects_segments());
+    for name in ["aa", "bb"] {
+        quarantine.record_answered(segment(name), at, at);
+    }
+    assert!(quarantine.is_idle() && !quarantine.suspects_segments());
+}
