--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod answer_record;
 pub(crate) mod answer_wait;
 pub(crate) mod dispatch;
+pub(crate) mod endpoint_request;
 pub(crate) mod event_reader;
 pub(crate) mod flight;
 pub(crate) mod long_answer;
