Take an unframed head without an event for a broken stream

Cause: the end of an unframed answer is whole if the endpoint is still there, although nothing of a stream had come. Change: a stream that has brought no event ends as broken. A plain answer without a byte stays whole.

--- a/crates/gateway/src/requests/answer_wait.rs
+++ b/crates/gateway/src/requests/answer_wait.rs
@@ -304,7 +304,12 @@
                 }
             }
             SendStep::Events(Ok(None)) if open.send_mut(index).is_unframed() => {
-                self.check_end(open, index, UnframedEnd::Events);
+                if open.send_mut(index).has_brought_events() {
+                    self.check_end(open, index, UnframedEnd::Events);
+                } else {
+                    // A head alone may be all that an endpoint sent before it crashed.
+                    self.fail_broken(open, index, "it ended before its first event", "the stream broke");
+                }
             }
             SendStep::Checked(_, false) => {
                 self.fail_broken(open, index, "its endpoint crashed", "the answer broke off");
--- a/crates/gateway/src/requests/event_reader.rs
+++ b/crates/gateway/src/requests/event_reader.rs
@@ -33,6 +33,7 @@
     buffer: BytesMut,
     scanned: usize,
     last_id: Option<Bytes>,
+    has_returned_events: bool,
 }
 
 impl<B> EventReader<B>
@@ -42,7 +43,7 @@
 {
     /// Reads events from `body`.
     pub fn new(body: B) -> Self {
-        Self { body, buffer: BytesMut::new(), scanned: 0, last_id: None }
+        Self { body, buffer: BytesMut::new(), scanned: 0, last_id: None, has_returned_events: false }
     }
 
     /// Reads events from a `body` that resumes after the event `last_id`.
@@ -55,6 +56,11 @@
         self.last_id.as_ref()
     }
 
+    /// Whether it has returned events.
+    pub(crate) const fn has_returned_events(&self) -> bool {
+        self.has_returned_events
+    }
+
     /// Returns all whole events that have arrived, at least one; none at the stream's end.
     ///
     /// # Errors
@@ -65,6 +71,7 @@
                 let events = self.buffer.split_to(end).freeze();
                 self.scanned = 0;
                 self.record_id(&events);
+                self.has_returned_events = true;
                 return Ok(Some(events));
             }
             if self.buffer.len() > MAX_EVENT_BYTES {
--- a/crates/gateway/src/requests/open_send.rs
+++ b/crates/gateway/src/requests/open_send.rs
@@ -173,6 +173,14 @@
         }
     }
 
+    /// Whether it has brought events of a stream.
+    pub(crate) const fn has_brought_events(&self) -> bool {
+        match &self.stage {
+            AnswerStage::Events { reader, .. } => reader.has_returned_events(),
+            AnswerStage::Head(_) | AnswerStage::Body { .. } => false,
+        }
+    }
+
     /// Whether an endpoint answers it, rather than another VM itself.
     pub(crate) fn is_answered(&self) -> bool {
         match &self.route {
