--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Endpoints with their loads, VMs, routes, and updates from the store.
 
+mod catch_up_schedule;
 mod deployment;
 mod endpoint_backoff;
 mod endpoint_row;
@@ -19,6 +20,7 @@
 mod path_state;
 pub(crate) mod peer_loads;
 mod peer_table;
+mod poll_duty;
 mod propagation_plan;
 pub(crate) mod reported_health;
 mod reported_limit;
@@ -31,6 +33,7 @@
 mod update_fragments;
 mod update_history;
 
+pub use catch_up_schedule::{CatchUpSchedule, RequestCount};
 pub use deployment::{
     AccountRow, CacheChange, CacheUpdate, ColdSpec, DeploymentConfig, EndpointEntry, EngineReport,
     EngineSpec, PromptSegment, RequestLimits, RouteKind, RouteRow, ServiceRow, ServiceWeight, StoreSpec,
@@ -46,7 +49,8 @@
 pub use path_monitor::{PathChange, PathMonitor, PathTraffic};
 pub use path_state::PathState;
 pub use peer_table::{LEADERS_PER_DATA_CENTRE, PeerHeartbeat, PeerTable, VmEntry};
-pub use propagation_plan::PropagationPlan;
+pub use poll_duty::PollDuty;
+pub use propagation_plan::{PropagationPlan, RelayGroup};
 pub use reported_health::{AvoidanceCause, AvoidanceReport};
 pub use reported_limit::{LimitChange, LimitReport, ReportedLimit};
 pub use route_table::{RouteTable, pick_target};
--- a/crates/decide/src/fleet/peer_table.rs
+++ b/crates/decide/src/fleet/peer_table.rs
@@ -9,7 +9,7 @@
 //! sends to every other one, which gives more current data at little cost.
 
 use crate::admit::SHARE_RETENTION_MILLIS;
-use crate::{ForwardPeer, ForwardPeers, ListMembership, ShareRight, VmKey, short_digest};
+use crate::{ForwardPeer, ForwardPeers, ListMembership, ShareRight, StorePosition, VmKey, short_digest};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::cmp::Reverse;
@@ -43,6 +43,11 @@
 ///
 /// VMs that take none repeat it in each digest, and leaders name some of them in each.
 const CLOSED_LIFETIME_MILLIS: u64 = 1_500;
+/// VMs of a data centre that take over polling the store in the order of their leader ranks.
+///
+/// Behind them the order is that of a digest of their names: a fault that hits the first VMs by rank leaves
+/// most of the next ones intact.
+const RANKED_POLL_TURNS: usize = 4;
 /// Leaders of a data centre that send to other data centres.
 ///
 /// With two, the failure of one only makes the data in other data centres less current.
@@ -98,6 +103,8 @@
     sequence: (u64, u64),
     /// Incarnation and sequence number of the newest message that it relayed from other data centres.
     relayed_sequence: (u64, u64),
+    /// Position of the store in its newest digest: it has all changes up to there.
+    position: StorePosition,
     /// It announced that it takes no requests of other VMs until then.
     closed_until: Moment,
     /// This VM could not forward a request to it, and does not try again until then.
@@ -176,6 +183,7 @@
             received_at: None,
             sequence: (0, 0),
             relayed_sequence: (0, 0),
+            position: StorePosition::default(),
             closed_until: Moment(0),
             avoided_until: Moment(0),
         });
@@ -224,6 +232,85 @@
         true
     }
 
+    /// Records the position of the store in a VM's newest digest.
+    pub fn record_position(&mut self, vm: VmKey, position: StorePosition) {
+        if let Some(row) = self.rows.get_mut(&vm) {
+            row.position = position;
+        }
+    }
+
+    /// Returns the newest position that reachable VMs of this data centre, or of the others, reported.
+    ///
+    /// # Examples
+    /// ```
+    /// use spanfold_entity::Moment;
+    /// use spanfold_decide::{PeerTable, StorePosition, VmEntry, VmKey};
+    /// let vm = |name: &str| VmEntry {
+    ///     name: name.into(),
+    ///     address: "127.0.0.1:9".parse().unwrap(),
+    ///     data_centre: "dc-a".into(),
+    ///     incarnation: 1,
+    ///     link_mbps: 10,
+    /// };
+    /// let (mut table, other) = (PeerTable::new(vm("vm-1")), VmKey::of("vm-2"));
+    /// table.list(vm("vm-2"));
+    /// table.record_digest(other, 1, 1, Moment(0));
+    /// let position = StorePosition { era: 0, revision: 7 };
+    /// table.record_position(other, position);
+    /// assert_eq!(table.newest_position(true, Moment(1)), position);
+    /// assert_eq!(table.vm_at(true, position, 0.5, Moment(1)), Some(other));
+    /// ```
+    pub fn newest_position(&self, is_local: bool, now: Moment) -> StorePosition {
+        self.reachable_rows(is_local, now).map(|(_, row)| row.position).max().unwrap_or_default()
+    }
+
+    /// Returns a reachable VM of this data centre, or of the others, that has all changes up to `position`.
+    ///
+    /// `draw` from 0 to 1 chooses among several.
+    pub fn vm_at(&self, is_local: bool, position: StorePosition, draw: f64, now: Moment) -> Option<VmKey> {
+        let candidates: Vec<_> =
+            self.reachable_rows(is_local, now).filter(|(_, row)| row.position >= position).collect();
+        let index = (draw * candidates.len() as f64) as usize;
+        candidates.get(index.min(candidates.len().saturating_sub(1))).map(|(vm, _)| **vm)
+    }
+
+    fn reachable_rows(&self, is_local: bool, now: Moment) -> impl Iterator<Item = (&VmKey, &PeerRow)> {
+        self.rows.iter().filter(move |(_, row)| {
+            self.is_local_row(row) == is_local && row.sent_within(SILENCE_TIMEOUT_MILLIS, now)
+        })
+    }
+
+    /// Returns this VM's turn in polling the store, from zero, among the reachable VMs of its data centre.
+    ///
+    /// The first ones by leader rank come first, then all others in the order of a digest of their names.
+    pub fn poll_turn(&self, now: Moment) -> usize {
+        let reachable = || self.local_vms_with_reach(now).filter(|(_, _, is_reachable)| *is_reachable);
+        let own_order = self.own.leader_order();
+        let rank = reachable().filter(|(_, entry, _)| entry.leader_order() < own_order).count();
+        if rank < RANKED_POLL_TURNS {
+            return rank;
+        }
+        let mut first = [own_order; RANKED_POLL_TURNS];
+        for (_, entry, _) in reachable() {
+            let mut order = entry.leader_order();
+            for slot in &mut first {
+                if order < *slot {
+                    std::mem::swap(&mut order, slot);
+                }
+            }
+        }
+        let last = first[RANKED_POLL_TURNS - 1];
+        let own = VmKey::of(&self.own.name);
+        let preceding = reachable().filter(|(vm, entry, _)| *vm < own && entry.leader_order() > last);
+        RANKED_POLL_TURNS + preceding.count()
+    }
+
+    /// Returns the other VMs of this data centre, and whether each is presumed reachable.
+    pub(super) fn local_vms_with_reach(&self, now: Moment) -> impl Iterator<Item = (VmKey, &VmEntry, bool)> {
+        let local = self.rows.iter().filter(|(_, row)| self.is_local_row(row));
+        local.map(move |(vm, row)| (*vm, &row.entry, row.is_presumed_reachable(now)))
+    }
+
     /// Records a message that a VM relays from other data centres.
     ///
     /// Returns false if it is not newer than what this VM relayed before, or the VM is not in the table.
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -175,6 +175,9 @@
     pub version: Gauge,
     /// When the version took effect, in seconds since 1970.
     pub since_seconds: Gauge,
+    /// How late each version took effect here at most: the time since the store last confirmed that the
+    /// previous one was current.
+    pub lateness_seconds: Histogram,
     /// Requests that were read whole and have no whole answer, by cause.
     pub unanswered: Family<KindLabel, Counter>,
 }
@@ -184,11 +187,15 @@
         let metrics = Self {
             version: Gauge::default(),
             since_seconds: Gauge::default(),
+            lateness_seconds: Histogram::new(exponential_buckets(0.02, 2.0, 11)),
             unanswered: Family::default(),
         };
         registry.register("configuration_version", "Version in force", metrics.version.clone());
         let since_seconds = metrics.since_seconds.clone();
         registry.register("configuration_since_seconds", "When the version took effect", since_seconds);
+        let lateness_seconds = metrics.lateness_seconds.clone();
+        let help = "Time from the last confirmation of the earlier version until a version took effect";
+        registry.register("configuration_lateness_seconds", help, lateness_seconds);
         let unanswered = metrics.unanswered.clone();
         registry.register("unanswered", "Requests without a whole answer, by cause", unanswered);
         metrics
@@ -206,6 +213,8 @@
     pub bytes_sent: Family<KindLabel, Counter>,
     /// Messages to other VMs that the operating system refused: too large, or no route.
     pub unsent: Family<KindLabel, Counter>,
+    /// Messages about the store that were dropped while earlier ones waited to be applied.
+    pub dropped: Family<KindLabel, Counter>,
 }
 
 impl PeerCounters {
@@ -215,6 +224,7 @@
             bytes: Family::default(),
             bytes_sent: Family::default(),
             unsent: Family::default(),
+            dropped: Family::default(),
         };
         registry.register("peer_messages", "Messages of other VMs, by kind", counters.messages.clone());
         registry.register("peer_bytes", "Bytes of messages of other VMs, by kind", counters.bytes.clone());
@@ -222,6 +232,8 @@
         registry.register("peer_bytes_sent", "Bytes of messages to other VMs, by kind", bytes_sent);
         let unsent = counters.unsent.clone();
         registry.register("peer_unsent", "Messages that the system did not take, by kind", unsent);
+        let dropped = counters.dropped.clone();
+        registry.register("peer_dropped", "Messages about the store dropped for want of room", dropped);
         counters
     }
 }
@@ -310,6 +322,9 @@
     pub store_era: Gauge,
     /// Answers of the store with an invalid era, or a lower one than the current.
     pub odd_eras: Family<KindLabel, Counter>,
+    /// When the store last confirmed, to this VM or another one, that this VM has all changes, in seconds since
+    /// 1970.
+    pub store_confirmed_seconds: Gauge,
     /// Newest revision of the store that was reported to this VM; above `store_revision`, this VM lacks
     /// changes.
     pub told_revision: Gauge,
@@ -354,6 +369,9 @@
         let configuration = ConfigurationMetrics::register(&mut registry);
         let open_requests = Gauge::default();
         let (store_revision, told_revision) = <(Gauge, Gauge)>::default();
+        let store_confirmed_seconds = Gauge::default();
+        let help = "When the store last confirmed that all changes are applied";
+        registry.register("store_confirmed_seconds", help, store_confirmed_seconds.clone());
         registry.register("store_revision", "Revision of the store that is applied", store_revision.clone());
         registry.register("told_revision", "Newest revision that this VM was told of", told_revision.clone());
         let (store_era, odd_eras) = (Gauge::default(), Family::<KindLabel, Counter>::default());
@@ -405,6 +423,7 @@
             store_era,
             odd_eras,
             told_revision,
+            store_confirmed_seconds,
             peers,
             open_requests,
             unreadable_entries,
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -10,13 +10,14 @@
 //! of 59 VMs, and the leaders that remain after a fault may have 20. What a message means is defined with its
 //! kind.
 
-use crate::LEADERS_PER_DATA_CENTRE;
 use crate::gateway::Gateway;
 use crate::operators::gateway_metrics::KindLabel;
 use crate::peers::digest_relay::{LEADER_DIGEST_DELAY, is_relay};
 use crate::peers::load_digest::{DigestScope, LoadDigest};
 use crate::peers::peer_message::{PeerMessage, PeerStamp};
 use crate::store::follow::{ReceivedUpdate, StoreMessage};
+use crate::store::store_updates::StoreUpdates;
+use crate::LEADERS_PER_DATA_CENTRE;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -165,13 +166,15 @@
         if let PeerMessage::Store(_, update) = &message
             && update.is_spread
         {
-            relay_updates(&gateway, &socket, stamp, bytes).await;
+            relay_updates(&gateway, &socket, (stamp, update), bytes).await;
         }
         match message {
-            // If the follower's queue is full, the message is dropped: it detects the gap and polls the store
-            // itself.
-            PeerMessage::Store(_, update) => drop(queue.try_send((stamp.vm, StoreMessage::Updates(update)))),
-            PeerMessage::StoreAsk(_, from) => drop(queue.try_send((stamp.vm, StoreMessage::Request(from)))),
+            PeerMessage::Store(_, update) => {
+                enqueue(&gateway, &queue, (stamp.vm, StoreMessage::Updates(update)), &kind);
+            }
+            PeerMessage::StoreAsk(_, from) => {
+                enqueue(&gateway, &queue, (stamp.vm, StoreMessage::Request(from)), &kind);
+            }
             PeerMessage::Kept(_, digest) => digest.apply(&gateway),
             PeerMessage::Stream(stamp, message) => gateway.apply_stream_message(stamp, message, source).await,
             PeerMessage::StreamCopies(stamp, keys) => gateway.streams.copies.confirm(stamp.vm, &keys),
@@ -181,13 +184,32 @@
     }
 }
 
-/// Relays an update that a VM sends to its whole data centre, each message once, if this VM is one of its
-/// relays.
-async fn relay_updates(gateway: &Gateway, socket: &UdpSocket, stamp: PeerStamp, bytes: &[u8]) {
-    if !gateway.relay_history.record(stamp) {
-        return;
+/// Passes a message on to the task that follows the store.
+///
+/// If its queue is full, the message is dropped: the task detects the gap, and requests what it lacks.
+fn enqueue(
+    gateway: &Gateway,
+    queue: &mpsc::Sender<ReceivedUpdate>,
+    message: ReceivedUpdate,
+    kind: &KindLabel,
+) {
+    if queue.try_send(message).is_err() {
+        gateway.metrics.peers.dropped.get_or_create(kind).inc();
     }
-    let targets = gateway.peers().relay_targets(stamp.vm);
+}
+
+/// Relays an update that a VM sends to its whole data centre, if this VM is one of its relays.
+async fn relay_updates(
+    gateway: &Gateway,
+    socket: &UdpSocket,
+    (stamp, update): (PeerStamp, &StoreUpdates),
+    bytes: &[u8],
+) {
+    let targets = match &update.group {
+        Some(group) => gateway.peers().leaf_addresses(group),
+        None if gateway.relay_history.record(stamp) => gateway.peers().former_relay_targets(stamp.vm),
+        None => return,
+    };
     for address in &targets {
         // A failed send counts as a lost datagram: a VM that misses the update requests it.
         let _ = socket.send_to(bytes, address).await;
--- a/crates/gateway/src/peers/load_digest.rs
+++ b/crates/gateway/src/peers/load_digest.rs
@@ -12,7 +12,7 @@
 use crate::peers::placement_message::PlacementMessage;
 use crate::{
     EndpointKey, FleetTable, LEADERS_PER_DATA_CENTRE, LinkTransfers, LoadCount, LoadSource, PeerHeartbeat,
-    PeerTable, QuarantineMessage, RouteCounts, SumKey, SuspectMessage, VmKey, short_digest,
+    PeerTable, QuarantineMessage, RouteCounts, StorePosition, SumKey, SuspectMessage, VmKey, short_digest,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -50,6 +50,9 @@
     /// The same about segments, and trials. They follow the message, where VMs of the former form do not look.
     #[serde(skip)]
     pub extended_cases: Vec<SuspectMessage>,
+    /// Position of the store up to which its sender has applied all changes; it follows the message too.
+    #[serde(skip)]
+    pub position: StorePosition,
     /// Records that endpoints reported about themselves in answers.
     answers: Vec<AnswerRecord>,
     /// Counts of answers, by version, for services in a rollout.
@@ -180,6 +183,7 @@
             reports,
             cases,
             extended_cases,
+            position: gateway.applied_position(),
             answers: answers.iter().map(|answer| AnswerRecord::of(answer, now)).collect(),
             rollouts,
             closed: cordoned_engines(table, scope, now),
@@ -198,7 +202,11 @@
         if self.scope == DigestScope::Elsewhere {
             peers.record_relayed_digest(vm, incarnation, sequence, now)
         } else {
-            peers.record_digest(vm, incarnation, sequence, now)
+            let is_newer = peers.record_digest(vm, incarnation, sequence, now);
+            if is_newer {
+                peers.record_position(vm, self.position);
+            }
+            is_newer
         }
     }
 
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -14,7 +14,7 @@
 use crate::peers::load_digest::LoadDigest;
 use crate::store::store_updates::StoreUpdates;
 use crate::streams::stream_message::StreamMessage;
-use crate::{StorePosition, StreamKey, SuspectMessage, VmKey};
+use crate::{RelayGroup, StorePosition, StreamKey, SuspectMessage, VmKey};
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format; messages of other versions are ignored.
@@ -52,6 +52,37 @@
     StreamCopies(PeerStamp, Vec<StreamKey>),
 }
 
+/// What follows a message. Each form added its part at the end, where VMs of former forms do not look.
+#[derive(Debug, Default, Serialize)]
+struct MessageExtension {
+    /// The extended cases of each of its digests.
+    cases: Vec<Vec<SuspectMessage>>,
+    /// The position of each of its digests.
+    positions: Vec<StorePosition>,
+    /// The group of an update.
+    group: Option<RelayGroup>,
+}
+
+impl MessageExtension {
+    fn is_empty(&self) -> bool {
+        self.cases.iter().all(Vec::is_empty)
+            && self.positions.iter().all(|position| *position == StorePosition::default())
+            && self.group.is_none()
+    }
+
+    /// Decodes what a VM of this form or another one sent; a part that can't be read says nothing, nor do
+    /// those behind it.
+    fn decode(bytes: &[u8]) -> Self {
+        let mut extension = Self::default();
+        let Ok((cases, bytes)) = postcard::take_from_bytes(bytes) else { return extension };
+        extension.cases = cases;
+        let Ok((positions, bytes)) = postcard::take_from_bytes(bytes) else { return extension };
+        extension.positions = positions;
+        extension.group = postcard::from_bytes(bytes).unwrap_or_default();
+        extension
+    }
+}
+
 impl PeerMessage {
     pub(crate) const fn stamp(&self) -> PeerStamp {
         match self {
@@ -87,22 +118,42 @@
         }
     }
 
-    /// Returns what follows the message: the extended cases of each of its digests.
-    fn extension(&self) -> Vec<&[SuspectMessage]> {
+    fn digests(&self) -> Vec<&LoadDigest> {
         match self {
-            Self::Load(_, digest) => vec![&digest.extended_cases],
-            Self::Batch(_, digests) => {
-                digests.iter().map(|(_, digest)| digest.extended_cases.as_slice()).collect()
-            }
+            Self::Load(_, digest) => vec![digest],
+            Self::Batch(_, digests) => digests.iter().map(|(_, digest)| digest).collect(),
             _ => Vec::new(),
         }
     }
 
+    /// Returns what follows the message.
+    fn extension(&self) -> MessageExtension {
+        let digests = self.digests();
+        MessageExtension {
+            cases: digests.iter().map(|digest| digest.extended_cases.clone()).collect(),
+            positions: digests.iter().map(|digest| digest.position).collect(),
+            group: if let Self::Store(_, updates) = self { updates.group.clone() } else { None },
+        }
+    }
+
+    fn apply_extension(&mut self, extension: MessageExtension) {
+        let MessageExtension { cases, positions, group } = extension;
+        for (digest, cases) in self.digests_mut().into_iter().zip(cases) {
+            digest.extended_cases = cases;
+        }
+        for (digest, position) in self.digests_mut().into_iter().zip(positions) {
+            digest.position = position;
+        }
+        if let Self::Store(_, updates) = self {
+            updates.group = group;
+        }
+    }
+
     /// Returns the datagram of this message; none if it has no binary form.
     pub(crate) fn seal(&self, key: &PeerKey) -> Option<Vec<u8>> {
         let mut bytes = postcard::to_extend(self, vec![FORMAT_VERSION]).ok()?;
         let extension = self.extension();
-        if extension.iter().any(|cases| !cases.is_empty()) {
+        if !extension.is_empty() {
             bytes = postcard::to_extend(&extension, bytes).ok()?;
         }
         let code = blake3::keyed_hash(key, &bytes);
@@ -124,13 +175,7 @@
             return None;
         }
         let (mut message, extension) = postcard::take_from_bytes::<Self>(message).ok()?;
-        if !extension.is_empty() {
-            // A VM of a later form may send others, which say nothing here.
-            let extension: Vec<Vec<SuspectMessage>> = postcard::from_bytes(extension).unwrap_or_default();
-            for (digest, cases) in message.digests_mut().into_iter().zip(extension) {
-                digest.extended_cases = cases;
-            }
-        }
+        message.apply_extension(MessageExtension::decode(extension));
         Some(message)
     }
 }
--- a/crates/gateway/src/peers/relayed_updates.rs
+++ b/crates/gateway/src/peers/relayed_updates.rs
@@ -1,4 +1,5 @@
-//! Record of the store updates that this VM has relayed.
+//! Record of the store updates that this VM has relayed for VMs of the former message form, which do not name
+//! the receivers.
 //!
 //! Invariant: an update is relayed once, even where VMs disagree on which of them relays it, so no update
 //! circulates.
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -4,10 +4,13 @@
 //! store (the count of its restorations from a backup) and a revision within it.
 //!
 //! Calls to the store are priced, so one VM of a data centre watches it and propagates the changes to the
-//! others. There is no election: each VM waits for updates for a time that grows with its leader rank, and
-//! polls the store itself when that time is over. The leader's time is zero. If it becomes unreachable or
-//! loses the store, the time of the next VM by rank runs out first, and its answers serve as updates for
-//! those behind it.
+//! others. There is no election: each VM waits for updates for a time that grows with its turn, and polls the
+//! store itself when that time is over. The leader's turn is the first, and its time is zero. If it becomes
+//! unreachable or loses the store, the time of the next VM by turn runs out first, and its answers serve as
+//! updates for those behind it.
+//!
+//! A VM that misses updates does not wait for its turn: each digest of another VM states up to which position
+//! that one has applied all changes, and a VM that is behind requests them from one that has them.
 
 use crate::gateway::Gateway;
 use crate::operators::gateway_metrics::KindLabel;
@@ -18,13 +21,13 @@
 use crate::store::store_view::{OrdersView, PEER_KEY_KEY, StoreListing, StoreView};
 use crate::store::update_propagator::{StoreChanges, UpdatePropagator};
 use crate::{
-    ReassemblyProgress, StoreEvent, StorePosition, StoreRefusal, StoreReply, StoreTransaction, UpdateHistory,
-    UpdateReassembly, VmKey, WireCall,
+    CatchUpSchedule, PollDuty, ReassemblyProgress, RequestCount, StoreEvent, StorePosition, StoreRefusal,
+    StoreReply, StoreTransaction, UpdateHistory, UpdateReassembly, VmKey, WireCall,
 };
 use spanfold_entity::Moment;
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -45,35 +48,17 @@
 const STARTUP_DELAY_MILLIS: u64 = 1_000;
 /// Delay after a watch that returned changes, in milliseconds: the next call then returns a burst of them.
 const CHANGE_BATCH_DELAY_MILLIS: u64 = 150;
-/// Delay after the first failed call, in milliseconds; doubled with each further one.
-const FIRST_RETRY_DELAY_MILLIS: u64 = 100;
-/// Longest delay after failed calls, in milliseconds.
-const MAX_RETRY_DELAY_MILLIS: u64 = 800;
 /// Consecutive failed calls that count as an outage of the store.
 const MIN_OUTAGE_FAILURES: u32 = 2;
-/// Without an update for this long, in milliseconds, the VM behind the leader polls the store itself: a
-/// watch, the delay after it, and the time of a lost datagram.
-const FALLBACK_POLL_DELAY_MILLIS: u64 = 1_300;
-/// Further delay for each leader rank, in milliseconds. A call and the propagation of its result take less.
-const FALLBACK_POLL_STEP_MILLIS: u64 = 100;
-/// A VM that lacks changes polls the store if no other VM sent them for this long, in milliseconds: several
-/// round trips between VMs.
-const CATCH_UP_DELAY_MILLIS: u64 = 150;
-/// In a data centre with more local VMs than this, several miss the same change at once, and the VM that sent
-/// it answers them one after the other. Each VM beyond the number adds the step to the catch-up delay.
-const CATCH_UP_BASE_VMS: usize = 30;
-const CATCH_UP_STEP_MILLIS: u64 = 3;
 /// Upper bound on the interval that a sender states until its next fragment, in microseconds.
 const MAX_FRAGMENT_INTERVAL_MICROS: u64 = 800_000;
-/// A VM that still lacks changes requests them again from a VM whose update arrives later than this, in
-/// milliseconds.
-const REQUEST_RETRY_DELAY_MILLIS: u64 = 100;
 /// Changes that are lacking for this long, in milliseconds, are logged; they should have been fetched by
 /// then.
 const LAG_LOG_DELAY_MILLIS: u64 = 1_000;
 /// The leader may change at any moment: this VM checks its own leader rank again after this long, in
 /// milliseconds.
 const ROLE_POLL_INTERVAL_MILLIS: u64 = 100;
+const ROLE_POLL_INTERVAL: Duration = Duration::from_millis(ROLE_POLL_INTERVAL_MILLIS);
 
 /// Message of another VM about the store.
 #[derive(Debug)]
@@ -100,25 +85,23 @@
         propagator: UpdatePropagator::new(Arc::clone(&gateway), socket),
         view,
         position: StorePosition::default(),
-        confirmed_at: Moment(0),
-        backoff_until: Moment(0),
-        behind_since: None,
+        duty: PollDuty::default(),
+        catch_up: CatchUpSchedule::default(),
         lagging_since: None,
         newest_position: StorePosition::default(),
         history: UpdateHistory::default(),
+        requests: RequestCount::default(),
         reassembly: UpdateReassembly::default(),
-        is_polling: false,
         has_used_snapshot: false,
         started_at: gateway.now(),
         watch_count: 0,
-        failures: 0,
         gateway,
     };
     loop {
         if follower.list_all().await {
             while follower.step(&mut received).await {}
         } else {
-            follower.gateway.wait_until(follower.backoff_until).await;
+            follower.gateway.wait_until(follower.duty.backoff_until()).await;
         }
     }
 }
@@ -157,30 +140,26 @@
     view: StoreView,
     /// All changes up to here are applied.
     position: StorePosition,
-    /// When the store last confirmed `position`, directly or through another VM.
-    confirmed_at: Moment,
-    /// No call before then.
-    backoff_until: Moment,
-    /// Since when other VMs have reported a position whose changes this VM lacks.
-    behind_since: Option<Moment>,
+    /// When this VM polls the store for its data centre.
+    duty: PollDuty,
+    /// When it requests changes that it lacks.
+    catch_up: CatchUpSchedule,
     /// Since when reported changes have been lacking; [`Moment::NEVER`] once that was logged.
     lagging_since: Option<Moment>,
     /// Newest position that the store or another VM reported.
     newest_position: StorePosition,
     /// Changes that were applied recently.
     history: UpdateHistory,
+    /// VMs that requested changes of this VM.
+    requests: RequestCount,
     /// Received fragments of updates.
     reassembly: UpdateReassembly,
-    /// Whether this VM polls the store for its data centre. A VM behind the leader does so once it gets no
-    /// update from the VMs before it.
-    is_polling: bool,
     /// Whether the last listing used a snapshot from another VM.
     has_used_snapshot: bool,
     /// When this process began to follow the store.
     started_at: Moment,
     /// Number of watches that were answered.
     watch_count: usize,
-    failures: u32,
 }
 
 impl StoreFollower {
@@ -192,15 +171,17 @@
             log::warn!(position:% = self.position; "watch.relist");
             return false;
         }
+        self.request_lacking(now).await;
         self.log_lag(now);
         let poll_at = self.next_poll_at(now);
+        let role_poll_at = now.after_millis(ROLE_POLL_INTERVAL_MILLIS);
         tokio::select! {
             biased;
             Some(message) = received.recv() => {
                 self.apply_message(message).await;
                 true
             }
-            () = self.gateway.wait_until(poll_at.min(now.after_millis(ROLE_POLL_INTERVAL_MILLIS))) => {
+            () = self.gateway.wait_until(poll_at.min(self.catch_up.request_at()).min(role_poll_at)) => {
                 if now < poll_at { true } else { self.watch_once(received).await }
             }
         }
@@ -210,24 +191,50 @@
     async fn apply_message(&mut self, (vm, message): ReceivedUpdate) {
         match message {
             StoreMessage::Updates(update) => self.apply_updates(vm, &update).await,
-            StoreMessage::Request(position) => self.answer_request(vm, position),
+            StoreMessage::Request(position) => self.answer_request(vm, position).await,
         }
     }
 
     /// Returns when this VM polls the store itself.
     fn next_poll_at(&self, now: Moment) -> Moment {
-        let leader_rank = self.gateway.peers().expected_leader_rank(now) as u64;
-        let poll_at = if leader_rank == 0 || self.is_polling || self.gateway.is_stale() {
+        let poll_at = if self.gateway.is_stale() {
             Moment(0)
         } else {
-            self.confirmed_at
-                .after_millis(FALLBACK_POLL_DELAY_MILLIS + FALLBACK_POLL_STEP_MILLIS * leader_rank)
+            let peers = self.gateway.peers();
+            self.duty.next_poll_at(peers.poll_turn(now), peers.local_peer_count() + 1)
         };
-        let catch_up = self.behind_since.map_or(Moment::NEVER, |since| {
-            let excess_vms = self.gateway.peers().local_peer_count().saturating_sub(CATCH_UP_BASE_VMS) as u64;
-            since.after_millis(CATCH_UP_DELAY_MILLIS + CATCH_UP_STEP_MILLIS * excess_vms)
-        });
-        poll_at.min(catch_up).max(self.backoff_until)
+        poll_at.min(self.catch_up.poll_at()).max(self.duty.backoff_until())
+    }
+
+    /// Whether this VM polls the store for its data centre now.
+    fn polls_for_others(&self, now: Moment) -> bool {
+        self.duty.is_polling() || self.gateway.peers().poll_turn(now) == 0
+    }
+
+    /// Requests changes from another VM if it reported some that this VM lacks.
+    async fn request_lacking(&mut self, now: Moment) {
+        let polls_for_others = self.polls_for_others(now);
+        let (local, remote) = {
+            let peers = self.gateway.peers();
+            (peers.newest_position(true, now), peers.newest_position(false, now))
+        };
+        let remote = Some(remote).filter(|_| polls_for_others);
+        for reported in [Some(local), remote].into_iter().flatten() {
+            if reported > self.position {
+                self.record_newest_position(reported);
+            }
+        }
+        self.catch_up.record_reported(self.position, (local, remote), now);
+        if !self.catch_up.is_request_due(now) {
+            return;
+        }
+        let is_local = local > self.position;
+        let wanted = if is_local { local } else { remote.unwrap_or(local) };
+        let source = self.gateway.peers().vm_at(is_local, wanted, rand::random(), now);
+        if let Some(source) = source.filter(|_| wanted > self.position) {
+            self.propagator.request_updates(source, self.position).await;
+        }
+        self.catch_up.record_request(now);
     }
 
     /// Applies an update that another VM of this data centre got from the store.
@@ -245,10 +252,9 @@
         if update.to > self.position && !self.apply_changes(vm, update, now).await {
             return;
         }
-        self.confirmed_at = self.confirmed_at.max(Moment(now.0.saturating_sub(update.age_micros)));
-        self.gateway.list_membership().record_list_confirmation(self.confirmed_at);
-        if self.is_polling && self.gateway.peers().precedes_as_leader(vm) {
-            self.is_polling = false;
+        self.record_confirmation(Moment(now.0.saturating_sub(update.age_micros)));
+        let precedes = self.gateway.peers().precedes_as_leader(vm);
+        if self.duty.cease_for(precedes) {
             log::info!(teller = vm.0, position:% = self.position; "watch.ceased");
         }
     }
@@ -256,10 +262,12 @@
     /// Applies another VM's changes; false if some are lacking and it isn't about to send them.
     async fn apply_changes(&mut self, vm: VmKey, update: &StoreUpdates, now: Moment) -> bool {
         if update.from > self.position {
-            if self.behind_since.is_none_or(|since| now >= since.after_millis(REQUEST_RETRY_DELAY_MILLIS)) {
-                self.propagator.request_updates(vm, self.position).await;
+            self.catch_up.record_gap(now);
+            if self.catch_up.is_request_due(now) {
+                let source = self.gateway.peers().vm_at(true, update.from, rand::random(), now);
+                self.propagator.request_updates(source.unwrap_or(vm), self.position).await;
+                self.catch_up.record_request(now);
             }
-            self.behind_since.get_or_insert(now);
             return false;
         }
         let progress = match &update.body {
@@ -269,49 +277,67 @@
         };
         match progress {
             ReassemblyProgress::Whole(events) => {
+                let from = self.position;
                 self.view.apply_all(&events, "peer");
-                self.history.push(self.position, update.to, &events, now);
+                self.history.push(from, update.to, &events, now);
                 self.set_position(update.to);
-                self.behind_since = None;
+                self.catch_up.record_caught_up();
+                let is_local = self.gateway.peers().is_local(vm);
+                if !is_local && self.polls_for_others(now) {
+                    let changes = StoreChanges { from, to: update.to, events, age_micros: update.age_micros };
+                    self.propagator.propagate_locally(&changes).await;
+                }
                 true
             }
             // The store is polled only if the next fragment doesn't arrive in time.
             ReassemblyProgress::Partial => {
                 let interval_micros = update.pause_micros.min(MAX_FRAGMENT_INTERVAL_MICROS);
-                self.behind_since = Some(now.after_micros(interval_micros));
+                self.catch_up.record_fragment(now.after_micros(interval_micros));
                 true
             }
             ReassemblyProgress::Unreadable => {
-                self.behind_since.get_or_insert(now);
+                self.catch_up.record_unsendable(now);
                 false
             }
         }
     }
 
     /// Sends another VM the changes that it lacks, if the history has them.
-    fn answer_request(&mut self, vm: VmKey, from: StorePosition) {
-        let Some((to, mut events)) = self.history.since(from) else { return };
+    ///
+    /// If many VMs request changes at once, an update was lost on the way to all of them: it is propagated
+    /// again.
+    async fn answer_request(&mut self, vm: VmKey, from: StorePosition) {
+        let now = self.gateway.now();
+        let lost_from = self.requests.record(vm, from, now);
+        let lost_from = lost_from.filter(|_| self.duty.is_polling());
+        let Some((to, mut events)) = self.history.since(lost_from.unwrap_or(from)) else { return };
         events.retain(|event| !self.view.is_superseded(event));
+        let age_micros = now.micros_since(self.duty.confirmed_at());
+        if let Some(from) = lost_from {
+            log::info!(position:% = from, to:%; "changes.repeated");
+            self.propagator.propagate_locally(&StoreChanges { from, to, events, age_micros }).await;
+            return;
+        }
         if !self.propagator.may_answer(vm, events.iter().map(StoreEvent::size).sum()) {
             return;
         }
-        let age_micros = self.gateway.now().micros_since(self.confirmed_at);
         self.propagator.answer(vm, StoreChanges { from, to, events, age_micros });
     }
 
     /// Records that this VM polls the store for its data centre from now on.
     fn record_polling(&mut self) {
-        if !self.is_polling {
-            self.is_polling = true;
-            let leader_rank = self.gateway.peers().expected_leader_rank(self.gateway.now());
-            log::info!(place = leader_rank, position:% = self.position; "watch.begun");
+        if self.duty.begin() {
+            let turn = self.gateway.peers().poll_turn(self.gateway.now());
+            log::info!(place = turn, position:% = self.position; "watch.begun");
         }
     }
 
     /// Lists the whole store; false if a call failed, or the store was restored meanwhile.
     async fn list_all(&mut self) -> bool {
+        let before = self.position;
+        let is_current = before != StorePosition::default() && self.gateway.era.known() == Some(before.era);
         let mut listing_progress =
-            ListingProgress { listing: self.view.begin_listing(), ..ListingProgress::default() };
+            ListingProgress { listing: self.view.begin_listing(is_current), ..ListingProgress::default() };
         // A snapshot may be too old for a watch to continue from it; the listing that follows then uses none.
         let mut may_use_snapshot = !std::mem::take(&mut self.has_used_snapshot);
         for page_count in 1.. {
@@ -335,8 +361,17 @@
             }
         }
         let lowest_position = listing_progress.lowest_position.unwrap_or_default();
-        self.view.finish_listing(listing_progress.listing, lowest_position);
+        let events = self.view.finish_listing(listing_progress.listing, lowest_position);
         self.record_confirmed(lowest_position);
+        let events = events.filter(|_| lowest_position.era == before.era && lowest_position > before);
+        if let Some(events) = events {
+            // The others of this data centre need not list the store too.
+            self.history.push(before, lowest_position, &events, self.duty.confirmed_at());
+            if self.polls_for_others(self.gateway.now()) {
+                let changes = StoreChanges { from: before, to: lowest_position, events, age_micros: 0 };
+                self.propagator.propagate_locally(&changes).await;
+            }
+        }
         true
     }
 
@@ -353,7 +388,7 @@
         }
         if let Some(snapshot) = fetch_snapshot(&self.gateway).await {
             listing_progress.record_page(snapshot.position);
-            self.view.apply_snapshot(snapshot);
+            self.view.apply_snapshot(snapshot, &mut listing_progress.listing);
             self.has_used_snapshot = true;
         } else {
             (listing_progress.last_key, listing_progress.is_complete) = (resume_key, false);
@@ -383,10 +418,11 @@
     async fn watch_once(&mut self, received: &mut mpsc::Receiver<ReceivedUpdate>) -> bool {
         // A VM that only catches up makes no long poll: updates still arrive from another VM.
         let is_regular_poll =
-            self.gateway.peers().expected_leader_rank(self.gateway.now()) == 0 || self.behind_since.is_none();
-        // Nor does a VM that was suspended: requests wait for the answer.
-        let long_poll_millis =
-            if is_regular_poll && !self.gateway.is_stale() { WATCH_LONG_POLL_MILLIS } else { 0 };
+            self.gateway.peers().poll_turn(self.gateway.now()) == 0 || !self.catch_up.is_behind();
+        // Nor does a VM that takes over, so that the next ones learn of it before their turns come, nor one that
+        // was suspended: requests wait for the answer.
+        let is_long_poll = is_regular_poll && self.duty.may_wait() && !self.gateway.is_stale();
+        let long_poll_millis = if is_long_poll { WATCH_LONG_POLL_MILLIS } else { 0 };
         let from = self.position;
         let call = (self.gateway.dialect.store.watch)("", from, long_poll_millis);
         let deadline = Instant::now() + Duration::from_millis(long_poll_millis) + WATCH_RESPONSE_TIMEOUT;
@@ -412,13 +448,13 @@
         let mut events: Vec<_> = page.events.into_iter().filter(|event| event.position() > from).collect();
         self.view.apply_all(&events, "watch");
         self.record_confirmed(page.position.max(from));
-        self.history.push(from, self.position, &events, self.confirmed_at);
+        self.history.push(from, self.position, &events, self.duty.confirmed_at());
         if !events.is_empty() {
-            self.backoff_until = self.gateway.now().after_millis(CHANGE_BATCH_DELAY_MILLIS);
+            self.duty.back_off_until(self.gateway.now().after_millis(CHANGE_BATCH_DELAY_MILLIS));
         }
         // A VM that only caught up, or that meanwhile got an update from one preceding it as a leader,
         // propagates nothing again.
-        if is_regular_poll && self.is_polling {
+        if is_regular_poll && self.duty.is_polling() {
             events.retain(|event| !self.view.is_superseded(event));
             let changes = StoreChanges { from, to: self.position, events, age_micros: 0 };
             self.propagator.propagate_locally(&changes).await;
@@ -438,16 +474,19 @@
         self.gateway.metrics.store_calls.get_or_create(&KindLabel::new("watch")).inc();
         let mut link = std::mem::replace(&mut self.link, CallLink::new(self.gateway.settings.store));
         let answer = {
-            let mut was_behind = self.behind_since.is_some();
+            let mut was_behind = self.catch_up.is_behind();
             let mut exchange = pin!(link.call_large(call, deadline));
             loop {
                 tokio::select! {
                     answer = &mut exchange => break answer,
                     Some(message) = received.recv() => self.apply_message(message).await,
+                    () = tokio::time::sleep(ROLE_POLL_INTERVAL) => {
+                        self.request_lacking(self.gateway.now()).await;
+                    }
                     // A call made before a suspension is made again: its answer may be lost long since.
                     () = self.gateway.clock_jumped.notified() => return None,
                 }
-                let is_behind = self.behind_since.is_some();
+                let is_behind = self.catch_up.is_behind();
                 if was_behind && !is_behind {
                     return None;
                 }
@@ -462,12 +501,22 @@
     fn record_confirmed(&mut self, position: StorePosition) {
         self.set_position(position);
         self.record_newest_position(position);
-        self.confirmed_at = self.gateway.now();
-        self.gateway.list_membership().record_list_confirmation(self.confirmed_at);
-        self.behind_since = None;
+        self.record_confirmation(self.gateway.now());
+        self.catch_up.record_caught_up();
         self.gateway.mark_current();
     }
 
+    /// Records that the store confirmed this VM's state at a moment.
+    fn record_confirmation(&mut self, at: Moment) {
+        self.duty.record_confirmation(at);
+        let confirmed_at = self.duty.confirmed_at();
+        self.view.confirmed_at = confirmed_at;
+        self.gateway.list_membership().record_list_confirmation(confirmed_at);
+        let age = Duration::from_micros(self.gateway.now().micros_since(confirmed_at));
+        let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        self.gateway.metrics.store_confirmed_seconds.set(since_1970.saturating_sub(age).as_secs() as i64);
+    }
+
     fn set_position(&mut self, position: StorePosition) {
         self.position = position;
         self.gateway.set_applied_position(position);
@@ -490,7 +539,7 @@
         let since = *self.lagging_since.get_or_insert(now);
         if now >= since.after_millis(LAG_LOG_DELAY_MILLIS) {
             let (position, newest) = (self.position, self.newest_position);
-            log::warn!(position:%, told:% = newest, failures = self.failures; "changes.lacking");
+            log::warn!(position:%, told:% = newest, failures = self.duty.failures(); "changes.lacking");
             self.lagging_since = Some(Moment::NEVER);
         }
     }
@@ -553,14 +602,12 @@
             },
             Err(error) => error.to_string(),
         };
-        self.failures += 1;
         let now = self.gateway.now();
+        self.duty.record_failure(now);
         self.gateway.record_store_failure(now);
-        if self.failures == MIN_OUTAGE_FAILURES {
+        if self.duty.failures() == MIN_OUTAGE_FAILURES {
             log::warn!(dependency = "store", call = kind, cause = cause.as_str(); "dependency.lost");
         }
-        let delay_millis = FIRST_RETRY_DELAY_MILLIS << self.failures.min(4);
-        self.backoff_until = now.after_millis(delay_millis.min(MAX_RETRY_DELAY_MILLIS));
         None
     }
 
@@ -575,10 +622,10 @@
     }
 
     fn record_answer(&mut self) {
-        if self.failures >= MIN_OUTAGE_FAILURES {
+        if self.duty.failures() >= MIN_OUTAGE_FAILURES {
             self.gateway.record_store_failure(self.gateway.now());
-            log::info!(dependency = "store", failures = self.failures; "dependency.regained");
+            log::info!(dependency = "store", failures = self.duty.failures(); "dependency.regained");
         }
-        self.failures = 0;
+        self.duty.record_answer();
     }
 }
--- a/crates/gateway/src/store/store_updates.rs
+++ b/crates/gateway/src/store/store_updates.rs
@@ -4,7 +4,9 @@
 //! that misses a fragment, does not apply it; it requests the changes, in the end from the store itself,
 //! which loses nothing. So a lost datagram costs one call.
 
-use crate::{MAX_FRAGMENT_BYTES, PropagationPlan, StoreEvent, StorePosition, UpdateFragment, split_update};
+use crate::{
+    MAX_FRAGMENT_BYTES, PropagationPlan, RelayGroup, StoreEvent, StorePosition, UpdateFragment, split_update,
+};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -13,9 +15,11 @@
 const SEND_INTERVAL: Duration = Duration::from_millis(25);
 /// Fraction of the sender's own link that fragments may use.
 const LINK_FRACTION: f64 = 0.5;
-/// Updates that take longer to send are fetched by each VM itself: a link of 10 Mbit/s transfers the largest
-/// value of a store in 1.2 s.
-const MAX_PROPAGATION_DELAY: Duration = Duration::from_millis(800);
+/// Updates that take no longer than this to send are always sent.
+const MIN_PROPAGATION_LIMIT: Duration = Duration::from_millis(800);
+/// Presumed capacity of the store's link, in megabits a second. An update that takes longer to send than the
+/// store takes to answer all receivers is fetched by each VM itself.
+const STORE_LINK_MBPS: f64 = 1_000.0;
 
 /// Changes in the platform's store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +32,9 @@
     pub body: UpdateBody,
     /// Whether it is for all VMs of the data centre, so that some of them relay it.
     pub is_spread: bool,
+    /// The VM that relays it, and to which VMs; it follows the message. None from VMs of the former form.
+    #[serde(skip)]
+    pub group: Option<RelayGroup>,
     /// Interval until the next fragment, if there is one, in microseconds.
     pub pause_micros: u64,
     /// Time since the store returned the changes, in microseconds.
@@ -55,13 +62,12 @@
 }
 
 impl UpdatePlan {
-    /// Plans how a VM with a link of `link_mbps` sends `events`.
-    pub(crate) fn new(events: &[StoreEvent], propagation: &PropagationPlan, link_mbps: f64) -> Self {
-        let relayed_interval = fragment_interval(propagation.max_relay_targets, propagation.relay_mbps);
-        let interval = fragment_interval(propagation.targets.len(), link_mbps).max(relayed_interval);
-        let is_sendable = |fragments: &Vec<_>| {
-            fragments.len() <= 1 || interval * fragments.len() as u32 <= MAX_PROPAGATION_DELAY
-        };
+    /// Plans how a VM sends `events` by `propagation`.
+    pub(crate) fn new(events: &[StoreEvent], propagation: &PropagationPlan) -> Self {
+        let interval = fragment_interval(propagation.max_load);
+        let limit = MIN_PROPAGATION_LIMIT.max(fetch_time(events, propagation.receiver_count()));
+        let is_sendable =
+            |fragments: &Vec<_>| fragments.len() <= 1 || interval * fragments.len() as u32 <= limit;
         let bodies = match split_update(events).filter(is_sendable) {
             None => vec![UpdateBody::TooLarge],
             Some(fragments) if fragments.is_empty() => vec![UpdateBody::Unchanged],
@@ -71,11 +77,15 @@
     }
 }
 
-/// Time in which a VM sends one fragment to each of `targets` over its fraction of the link.
-fn fragment_interval(targets: usize, link_mbps: f64) -> Duration {
-    if targets == 0 {
-        return SEND_INTERVAL;
-    }
-    let micros = (targets * MAX_FRAGMENT_BYTES * 8) as f64 / (link_mbps.max(1.0) * LINK_FRACTION);
+/// Time in which a VM with `max_load` receivers for each Mbit/s sends one fragment to each of them over its
+/// fraction of the link.
+fn fragment_interval(max_load: f64) -> Duration {
+    let micros = max_load * (MAX_FRAGMENT_BYTES * 8) as f64 / LINK_FRACTION;
     SEND_INTERVAL.max(Duration::from_micros(micros as u64))
 }
+
+/// Time in which the store's link carries `events` to each of `receivers`.
+fn fetch_time(events: &[StoreEvent], receivers: usize) -> Duration {
+    let bytes: usize = events.iter().map(StoreEvent::size).sum();
+    Duration::from_micros(((bytes * receivers * 8) as f64 / STORE_LINK_MBPS) as u64)
+}
--- a/crates/gateway/src/store/store_view.rs
+++ b/crates/gateway/src/store/store_view.rs
@@ -16,7 +16,7 @@
     EndpointCrash, EndpointEntry, EndpointSnapshot, EntryError, RouteTable, StoreEvent, StoreItem,
     StorePosition, SuspectKey, VmEntry, short_digest,
 };
-use spanfold_entity::Moment;
+use spanfold_entity::{MICROS_PER_MILLI, MICROS_PER_SECOND, Moment};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -57,10 +57,28 @@
     listing: u32,
 }
 
-/// Items that are applied at the end of a listing.
+/// Largest sum of the changes that a listing collects, in bytes. Above it, other VMs list the store too.
+const MAX_LISTED_CHANGE_BYTES: usize = 4 << 20;
+
+/// Progress of a listing.
 #[derive(Debug, Default)]
 pub(crate) struct StoreListing {
+    /// The configuration, which is applied at the end.
     configuration: Option<StoreItem>,
+    /// What changed since the view's last position; none if that is not known.
+    changes: Option<Vec<StoreEvent>>,
+    change_bytes: usize,
+}
+
+impl StoreListing {
+    fn record_change(&mut self, event: StoreEvent) {
+        let Some(changes) = &mut self.changes else { return };
+        self.change_bytes += event.size();
+        changes.push(event);
+        if self.change_bytes > MAX_LISTED_CHANGE_BYTES {
+            self.changes = None;
+        }
+    }
 }
 
 /// The store's items as far as this VM has applied them.
@@ -78,6 +96,8 @@
     bulk_count: usize,
     /// Position at which the configuration in force was written.
     configuration_at: StorePosition,
+    /// When the store last confirmed that the view is current.
+    pub confirmed_at: Moment,
 }
 
 impl StoreView {
@@ -90,6 +110,7 @@
             is_bulk: false,
             bulk_count: 0,
             configuration_at: StorePosition::default(),
+            confirmed_at: Moment(0),
         }
     }
 
@@ -105,10 +126,11 @@
     }
 
     /// Begins a listing, which is applied page by page: thousands of items at once take more memory than all
-    /// that is retained of them.
-    pub(crate) fn begin_listing(&mut self) -> StoreListing {
+    /// that is retained of them. If the view `is_current` up to a position of the store's present era, the
+    /// changes since then are collected.
+    pub(crate) fn begin_listing(&mut self, is_current: bool) -> StoreListing {
         self.listing += 1;
-        StoreListing::default()
+        StoreListing { changes: is_current.then(Vec::new), ..StoreListing::default() }
     }
 
     /// Logs how many endpoints a bulk of changes affected, in place of a line for each.
@@ -129,15 +151,16 @@
                     record.listing = self.listing;
                 }
                 listing.configuration = Some(item);
-            } else {
-                self.apply_written(&item);
+            } else if self.apply_written(&item) {
+                listing.record_change(StoreEvent::Written(item));
             }
         }
         self.end_bulk("list");
     }
 
     /// Applies another VM's snapshot of all endpoints, which counts as listed up to its position.
-    pub(crate) fn apply_snapshot(&mut self, snapshot: EndpointSnapshot) {
+    pub(crate) fn apply_snapshot(&mut self, snapshot: EndpointSnapshot, listing: &mut StoreListing) {
+        listing.changes = None;
         let prefix = self.gateway.dialect.keys.endpoints;
         let position = snapshot.position;
         self.is_bulk = snapshot.entries.len() >= MIN_BULK_CHANGES;
@@ -177,15 +200,25 @@
     }
 
     /// Ends a whole listing at `position`: keys that it didn't contain are removed.
-    pub(crate) fn finish_listing(&mut self, listing: StoreListing, position: StorePosition) {
+    ///
+    /// Returns what changed since the view's last position, if that is known.
+    pub(crate) fn finish_listing(
+        &mut self,
+        mut listing: StoreListing,
+        position: StorePosition,
+    ) -> Option<Vec<StoreEvent>> {
         let missing = self.keys.iter().filter(|(_, record)| record.listing != self.listing);
         let missing: Vec<_> = missing.map(|(key, _)| key.clone()).collect();
         for key in missing {
             self.apply_removed(&key, position, "list");
+            listing.record_change(StoreEvent::Removed { key, position });
         }
-        if let Some(item) = listing.configuration {
-            self.apply_written(&item);
+        if let Some(item) = listing.configuration.take()
+            && self.apply_written(&item)
+        {
+            listing.record_change(StoreEvent::Written(item));
         }
+        listing.changes
     }
 
     /// Applies changes that `source` reported.
@@ -193,16 +226,19 @@
         self.is_bulk = events.len() >= MIN_BULK_CHANGES;
         for event in events {
             match event {
-                StoreEvent::Written(item) => self.apply_written(item),
+                StoreEvent::Written(item) => {
+                    self.apply_written(item);
+                }
                 StoreEvent::Removed { key, position } => self.apply_removed(key, *position, source),
             }
         }
         self.end_bulk(source);
     }
 
-    fn apply_written(&mut self, item: &StoreItem) {
+    /// Applies an item; returns whether it is newer than what is known of its key.
+    fn apply_written(&mut self, item: &StoreItem) -> bool {
         if !self.record_key(&item.key, item.position) {
-            return;
+            return false;
         }
         let keys = self.gateway.dialect.keys;
         if item.key == keys.configuration {
@@ -239,6 +275,7 @@
                 Err(error) => log::error!(key = item.key.as_str(), cause:% = error; "holder.unreadable"),
             }
         }
+        true
     }
 
     fn apply_configuration(&mut self, item: &StoreItem) {
@@ -254,7 +291,12 @@
                     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
                     metrics.since_seconds.set(since_1970.as_secs() as i64);
                     let open = self.gateway.open_requests.load(Ordering::Relaxed);
-                    log::info!(version, before, routes, accounts, open, position:% = item.position;
+                    let late_micros = self.gateway.now().micros_since(self.confirmed_at);
+                    let late_ms = if before == 0 { 0 } else { late_micros / MICROS_PER_MILLI };
+                    if before > 0 {
+                        metrics.lateness_seconds.observe(late_micros as f64 / MICROS_PER_SECOND as f64);
+                    }
+                    log::info!(version, before, routes, accounts, open, late_ms, position:% = item.position;
                         "configuration.in_force");
                 }
             }
--- a/crates/gateway/src/store/update_propagator.rs
+++ b/crates/gateway/src/store/update_propagator.rs
@@ -7,7 +7,7 @@
 use crate::peers::gossip;
 use crate::peers::peer_message::PeerMessage;
 use crate::store::store_updates::{StoreUpdates, UpdatePlan};
-use crate::{PropagationPlan, StoreEvent, StorePosition, VmKey};
+use crate::{PropagationPlan, RelayGroup, StoreEvent, StorePosition, VmKey};
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::net::UdpSocket;
@@ -47,8 +47,13 @@
 
     /// Propagates changes to all VMs of this data centre; returns when the last fragment is sent.
     pub(crate) async fn propagate_locally(&self, changes: &StoreChanges) {
-        let propagation = self.gateway.peers().propagation_plan();
+        let now = self.gateway.now();
+        let propagation = self.gateway.peers().propagation_plan(now);
         send_changes(&self.gateway, &self.socket, changes, (&propagation, true)).await;
+        if !changes.events.is_empty() {
+            // A VM that missed the update learns of it from the next digest.
+            self.gateway.loads_changed.notify_one();
+        }
     }
 
     /// Requests the changes after `position` from another VM. Unlike a call to the store this costs nothing,
@@ -71,7 +76,7 @@
     pub(crate) fn answer(&mut self, vm: VmKey, changes: StoreChanges) {
         let Some(target) = self.gateway.peers().address_of(vm) else { return };
         let (gateway, socket) = (Arc::clone(&self.gateway), Arc::clone(&self.socket));
-        let propagation = PropagationPlan { targets: vec![target], ..PropagationPlan::default() };
+        let propagation = PropagationPlan::single(target, self.gateway.settings.link_mbps);
         let answer =
             tokio::spawn(
                 async move { send_changes(&gateway, &socket, &changes, (&propagation, false)).await },
@@ -80,30 +85,36 @@
     }
 }
 
+/// Sends `changes` to the receivers of a plan; `is_spread` if these are all VMs of the data centre.
 async fn send_changes(
     gateway: &Gateway,
     socket: &UdpSocket,
     changes: &StoreChanges,
     (propagation, is_spread): (&PropagationPlan, bool),
 ) {
-    if propagation.targets.is_empty() {
+    if propagation.receiver_count() == 0 {
         return;
     }
     let StoreChanges { from, to, ref events, age_micros } = *changes;
-    let plan = UpdatePlan::new(events, propagation, gateway.settings.link_mbps);
+    let plan = UpdatePlan::new(events, propagation);
     let pause_micros = plan.interval.as_micros() as u64;
+    let own_group = RelayGroup { relay: VmKey::of(&gateway.settings.name), leaves: Vec::new() };
     for (index, body) in plan.bodies.into_iter().enumerate() {
         if index > 0 {
             tokio::time::sleep(plan.interval).await;
         }
         let trouble_micros = gateway.store_failure_age();
-        let updates = StoreUpdates { from, to, body, is_spread, pause_micros, age_micros, trouble_micros };
-        gossip::send_message(
-            gateway,
-            socket,
-            &PeerMessage::Store(gateway.next_stamp(), updates),
-            &propagation.targets,
-        )
-        .await;
+        let group = is_spread.then(|| own_group.clone());
+        let updates =
+            StoreUpdates { from, to, body, is_spread, group, pause_micros, age_micros, trouble_micros };
+        for (address, group) in &propagation.relays {
+            let updates = StoreUpdates { group: Some(group.clone()), ..updates.clone() };
+            let message = PeerMessage::Store(gateway.next_stamp(), updates);
+            gossip::send_message(gateway, socket, &message, &[*address]).await;
+        }
+        if !propagation.targets.is_empty() {
+            let message = PeerMessage::Store(gateway.next_stamp(), updates);
+            gossip::send_message(gateway, socket, &message, &propagation.targets).await;
+        }
     }
 }
