Pace messages to many VMs on the sender's link

Cause (by the log and by counting, not shown by a test): a full link drops datagrams. A digest of some kilobytes goes to 200 VMs back to back, and so do the fragments of an update; both bursts together exceed what the link carries at once. Change: messages to many VMs are spread over the time that a fraction of the link needs: half for updates, 0.35 for digests. Relays pass large messages on in a task of their own.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -37,7 +37,7 @@
     LoadCount, LoadSource, MAX_AVOIDANCE_CHANGES, MAX_FRAGMENT_BYTES, MAX_FRAGMENTS, PathChange, PathMonitor,
     PathState, PathTraffic, PeerHeartbeat, PeerTable, PollDuty, PromptSegment, PropagationPlan,
     ReassemblyProgress, RelayGroup, ReportedLimit, RequestCount, RequestLimits, RouteKind, RouteRow,
-    RouteTable, SendOutcome, SendReport, ServiceRow, ServiceWeight, StoreEvent, StoreItem,
+    RouteTable, SendOutcome, SendPace, SendReport, ServiceRow, ServiceWeight, StoreEvent, StoreItem,
     StorePosition, StoreSpec, UpdateFragment, UpdateHistory, UpdateReassembly, UsedSequences, VmEntry, VmKey,
     WeightTarget, direct_share, pack, pick_target, short_digest, split_update, unpack,
 };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::memory::MemoryLimiter;
 use crate::operators::gateway_metrics::GatewayMetrics;
 use crate::peers::digest_relay::DigestRelay;
+use crate::peers::gossip::LinkPaces;
 use crate::peers::peer_message::{PeerKey, PeerMessage, PeerStamp};
 use crate::peers::pending_messages::PendingMessages;
 use crate::peers::placement_message::PlacementMessage;
@@ -107,6 +108,8 @@
     pub memory: MemoryLimiter,
     /// Messages of other VMs that this VM has relayed.
     pub relay_history: RelayedUpdates,
+    /// Paces of messages to other VMs on this VM's link.
+    pub link_paces: LinkPaces,
     /// Rollouts of services to other versions.
     pub rollouts: Mutex<RolloutTable>,
     /// Statements of endpoints in answers, to send to the VMs of this data centre.
@@ -173,6 +176,7 @@
         };
         let memory = MemoryLimiter::new(settings.memory_mb);
         let streams = StreamTracker::new(settings.memory_mb);
+        let link_paces = LinkPaces::new(settings.link_mbps);
         let incarnation = rand::random::<u64>() | 1;
         let peers = PeerTable::new(VmEntry {
             name: settings.name.clone(),
@@ -212,6 +216,7 @@
             quota_queue: QuotaQueue::default(),
             memory,
             relay_history: RelayedUpdates::default(),
+            link_paces,
             rollouts: Mutex::default(),
             local_answers: PendingMessages::default(),
             remote_answers: PendingMessages::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,7 +54,7 @@
     QuarantineMessage, QuarantinePhase, QuarantinedSuspect, QueueEntry, RateTerms, ReassemblyProgress,
     RecordHolders, RelayGroup, RequestCount, RequestIdentity, RequestQuarantine, RequiredWeights,
     ReservationId, RetryBudget, RolloutAnswer, RolloutReason, RolloutRecord, RolloutRun, RolloutStep,
-    RolloutTable, RouteCounts, RouteTable, SendOutcome, SendReport, ShareQueue, ShareRight,
+    RolloutTable, RouteCounts, RouteTable, SendOutcome, SendPace, SendReport, ShareQueue, ShareRight,
     ShareVerdict, ShareView, ShortRecord, SoleSoftware, StreamCopy, StreamKey, StreamOrigin, StreamRecords,
     SumKey, SuspectKey, SuspectKind, SuspectMessage, UpdateFragment, UpdateHistory, UpdateReassembly,
     UsedSequences, VersionSplit, VmEntry, VmKey, WeightScheduler, WeightStep, claim_probability,
--- a/crates/gateway/src/peers/digest_relay.rs
+++ b/crates/gateway/src/peers/digest_relay.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// A VM's changes within this time are sent to the leaders together: two messages cost little.
 pub(crate) const LEADER_DIGEST_DELAY: Duration = Duration::from_millis(4);
@@ -90,13 +91,14 @@
             *stamp = gateway.next_stamp();
         }
         let targets = gateway.peers().local_peer_addresses();
-        let mut bytes = 0;
+        let (started_at, mut bytes) = (Instant::now(), 0);
         while !digests.is_empty() {
             let remaining = digests.split_off(digests.len().min(MAX_DIGESTS_PER_MESSAGE));
             let message = PeerMessage::Batch(gateway.next_stamp(), digests);
             bytes += send_message(&gateway, &socket, &message, &targets).await;
             digests = remaining;
         }
-        tokio::time::sleep(relay_interval(bytes * targets.len(), gateway.settings.link_mbps)).await;
+        let interval = relay_interval(bytes * targets.len(), gateway.settings.link_mbps);
+        tokio::time::sleep_until(started_at + interval).await;
     }
 }
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -17,12 +17,13 @@
 use crate::peers::peer_message::{PeerMessage, PeerStamp};
 use crate::store::follow::{ReceivedUpdate, StoreMessage};
 use crate::store::store_updates::StoreUpdates;
-use crate::LEADERS_PER_DATA_CENTRE;
+use crate::{LEADERS_PER_DATA_CENTRE, SendPace};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Changes within this time are sent together.
 const BATCH_DELAY: Duration = Duration::from_millis(20);
@@ -42,6 +43,47 @@
 /// Largest datagram that is read.
 const MAX_DATAGRAM_BYTES: usize = 65_536;
 
+/// Fraction of this VM's link for store updates. Callers and digests have the rest.
+const UPDATE_LINK_FRACTION: f64 = 0.5;
+/// Fraction of this VM's link for digests.
+const DIGEST_LINK_FRACTION: f64 = 0.35;
+/// Relayed messages of fewer bytes in sum are sent before the next message is read.
+const MAX_INLINE_BYTES: usize = 32 << 10;
+
+/// Paces of the messages that go to many VMs.
+#[derive(Debug)]
+pub(crate) struct LinkPaces {
+    updates: Mutex<SendPace>,
+    digests: Mutex<SendPace>,
+}
+
+impl LinkPaces {
+    pub(crate) const fn new(link_mbps: f64) -> Self {
+        Self {
+            updates: Mutex::new(SendPace::new(link_mbps, UPDATE_LINK_FRACTION)),
+            digests: Mutex::new(SendPace::new(link_mbps, DIGEST_LINK_FRACTION)),
+        }
+    }
+
+    /// Returns the pace of a message; none for what goes to few VMs.
+    const fn of(&self, message: &PeerMessage) -> Option<&Mutex<SendPace>> {
+        match message {
+            PeerMessage::Store(..) => Some(&self.updates),
+            PeerMessage::Load(..) | PeerMessage::Batch(..) | PeerMessage::Kept(..) => Some(&self.digests),
+            PeerMessage::StoreAsk(..) | PeerMessage::Stream(..) | PeerMessage::StreamCopies(..) => None,
+        }
+    }
+}
+
+/// Waits until a message of `bytes` fits into its pace.
+async fn wait_for_pace(gateway: &Gateway, pace: &Mutex<SendPace>, bytes: usize) {
+    let now = gateway.now();
+    let send_at = pace.lock().unwrap_or_else(PoisonError::into_inner).reserve(bytes, now);
+    if send_at > now {
+        gateway.wait_until(send_at).await;
+    }
+}
+
 /// Sends a message to each address; returns its bytes. A failed send counts as a lost datagram, and is
 /// recorded in the metrics.
 pub(crate) async fn send_message(
@@ -52,8 +94,12 @@
 ) -> usize {
     let Some(bytes) = gateway.seal(message) else { return 0 };
     let kind = KindLabel::new(message.kind());
+    let pace = gateway.link_paces.of(message);
     let mut unsent = 0;
     for address in to {
+        if let Some(pace) = pace {
+            wait_for_pace(gateway, pace, bytes.len()).await;
+        }
         unsent += u64::from(socket.send_to(&bytes, address).await.is_err());
     }
     let sent = bytes.len() as u64 * (to.len() as u64 - unsent);
@@ -127,13 +173,15 @@
             tokio::time::sleep(LEADER_POLL_INTERVAL).await;
             continue;
         }
+        let started_at = Instant::now();
         let digest = LoadDigest::of_elsewhere(&gateway, leader_rank == 0);
         let message = PeerMessage::Load(gateway.next_stamp(), Box::new(digest));
         let bytes = send_message(&gateway, &socket, &message, &targets).await;
         let interval_factor = if leader_rank == 0 { 1 } else { SECOND_LEADER_INTERVAL_FACTOR };
         let regular_interval = REMOTE_DIGEST_INTERVAL * remote_data_centre_count as u32 * interval_factor;
         let link_interval = relay_interval(bytes * targets.len(), gateway.settings.link_mbps);
-        tokio::time::sleep(regular_interval.max(link_interval).min(MAX_RELAY_INTERVAL)).await;
+        let interval = regular_interval.max(link_interval).min(MAX_RELAY_INTERVAL);
+        tokio::time::sleep_until(started_at + interval).await;
     }
 }
 
@@ -200,8 +248,8 @@
 
 /// Relays an update that a VM sends to its whole data centre, if this VM is one of its relays.
 async fn relay_updates(
-    gateway: &Gateway,
-    socket: &UdpSocket,
+    gateway: &Arc<Gateway>,
+    socket: &Arc<UdpSocket>,
     (stamp, update): (PeerStamp, &StoreUpdates),
     bytes: &[u8],
 ) {
@@ -210,12 +258,23 @@
         None if gateway.relay_history.record(stamp) => gateway.peers().former_relay_targets(stamp.vm),
         None => return,
     };
-    for address in &targets {
+    let relayed_bytes = bytes.len() * targets.len();
+    let kind = KindLabel::new("relayed");
+    gateway.metrics.peers.bytes_sent.get_or_create(&kind).inc_by(relayed_bytes as u64);
+    if relayed_bytes <= MAX_INLINE_BYTES {
+        return send_relayed(gateway, socket, bytes, &targets).await;
+    }
+    // Other messages are read meanwhile.
+    let (gateway, socket, bytes) = (Arc::clone(gateway), Arc::clone(socket), bytes.to_vec());
+    tokio::spawn(async move { send_relayed(&gateway, &socket, &bytes, &targets).await });
+}
+
+async fn send_relayed(gateway: &Gateway, socket: &UdpSocket, bytes: &[u8], targets: &[SocketAddr]) {
+    for address in targets {
+        wait_for_pace(gateway, &gateway.link_paces.updates, bytes.len()).await;
         // A failed send counts as a lost datagram: a VM that misses the update requests it.
         let _ = socket.send_to(bytes, address).await;
     }
-    let kind = KindLabel::new("relayed");
-    gateway.metrics.peers.bytes_sent.get_or_create(&kind).inc_by((bytes.len() * targets.len()) as u64);
 }
 
 /// Applies a VM's digest, and queues it for relaying if this VM relays.
