Tell how late a VM acted on a departure, and which endpoints it serves without an entry

The logs showed when an entry was gone and a moment of the process's own clock, not for how long its endpoint was served nor how late that is. endpoint.missing and endpoint.entry now state late_ms, served_ms and the age of the last failed call; metrics departure_lateness_seconds and unlisted_endpoints. No decision changes.

--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -117,6 +117,8 @@
     pub departed: usize,
     /// Endpoints that asked this VM for a backoff that has not expired.
     pub backing_off: usize,
+    /// Endpoints without an entry that get work until their grace periods end.
+    pub unlisted: usize,
 }
 
 /// Beginning or end of an avoidance of an endpoint, on other VMs' reports.
@@ -216,6 +218,7 @@
             counts.limited += usize::from(row.limit.per_s().is_some());
             counts.departed += usize::from(row.has_departed);
             counts.backing_off += usize::from(row.backoff.is_backing_off(now));
+            counts.unlisted += usize::from(row.grace_deadline.is_some_and(|deadline| now < deadline));
         }
         counts.cold = if now < self.max_cold_until { self.cold_count(now) } else { 0 };
         let rows = &self.rows;
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -257,6 +257,7 @@
         gauges.limited_endpoints.set(counts.limited as i64);
         gauges.leaving_endpoints.set(counts.departed as i64);
         gauges.resting_endpoints.set(counts.backing_off as i64);
+        gauges.unlisted_endpoints.set(counts.unlisted as i64);
         gauges.doubted_endpoints.set(counts.suspected as i64);
         gauges.avoided_endpoints.set(counts.avoided as i64);
         gauges.evacuated_data_centres.set(evacuated as i64);
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -46,6 +46,11 @@
     pub leaving_endpoints: Gauge,
     /// Endpoints that are backing off: they asked this VM for a backoff.
     pub resting_endpoints: Gauge,
+    /// Endpoints without an entry that get work until their grace periods end.
+    pub unlisted_endpoints: Gauge,
+    /// How late this VM applied each departure at most: the time since the store last confirmed that the
+    /// endpoint was listed, and the grace period that follows.
+    pub departure_lateness_seconds: Histogram,
 }
 
 impl FleetGauges {
@@ -59,6 +64,8 @@
             limited_endpoints: Gauge::default(),
             leaving_endpoints: Gauge::default(),
             resting_endpoints: Gauge::default(),
+            unlisted_endpoints: Gauge::default(),
+            departure_lateness_seconds: Histogram::new(exponential_buckets(0.02, 2.0, 11)),
         };
         let suspected = gauges.doubted_endpoints.clone();
         registry.register("doubted_endpoints", "Endpoints that VMs could not reach", suspected);
@@ -76,6 +83,11 @@
         registry.register("leaving_endpoints", "Endpoints that said in an answer that they leave", leaving);
         let resting = gauges.resting_endpoints.clone();
         registry.register("resting_endpoints", "Endpoints that asked this VM for a rest", resting);
+        let unlisted = gauges.unlisted_endpoints.clone();
+        registry.register("unlisted_endpoints", "Endpoints that are served without an entry", unlisted);
+        let lateness = gauges.departure_lateness_seconds.clone();
+        let help = "Time from the last confirmation of an endpoint's entry until it got no more work";
+        registry.register("departure_lateness_seconds", help, lateness);
         gauges
     }
 }
--- a/crates/gateway/src/store/store_view.rs
+++ b/crates/gateway/src/store/store_view.rs
@@ -335,11 +335,21 @@
         } else if is_changed {
             let (service, address) = (service.as_str(), socket_address.to_string());
             let address = address.as_str();
-            log::info!(endpoint = id, service, address, draining, position:%; "endpoint.entry");
+            let late_micros = self.gateway.now().micros_since(self.confirmed_at);
+            if draining {
+                self.record_departure_lateness(late_micros);
+            }
+            let late_ms = late_micros / MICROS_PER_MILLI;
+            log::info!(endpoint = id, service, address, draining, late_ms, position:%; "endpoint.entry");
             self.gateway.record_started_at(socket_address, key);
         }
     }
 
+    fn record_departure_lateness(&self, micros: u64) {
+        let seconds = micros as f64 / MICROS_PER_SECOND as f64;
+        self.gateway.metrics.fleet.departure_lateness_seconds.observe(seconds);
+    }
+
     /// Decodes an entry that an endpoint wrote itself; one of another writer is refused.
     fn decode_endpoint(&self, id: &str, value: &[u8]) -> Result<EndpointEntry, EntryError> {
         let entry = (self.gateway.dialect.decoders.endpoint)(id, value)?;
@@ -432,7 +442,12 @@
             if grace_deadline == Moment(0) {
                 self.record_expired_endpoint(id, now);
             }
-            log::info!(endpoint = id, source, held_until:% = grace_deadline; "endpoint.missing");
+            let late_micros = now.micros_since(self.confirmed_at);
+            let served_micros = grace_deadline.micros_since(now);
+            self.record_departure_lateness(late_micros + served_micros);
+            let (late_ms, served_ms) = (late_micros / MICROS_PER_MILLI, served_micros / MICROS_PER_MILLI);
+            let failing_ms = self.gateway.store_failure_age().map(|micros| micros / MICROS_PER_MILLI);
+            log::info!(endpoint = id, source, late_ms, served_ms, failing_ms:?, position:%; "endpoint.missing");
         } else if let Some(data_centre) = key.strip_prefix(self.gateway.dialect.keys.evacuations) {
             if is_missing_after_restore {
                 let deadline = now.after_millis(EVACUATION_GRACE_MILLIS);
