Keep a removed endpoint's work only after an outage that no VM had an answer in

What callers saw: requests reached an endpoint 2.3 and 2.9 s after its entry had been removed (bound 2.0 s), and later ones failed to connect.

Cause: each failed call of one VM counted as an outage of the store. It gave removed entries a grace period, in its whole data centre, and each further failed call of any VM there prolonged all of them, without end.

Change: StoreContact derives outages from the answers and failed calls of all VMs, which digests report by age, first-hand only. An outage is a span of 1.2 s or more in which calls failed and no VM got an answer. A grace period ends 2.3 s after the first answer that follows; no failed call moves that, one further outage may renew it, and an answer reported late shortens it.

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -92,6 +92,15 @@
     Remote,
 }
 
+/// What became of the grace period of an endpoint without an entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct GraceState {
+    /// Whether another outage of the store has renewed it, which none does again.
+    pub is_renewed: bool,
+    /// Whether the last sweep found it running.
+    pub was_running: bool,
+}
+
 /// State of one endpoint.
 #[derive(Debug)]
 pub struct EndpointRow {
@@ -99,6 +108,7 @@
     pub entry: EndpointEntry,
     /// Its entry is gone; until this deadline it may return, and the endpoint continues to get work.
     pub grace_deadline: Option<Moment>,
+    pub(super) grace: GraceState,
     /// Whether its last written entry cannot be parsed, and so gives no endpoint to use.
     pub is_unreadable: bool,
     /// End of its data centre's evacuation; it gets no new work until then, and running work finishes.
@@ -151,6 +161,7 @@
     pub fn new(entry: EndpointEntry) -> Self {
         Self {
             grace_deadline: None,
+            grace: GraceState::default(),
             is_unreadable: false,
             evacuated_until: Moment(0),
             cold_until: Moment(0),
--- a/crates/decide/src/fleet/fleet_entries.rs
+++ b/crates/decide/src/fleet/fleet_entries.rs
@@ -4,7 +4,7 @@
 //! departure.
 
 use crate::fleet::fleet_table::{MAX_REMOVED_ENDPOINTS, NewestIncarnation};
-use crate::{EndpointEntry, EndpointKey, EndpointRow, FleetTable, short_digest};
+use crate::{EndpointEntry, EndpointKey, EndpointRow, FleetTable, StoreOutage, short_digest};
 use spanfold_entity::Moment;
 use std::sync::Arc;
 
@@ -36,6 +36,7 @@
         let cold_until = self.cold_until_of(&entry, now);
         if let Some(row) = self.rows.get_mut(&key) {
             row.grace_deadline = None;
+            row.grace.is_renewed = false;
             row.is_unreadable = false;
             entry.draining |= row.entry.draining;
             row.listed_weights.clone_from(&entry.weights);
@@ -160,9 +161,11 @@
         }
     }
 
-    /// Extends running grace periods of missing entries, because the store still fails.
+    /// Extends running grace periods of missing entries, because the store is away again.
+    ///
+    /// Each period may be extended during one further outage.
     pub fn extend_grace(&mut self, now: Moment, grace_deadline: Moment) {
-        for row in self.rows.values_mut() {
+        for row in self.rows.values_mut().filter(|row| !row.grace.is_renewed) {
             if let Some(current) = &mut row.grace_deadline
                 && now < *current
             {
@@ -170,4 +173,21 @@
             }
         }
     }
+
+    /// Lets grace periods that ran when an outage began end after it instead.
+    pub fn renew_grace(&mut self, outage: &StoreOutage) {
+        for row in self.rows.values_mut().filter(|row| !row.grace.is_renewed) {
+            if row.grace_deadline.is_some_and(|current| outage.began_at < current) {
+                row.grace_deadline = Some(outage.grace_deadline());
+                row.grace.is_renewed = true;
+            }
+        }
+    }
+
+    /// Ends grace periods no later than `grace_deadline`, because their outage was shorter, or none.
+    pub fn shorten_grace(&mut self, grace_deadline: Moment) {
+        for row in self.rows.values_mut() {
+            row.grace_deadline = row.grace_deadline.map(|current| current.min(grace_deadline));
+        }
+    }
 }
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -139,6 +139,9 @@
     pub counts: FleetCounts,
     /// Avoidances that began or ended, at most [`MAX_AVOIDANCE_CHANGES`]: later sweeps report the others.
     pub avoidances: Vec<AvoidanceChange>,
+    /// Ids of endpoints that were served without an entry and no longer are; at most
+    /// [`MAX_AVOIDANCE_CHANGES`].
+    pub unlisted: Vec<String>,
 }
 
 /// Times of the last failed and the last answered send to a data centre's endpoints.
@@ -201,7 +204,13 @@
         let mut removed = Vec::new();
         let mut counts = FleetCounts::default();
         let mut avoidances = Vec::new();
+        let mut unlisted = Vec::new();
         for (key, row) in &mut self.rows {
+            let is_served_unlisted = row.grace_deadline.is_some_and(|deadline| now < deadline);
+            let was_served_unlisted = std::mem::replace(&mut row.grace.was_running, is_served_unlisted);
+            if was_served_unlisted && !is_served_unlisted && unlisted.len() < MAX_AVOIDANCE_CHANGES {
+                unlisted.push(row.entry.id.clone());
+            }
             if row.grace_deadline.is_some_and(|deadline| now >= deadline) && row.own.running == 0 {
                 removed.push(*key);
                 continue;
@@ -218,7 +227,7 @@
             counts.limited += usize::from(row.limit.per_s().is_some());
             counts.departed += usize::from(row.has_departed);
             counts.backing_off += usize::from(row.backoff.is_backing_off(now));
-            counts.unlisted += usize::from(row.grace_deadline.is_some_and(|deadline| now < deadline));
+            counts.unlisted += usize::from(is_served_unlisted);
         }
         counts.cold = if now < self.max_cold_until { self.cold_count(now) } else { 0 };
         let rows = &self.rows;
@@ -240,7 +249,7 @@
             row.sweep(now);
         }
         self.reported_rows.retain(|_, rows| now < rows.received_at.after_millis(REMOVED_RETENTION_MILLIS));
-        FleetSweep { removed, counts, avoidances }
+        FleetSweep { removed, counts, avoidances, unlisted }
     }
 
     /// Records a removed incarnation, and evicts the oldest record when the limit is reached.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -31,15 +31,16 @@
 pub(crate) use fleet::SharedWeights;
 pub use fleet::{
     AccountRow, AvoidanceCause, AvoidanceChange, AvoidanceReport, BackoffChange, CacheChange, CacheUpdate,
-    CatchUpSchedule, ColdSpec, CordonSource, DeploymentConfig, EndpointBackoff, EndpointEntry, EndpointKey,
-    EndpointRow, EndpointSnapshot, EngineReport, EngineSpec, FleetCounts, FleetSweep, FleetTable,
-    ForwardPeer, ForwardPeers, HomeRegions, LEADERS_PER_DATA_CENTRE, LimitChange, LimitReport, LinkTransfers,
-    LoadCount, LoadSource, MAX_AVOIDANCE_CHANGES, MAX_FRAGMENT_BYTES, MAX_FRAGMENTS, PathChange, PathMonitor,
-    PathState, PathTraffic, PeerHeartbeat, PeerTable, PollDuty, PromptSegment, PropagationPlan,
-    ReassemblyProgress, RelayGroup, ReportedLimit, RequestCount, RequestLimits, RouteKind, RouteRow,
-    RouteTable, SendOutcome, SendPace, SendReport, ServiceRow, ServiceWeight, StoreEvent, StoreItem,
-    StorePosition, StoreSpec, UpdateFragment, UpdateHistory, UpdateReassembly, UsedSequences, VmEntry, VmKey,
-    WeightTarget, direct_share, pack, pick_target, short_digest, split_update, unpack,
+    CatchUpSchedule, ColdSpec, ContactAges, ContactChange, ContactSource, CordonSource, DeploymentConfig,
+    EndpointBackoff, EndpointEntry, EndpointKey, EndpointRow, EndpointSnapshot, EngineReport, EngineSpec,
+    FleetCounts, FleetSweep, FleetTable, ForwardPeer, ForwardPeers, HomeRegions, LEADERS_PER_DATA_CENTRE,
+    LimitChange, LimitReport, LinkTransfers, LoadCount, LoadSource, MAX_AVOIDANCE_CHANGES,
+    MAX_FRAGMENT_BYTES, MAX_FRAGMENTS, PathChange, PathMonitor, PathState, PathTraffic, PeerHeartbeat,
+    PeerTable, PollDuty, PromptSegment, PropagationPlan, ReassemblyProgress, RelayGroup, ReportedLimit,
+    RequestCount, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendPace, SendReport,
+    ServiceRow, ServiceWeight, StoreContact, StoreEvent, StoreItem, StoreOutage, StorePosition, StoreSpec,
+    UpdateFragment, UpdateHistory, UpdateReassembly, UsedSequences, VmEntry, VmKey, WeightTarget,
+    direct_share, pack, pick_target, short_digest, split_update, unpack,
 };
 pub use kept::{
     CacheReport, CachedSegments, IndexReport, IndexReporter, PollSchedule, StoreRow, TransferPlan,
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -140,6 +140,7 @@
         self.pool.close_all_idle();
         self.forwards.pool.close_all_idle();
         if millis >= MIN_STALE_JUMP_MILLIS {
+            self.contact().discard();
             self.stale_until.send_replace(self.now().after_millis(STORE_TIMEOUT_MILLIS));
         }
         self.clock_jumped.notify_waiters();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -23,8 +23,8 @@
 use crate::{
     AvoidanceCause, AvoidanceChange, AvoidanceReport, BudgetTerms, EndpointRow, FleetTable, IdentityKey,
     ListMembership, PathState, PlacementChoice, PlacementRequest, PublishedVersion, PublishedWeights,
-    RequiredWeights, RetryBudget, RolloutTable, RouteTable, SendReport, StorePosition, SuspectMessage,
-    VmEntry, VmKey, WeightTarget, WireDialect, place, short_digest,
+    RequiredWeights, RetryBudget, RolloutTable, RouteTable, SendReport, StoreContact, StorePosition,
+    SuspectMessage, VmEntry, VmKey, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -34,17 +34,6 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
-/// Vanished entries are retained until this long after the last failed call to the store, in milliseconds.
-///
-/// The users require that entries that expired while the store was failing return within two seconds after
-/// it works again.
-const ENTRY_GRACE_MILLIS: u64 = 2_300;
-/// Time after a failed call for which the store counts as failing, in milliseconds: if only some calls fail,
-/// this VM's next failure may come late.
-const STORE_FAILURE_MILLIS: u64 = 3_500;
-/// Minimum time for which a vanished entry is retained, in milliseconds: less than the time for which
-/// departing endpoints may get work.
-const MIN_ENTRY_GRACE_MILLIS: u64 = 1_500;
 /// Moment of the process's start, in microseconds: one day, which is far above any age that matters.
 ///
 /// Other VMs report moments before the start, too. If moments counted from zero, these would be clamped to
@@ -155,8 +144,8 @@
     pub streams: StreamTracker,
     /// Requests that are forwarded to other VMs, and taken from them.
     pub forwards: ForwardState,
-    /// Moment of the last failed call to the store, in microseconds; zero if none has failed.
-    store_failed_at: AtomicU64,
+    /// Answers and failed calls of the store.
+    contact: Mutex<StoreContact>,
     pub open_requests: AtomicU64,
     /// Prompts that wait at this VM because no engine has free capacity.
     pub waiting_prompts: AtomicU64,
@@ -240,7 +229,7 @@
             is_path_held: AtomicBool::new(false),
             streams,
             forwards: ForwardState::default(),
-            store_failed_at: AtomicU64::new(0),
+            contact: Mutex::default(),
             open_requests: AtomicU64::new(0),
             waiting_prompts: AtomicU64::new(0),
             caller_connections: AtomicU64::new(0),
@@ -254,29 +243,13 @@
         Moment(START_OFFSET_MICROS + self.clock.read().saturating_sub(self.origin).as_micros() as u64)
     }
 
-    /// Records a failed call to the store, by this VM or another one.
-    ///
-    /// Entries may expire then although their endpoints run.
-    pub(crate) fn record_store_failure(&self, at: Moment) {
-        self.store_failed_at.fetch_max(at.0, Ordering::Relaxed);
-        self.table().extend_grace(self.now(), at.after_millis(ENTRY_GRACE_MILLIS));
-    }
-
-    /// Returns the microseconds since the last failed call, while the store counts as failing.
+    /// Returns the microseconds since the last failed call of any VM, while that is recent.
     pub(crate) fn store_failure_age(&self) -> Option<u64> {
-        let (failed_at, now) = (Moment(self.store_failed_at.load(Ordering::Relaxed)), self.now());
-        let is_failing = failed_at.0 != 0 && now < failed_at.after_millis(STORE_FAILURE_MILLIS);
-        is_failing.then(|| now.micros_since(failed_at))
+        self.contact().failure_age(self.now())
     }
 
-    /// Returns until when an entry that vanishes now is retained; zero if the store is not failing.
-    pub(crate) fn entry_grace_deadline(&self) -> Moment {
-        let failed_at = Moment(self.store_failed_at.load(Ordering::Relaxed));
-        let now = self.now();
-        if failed_at.0 == 0 || now >= failed_at.after_millis(STORE_FAILURE_MILLIS) {
-            return Moment(0);
-        }
-        failed_at.after_millis(ENTRY_GRACE_MILLIS).max(now.after_millis(MIN_ENTRY_GRACE_MILLIS))
+    pub(crate) fn contact(&self) -> MutexGuard<'_, StoreContact> {
+        self.contact.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Returns the configuration in force, if there is one.
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -250,8 +250,9 @@
             }
             (table.sweep(now), table.evacuated(now).count())
         };
-        let FleetSweep { removed, counts, avoidances } = swept;
+        let FleetSweep { removed, counts, avoidances, unlisted } = swept;
         gateway.log_avoidances(&avoidances);
+        gateway.log_ended_graces(&unlisted);
         let gauges = &gateway.metrics.fleet;
         gauges.cold_endpoints.set(counts.cold as i64);
         gauges.limited_endpoints.set(counts.limited as i64);
--- a/crates/gateway/src/peers/load_digest.rs
+++ b/crates/gateway/src/peers/load_digest.rs
@@ -11,8 +11,9 @@
 use crate::peers::pending_messages::MAX_MESSAGES;
 use crate::peers::placement_message::PlacementMessage;
 use crate::{
-    EndpointKey, FleetTable, LEADERS_PER_DATA_CENTRE, LinkTransfers, LoadCount, LoadSource, PeerHeartbeat,
-    PeerTable, QuarantineMessage, RouteCounts, StorePosition, SumKey, SuspectMessage, VmKey, short_digest,
+    ContactAges, EndpointKey, FleetTable, LEADERS_PER_DATA_CENTRE, LinkTransfers, LoadCount, LoadSource,
+    PeerHeartbeat, PeerTable, QuarantineMessage, RouteCounts, StorePosition, SumKey, SuspectMessage, VmKey,
+    short_digest,
 };
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
@@ -53,6 +54,9 @@
     /// Position of the store up to which its sender has applied all changes; it follows the message too.
     #[serde(skip)]
     pub position: StorePosition,
+    /// When the store last answered its sender, and when a call last failed; it follows the message too.
+    #[serde(skip)]
+    pub contact: ContactAges,
     /// Records that endpoints reported about themselves in answers.
     answers: Vec<AnswerRecord>,
     /// Counts of answers, by version, for services in a rollout.
@@ -184,6 +188,7 @@
             cases,
             extended_cases,
             position: gateway.applied_position(),
+            contact: gateway.contact_ages(scope),
             answers: answers.iter().map(|answer| AnswerRecord::of(answer, now)).collect(),
             rollouts,
             closed: cordoned_engines(table, scope, now),
@@ -239,6 +244,7 @@
             (peers.is_local(vm), is_leader, data_centre, peers.listed_count())
         };
         let Some(data_centre) = data_centre else { return };
+        gateway.apply_contact_ages(self.contact, self.scope, is_local);
         // A leader takes other data centres' loads from their leaders, the other VMs take them from their own
         // leader: never both.
         let source = match self.scope {
--- a/crates/gateway/src/peers/peer_message.rs
+++ b/crates/gateway/src/peers/peer_message.rs
@@ -14,7 +14,7 @@
 use crate::peers::load_digest::LoadDigest;
 use crate::store::store_updates::StoreUpdates;
 use crate::streams::stream_message::StreamMessage;
-use crate::{RelayGroup, StorePosition, StreamKey, SuspectMessage, VmKey};
+use crate::{ContactAges, RelayGroup, StorePosition, StreamKey, SuspectMessage, VmKey};
 use serde::{Deserialize, Serialize};
 
 /// Version of the message format; messages of other versions are ignored.
@@ -61,6 +61,8 @@
     positions: Vec<StorePosition>,
     /// The group of an update.
     group: Option<RelayGroup>,
+    /// What each of its digests reports of the store.
+    contacts: Vec<ContactAges>,
 }
 
 impl MessageExtension {
@@ -68,6 +70,7 @@
         self.cases.iter().all(Vec::is_empty)
             && self.positions.iter().all(|position| *position == StorePosition::default())
             && self.group.is_none()
+            && self.contacts.iter().all(|contact| *contact == ContactAges::default())
     }
 
     /// Decodes what a VM of this form or another one sent; a part that can't be read says nothing, nor do
@@ -78,7 +81,9 @@
         extension.cases = cases;
         let Ok((positions, bytes)) = postcard::take_from_bytes(bytes) else { return extension };
         extension.positions = positions;
-        extension.group = postcard::from_bytes(bytes).unwrap_or_default();
+        let Ok((group, bytes)) = postcard::take_from_bytes(bytes) else { return extension };
+        extension.group = group;
+        extension.contacts = postcard::from_bytes(bytes).unwrap_or_default();
         extension
     }
 }
@@ -133,17 +138,21 @@
             cases: digests.iter().map(|digest| digest.extended_cases.clone()).collect(),
             positions: digests.iter().map(|digest| digest.position).collect(),
             group: if let Self::Store(_, updates) = self { updates.group.clone() } else { None },
+            contacts: digests.iter().map(|digest| digest.contact).collect(),
         }
     }
 
     fn apply_extension(&mut self, extension: MessageExtension) {
-        let MessageExtension { cases, positions, group } = extension;
+        let MessageExtension { cases, positions, group, contacts } = extension;
         for (digest, cases) in self.digests_mut().into_iter().zip(cases) {
             digest.extended_cases = cases;
         }
         for (digest, position) in self.digests_mut().into_iter().zip(positions) {
             digest.position = position;
         }
+        for (digest, contact) in self.digests_mut().into_iter().zip(contacts) {
+            digest.contact = contact;
+        }
         if let Self::Store(_, updates) = self {
             updates.group = group;
         }
--- a/crates/gateway/src/store/era_check.rs
+++ b/crates/gateway/src/store/era_check.rs
@@ -14,7 +14,7 @@
         if self.era.record(era) {
             // What the backup lacks is written again soon; entries that disappear meanwhile get a grace
             // period.
-            self.record_store_failure(self.now());
+            self.record_store_restoration();
             self.quarantine_tracker().quarantine.rewrite_all();
             log::warn!(era, source; "store.restored");
         }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -21,8 +21,8 @@
 use crate::store::store_view::{OrdersView, PEER_KEY_KEY, StoreListing, StoreView};
 use crate::store::update_propagator::{StoreChanges, UpdatePropagator};
 use crate::{
-    CatchUpSchedule, PollDuty, ReassemblyProgress, RequestCount, StoreEvent, StorePosition, StoreRefusal,
-    StoreReply, StoreTransaction, UpdateHistory, UpdateReassembly, VmKey, WireCall,
+    CatchUpSchedule, ContactSource, PollDuty, ReassemblyProgress, RequestCount, StoreEvent, StorePosition,
+    StoreRefusal, StoreReply, StoreTransaction, UpdateHistory, UpdateReassembly, VmKey, WireCall,
 };
 use spanfold_entity::Moment;
 use std::pin::pin;
@@ -246,13 +246,17 @@
             return;
         }
         if let Some(micros) = update.trouble_micros {
-            self.gateway.record_store_failure(Moment(now.0.saturating_sub(micros)));
+            let failed_at = Moment(now.0.saturating_sub(micros));
+            self.gateway.record_store_failure(ContactSource::Indirect, failed_at);
         }
+        // Before its changes: whether an entry expired in an outage depends on when the store answered.
+        let answered_at = Moment(now.0.saturating_sub(update.age_micros));
+        self.gateway.record_store_answer(ContactSource::Indirect, answered_at);
         self.record_newest_position(update.to);
         if update.to > self.position && !self.apply_changes(vm, update, now).await {
             return;
         }
-        self.record_confirmation(Moment(now.0.saturating_sub(update.age_micros)));
+        self.record_confirmation(answered_at);
         let precedes = self.gateway.peers().precedes_as_leader(vm);
         if self.duty.cease_for(precedes) {
             log::info!(teller = vm.0, position:% = self.position; "watch.ceased");
@@ -604,7 +608,7 @@
         };
         let now = self.gateway.now();
         self.duty.record_failure(now);
-        self.gateway.record_store_failure(now);
+        self.gateway.record_store_failure(ContactSource::Own, now);
         if self.duty.failures() == MIN_OUTAGE_FAILURES {
             log::warn!(dependency = "store", call = kind, cause = cause.as_str(); "dependency.lost");
         }
@@ -623,9 +627,9 @@
 
     fn record_answer(&mut self) {
         if self.duty.failures() >= MIN_OUTAGE_FAILURES {
-            self.gateway.record_store_failure(self.gateway.now());
             log::info!(dependency = "store", failures = self.duty.failures(); "dependency.regained");
         }
         self.duty.record_answer();
+        self.gateway.record_store_answer(ContactSource::Own, self.gateway.now());
     }
 }
--- a/crates/gateway/src/store/lease_keeper.rs
+++ b/crates/gateway/src/store/lease_keeper.rs
@@ -343,11 +343,7 @@
         call: &WireCall,
         decoder: StoreDecoder<T>,
     ) -> Option<Result<T, StoreRefusal>> {
-        let result = self.link.call(kind, call, decoder).await;
-        if matches!(result, None | Some(Err(StoreRefusal::NotDone(_)))) {
-            self.gateway.record_store_failure(self.gateway.now());
-        }
-        result
+        self.link.call(kind, call, decoder).await
     }
 }
 
--- a/crates/gateway/src/store/mod.rs
+++ b/crates/gateway/src/store/mod.rs
@@ -1,6 +1,7 @@
 //! Access to the platform's store, and propagation of its contents between VMs.
 
 pub(crate) mod call_link;
+mod contact;
 pub(crate) mod era_check;
 pub(crate) mod follow;
 pub(crate) mod lease_keeper;
--- a/crates/gateway/src/store/store_link.rs
+++ b/crates/gateway/src/store/store_link.rs
@@ -3,7 +3,7 @@
 use crate::gateway::Gateway;
 use crate::operators::gateway_metrics::KindLabel;
 use crate::store::call_link::CallLink;
-use crate::{StoreDecoder, StoreRefusal, StoreReply, WireCall};
+use crate::{ContactSource, StoreDecoder, StoreRefusal, StoreReply, WireCall};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -37,6 +37,22 @@
         decoder: StoreDecoder<T>,
     ) -> Option<Result<T, StoreRefusal>> {
         self.gateway.metrics.store_calls.get_or_create(&KindLabel::new(kind)).inc();
+        let result = self.exchange(kind, call, decoder).await;
+        let (source, now) = (ContactSource::Own, self.gateway.now());
+        if matches!(result, None | Some(Err(StoreRefusal::NotDone(_)))) {
+            self.gateway.record_store_failure(source, now);
+        } else {
+            self.gateway.record_store_answer(source, now);
+        }
+        result
+    }
+
+    async fn exchange<T>(
+        &mut self,
+        kind: &str,
+        call: &WireCall,
+        decoder: StoreDecoder<T>,
+    ) -> Option<Result<T, StoreRefusal>> {
         let purpose = self.purpose;
         let era_before = self.gateway.era.known();
         match self.link.call(call, Instant::now() + CALL_TIMEOUT).await {
--- a/crates/gateway/src/store/store_view.rs
+++ b/crates/gateway/src/store/store_view.rs
@@ -68,6 +68,7 @@
     /// What changed since the view's last position; none if that is not known.
     changes: Option<Vec<StoreEvent>>,
     change_bytes: usize,
+    began_at: Moment,
 }
 
 impl StoreListing {
@@ -130,7 +131,8 @@
     /// changes since then are collected.
     pub(crate) fn begin_listing(&mut self, is_current: bool) -> StoreListing {
         self.listing += 1;
-        StoreListing { changes: is_current.then(Vec::new), ..StoreListing::default() }
+        let began_at = self.gateway.now();
+        StoreListing { changes: is_current.then(Vec::new), began_at, ..StoreListing::default() }
     }
 
     /// Logs how many endpoints a bulk of changes affected, in place of a line for each.
@@ -210,7 +212,7 @@
         let missing = self.keys.iter().filter(|(_, record)| record.listing != self.listing);
         let missing: Vec<_> = missing.map(|(key, _)| key.clone()).collect();
         for key in missing {
-            self.apply_removed(&key, position, "list");
+            self.apply_removed(&key, position, "list", listing.began_at);
             listing.record_change(StoreEvent::Removed { key, position });
         }
         if let Some(item) = listing.configuration.take()
@@ -229,7 +231,9 @@
                 StoreEvent::Written(item) => {
                     self.apply_written(item);
                 }
-                StoreEvent::Removed { key, position } => self.apply_removed(key, *position, source),
+                StoreEvent::Removed { key, position } => {
+                    self.apply_removed(key, *position, source, self.gateway.now());
+                }
             }
         }
         self.end_bulk(source);
@@ -427,7 +431,7 @@
         }
     }
 
-    fn apply_removed(&mut self, key: &str, position: StorePosition, source: &str) {
+    fn apply_removed(&mut self, key: &str, position: StorePosition, source: &str, read_at: Moment) {
         if self.keys.get(key).is_some_and(|record| record.position >= position) {
             return;
         }
@@ -436,7 +440,7 @@
             self.keys.remove(key).is_some_and(|record| record.position.era < position.era);
         let now = self.gateway.now();
         if let Some(id) = key.strip_prefix(self.gateway.dialect.keys.endpoints) {
-            let grace_deadline = self.gateway.entry_grace_deadline();
+            let grace_deadline = self.gateway.entry_grace_deadline(read_at);
             self.gateway.table().mark_entry_missing(id, grace_deadline);
             self.gateway.table().clear_unreadable(id);
             if grace_deadline == Moment(0) {
@@ -446,8 +450,9 @@
             let served_micros = grace_deadline.micros_since(now);
             self.record_departure_lateness(late_micros + served_micros);
             let (late_ms, served_ms) = (late_micros / MICROS_PER_MILLI, served_micros / MICROS_PER_MILLI);
-            let failing_ms = self.gateway.store_failure_age().map(|micros| micros / MICROS_PER_MILLI);
-            log::info!(endpoint = id, source, late_ms, served_ms, failing_ms:?, position:%; "endpoint.missing");
+            let outage = self.gateway.last_outage().filter(|_| served_ms > 0);
+            let cause = outage.map_or("removed", |outage| outage.cause());
+            log::info!(endpoint = id, source, late_ms, served_ms, cause, position:%; "endpoint.missing");
         } else if let Some(data_centre) = key.strip_prefix(self.gateway.dialect.keys.evacuations) {
             if is_missing_after_restore {
                 let deadline = now.after_millis(EVACUATION_GRACE_MILLIS);
