Renew long leases at different moments, and hold grace periods while the store may be away

In a data centre whose VMs start together all long leases were renewed at the same moments, so that for 2.8 s no VM had an answer besides the polling one. In virtual time with 91 VMs, a third of them unanswered for 300 of each 1,500 ms, that looked like an outage, and a removed endpoint was served for 2.2 to 3.1 s. The first renewal now comes after a random part of the interval, and an outage takes 1.5 s.

A grace period that ends while calls fail and no VM has an answer is held until the store has answered or counts as away, once: live endpoints lost their work where a second outage followed the first one within a second.

--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -97,6 +97,8 @@
 pub(super) struct GraceState {
     /// Whether another outage of the store has renewed it, which none does again.
     pub is_renewed: bool,
+    /// Whether it was extended because the store may have been away, which is done once.
+    pub was_held: bool,
     /// Whether the last sweep found it running.
     pub was_running: bool,
 }
--- a/crates/decide/src/fleet/fleet_entries.rs
+++ b/crates/decide/src/fleet/fleet_entries.rs
@@ -3,8 +3,12 @@
 //! Invariant: of two incarnations of one id the later one is current, and no entry revokes its endpoint's
 //! departure.
 
+use crate::fleet::endpoint_row::GraceState;
 use crate::fleet::fleet_table::{MAX_REMOVED_ENDPOINTS, NewestIncarnation};
-use crate::{EndpointEntry, EndpointKey, EndpointRow, FleetTable, StoreOutage, short_digest};
+use crate::{
+    ContactChange, EndpointEntry, EndpointKey, EndpointRow, FleetTable, StoreOutage, StoreSilence,
+    short_digest,
+};
 use spanfold_entity::Moment;
 use std::sync::Arc;
 
@@ -13,6 +17,9 @@
 /// The entry of an unreachable endpoint expires within this time, after three heartbeats of 1.2 s.
 const REAPPEARANCE_DELAY_MILLIS: u64 = 4_000;
 
+/// Time by which grace periods are extended while the store is away, in milliseconds.
+const GRACE_HOLD_MILLIS: u64 = 300;
+
 impl FleetTable {
     /// Applies an endpoint's entry; returns whether anything but weights changed.
     ///
@@ -36,7 +43,7 @@
         let cold_until = self.cold_until_of(&entry, now);
         if let Some(row) = self.rows.get_mut(&key) {
             row.grace_deadline = None;
-            row.grace.is_renewed = false;
+            row.grace = GraceState::default();
             row.is_unreadable = false;
             entry.draining |= row.entry.draining;
             row.listed_weights.clone_from(&entry.weights);
@@ -174,8 +181,41 @@
         }
     }
 
+    /// Holds running grace periods while the store is away, or may be.
+    ///
+    /// To be called at least each [`GRACE_HOLD_MILLIS`].
+    pub fn hold_grace(&mut self, silence: StoreSilence, now: Moment) {
+        match silence {
+            StoreSilence::Away => self.extend_grace(now, now.after_millis(GRACE_HOLD_MILLIS)),
+            StoreSilence::Undecided { away_at } => {
+                let held_until = away_at.after_millis(GRACE_HOLD_MILLIS);
+                let rows = self.rows.values_mut().filter(|row| !row.grace.was_held);
+                for row in rows {
+                    if let Some(current) = &mut row.grace_deadline
+                        && now < *current
+                        && *current < held_until
+                    {
+                        *current = held_until;
+                        row.grace.was_held = true;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Applies to grace periods what an answer of the store changed.
+    pub fn apply_contact_change(&mut self, change: ContactChange, now: Moment) {
+        match change {
+            ContactChange::None => {}
+            ContactChange::Returned(outage) => self.renew_grace(&outage),
+            ContactChange::Refuted(outage) => {
+                self.shorten_grace(outage.map_or(now, |outage| outage.grace_deadline()));
+            }
+        }
+    }
+
     /// Lets grace periods that ran when an outage began end after it instead.
-    pub fn renew_grace(&mut self, outage: &StoreOutage) {
+    fn renew_grace(&mut self, outage: &StoreOutage) {
         for row in self.rows.values_mut().filter(|row| !row.grace.is_renewed) {
             if row.grace_deadline.is_some_and(|current| outage.began_at < current) {
                 row.grace_deadline = Some(outage.grace_deadline());
@@ -185,7 +225,7 @@
     }
 
     /// Ends grace periods no later than `grace_deadline`, because their outage was shorter, or none.
-    pub fn shorten_grace(&mut self, grace_deadline: Moment) {
+    fn shorten_grace(&mut self, grace_deadline: Moment) {
         for row in self.rows.values_mut() {
             row.grace_deadline = row.grace_deadline.map(|current| current.min(grace_deadline));
         }
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -60,7 +60,7 @@
 pub use send_report::SendReport;
 pub use sequence_window::UsedSequences;
 pub(crate) use shared_weights::SharedWeights;
-pub use store_contact::{ContactAges, ContactChange, ContactSource, StoreContact, StoreOutage};
+pub use store_contact::{ContactAges, ContactChange, ContactSource, StoreContact, StoreOutage, StoreSilence};
 pub use store_event::{StoreEvent, StoreItem};
 pub use store_position::StorePosition;
 pub use update_fragments::{
--- a/crates/decide/src/fleet/store_contact.rs
+++ b/crates/decide/src/fleet/store_contact.rs
@@ -10,10 +10,11 @@
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 
-/// Shortest span without an answer that counts as an outage, in milliseconds: one heartbeat of the endpoints.
+/// Shortest span without an answer that counts as an outage, in milliseconds.
 ///
-/// VMs learn of each other's answers within this time.
-const MIN_OUTAGE_MILLIS: u64 = 1_200;
+/// Entries expire after three heartbeats of 1.2 s. Another VM polls the store within this time if the polling
+/// one is refused, and VMs learn of each other's answers.
+const MIN_OUTAGE_MILLIS: u64 = 1_500;
 /// Time after an outage within which endpoints write their entries again, in milliseconds.
 ///
 /// The platform allows them two seconds; the rest is for the propagation of the entry.
@@ -84,6 +85,18 @@
     Refuted(Option<StoreOutage>),
 }
 
+/// A time since the last answer in which a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreSilence {
+    /// It is an outage unless an answer before `away_at` becomes known.
+    Undecided {
+        /// When it becomes an outage.
+        away_at: Moment,
+    },
+    /// It is an outage.
+    Away,
+}
+
 /// Newest answer and newest failed call of one source.
 #[derive(Clone, Copy, Debug, Default)]
 struct ContactRecord {
@@ -163,11 +176,11 @@
         *self = Self { outage: self.outage, ..Self::default() };
     }
 
-    /// Whether no VM is known to have received an answer for so long that the store counts as away.
-    pub fn is_away(&self, now: Moment) -> bool {
-        self.answered_at.is_some_and(|answered_at| {
-            now >= answered_at.after_millis(MIN_OUTAGE_MILLIS) && self.failed_at > Some(answered_at)
-        })
+    /// Returns whether the store may be away; none if it answered after the last failed call.
+    pub fn silence(&self, now: Moment) -> Option<StoreSilence> {
+        let answered_at = self.answered_at.filter(|answered_at| self.failed_at > Some(*answered_at))?;
+        let away_at = answered_at.after_millis(MIN_OUTAGE_MILLIS);
+        Some(if now < away_at { StoreSilence::Undecided { away_at } } else { StoreSilence::Away })
     }
 
     /// Returns until when the endpoint of an entry that is gone at `now` gets work; none if it left.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -38,8 +38,8 @@
     MAX_FRAGMENT_BYTES, MAX_FRAGMENTS, PathChange, PathMonitor, PathState, PathTraffic, PeerHeartbeat,
     PeerTable, PollDuty, PromptSegment, PropagationPlan, ReassemblyProgress, RelayGroup, ReportedLimit,
     RequestCount, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendPace, SendReport,
-    ServiceRow, ServiceWeight, StoreContact, StoreEvent, StoreItem, StoreOutage, StorePosition, StoreSpec,
-    UpdateFragment, UpdateHistory, UpdateReassembly, UsedSequences, VmEntry, VmKey, WeightTarget,
+    ServiceRow, ServiceWeight, StoreContact, StoreEvent, StoreItem, StoreOutage, StorePosition, StoreSilence,
+    StoreSpec, UpdateFragment, UpdateHistory, UpdateReassembly, UsedSequences, VmEntry, VmKey, WeightTarget,
     direct_share, pack, pick_target, short_digest, split_update, unpack,
 };
 pub use kept::{
--- a/crates/gateway/src/store/contact.rs
+++ b/crates/gateway/src/store/contact.rs
@@ -5,11 +5,6 @@
 use crate::{ContactAges, ContactChange, ContactSource, StoreOutage};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 
-/// Time by which running grace periods are extended while the store is away, in milliseconds.
-///
-/// Longer than the interval between a VM's failed calls.
-const AWAY_EXTENSION_MILLIS: u64 = 2_000;
-
 /// Time in which a VM that has listed the store receives what was written meanwhile, in milliseconds.
 const UPDATE_DELAY_MILLIS: u64 = 1_000;
 
@@ -22,21 +17,24 @@
 
     /// Records that a VM's call to the store failed.
     pub(crate) fn record_store_failure(&self, source: ContactSource, at: Moment) {
-        let now = self.now();
-        let (change, is_away) = {
-            let mut contact = self.contact();
-            (contact.record_failure(source, at.min(now)), contact.is_away(now))
-        };
+        let change = self.contact().record_failure(source, at.min(self.now()));
         self.apply_contact_change(change);
-        if is_away {
-            self.table().extend_grace(now, now.after_millis(AWAY_EXTENSION_MILLIS));
+    }
+
+    /// Holds grace periods while the store is away.
+    pub(crate) fn hold_grace_periods(&self) {
+        let now = self.now();
+        let silence = self.contact().silence(now);
+        if let Some(silence) = silence {
+            self.table().hold_grace(silence, now);
         }
     }
 
     /// Records that the store was restored from a backup, which may lack entries.
     pub(crate) fn record_store_restoration(&self) {
-        let outage = self.contact().record_restoration(self.now());
-        self.table().renew_grace(&outage);
+        let now = self.now();
+        let outage = self.contact().record_restoration(now);
+        self.table().apply_contact_change(ContactChange::Returned(outage), now);
     }
 
     /// Returns until when the endpoint of an entry that was gone at `read_at` gets work; zero if it left.
@@ -97,19 +95,16 @@
     }
 
     fn apply_contact_change(&self, change: ContactChange) {
+        if change == ContactChange::None {
+            return;
+        }
+        self.table().apply_contact_change(change, self.now());
+        let away_ms = |outage: StoreOutage| outage.ended_at.micros_since(outage.began_at) / MICROS_PER_MILLI;
         match change {
             ContactChange::None => {}
-            ContactChange::Returned(outage) => {
-                self.table().renew_grace(&outage);
-                let away_ms = outage.ended_at.micros_since(outage.began_at) / MICROS_PER_MILLI;
-                log::warn!(away_ms; "store.returned");
-            }
+            ContactChange::Returned(outage) => log::warn!(away_ms = away_ms(outage); "store.returned"),
             ContactChange::Refuted(outage) => {
-                let deadline = outage.map_or(self.now(), |outage| outage.grace_deadline());
-                self.table().shorten_grace(deadline);
-                let away_ms = outage
-                    .map_or(0, |outage| outage.ended_at.micros_since(outage.began_at) / MICROS_PER_MILLI);
-                log::info!(away_ms; "store.outage_refuted");
+                log::info!(away_ms = outage.map_or(0, away_ms); "store.outage_refuted");
             }
         }
     }
--- a/crates/gateway/src/store/follow.rs
+++ b/crates/gateway/src/store/follow.rs
@@ -213,6 +213,7 @@
 
     /// Requests changes from another VM if it reported some that this VM lacks.
     async fn request_lacking(&mut self, now: Moment) {
+        self.gateway.hold_grace_periods();
         let polls_for_others = self.polls_for_others(now);
         let (local, remote) = {
             let peers = self.gateway.peers();
--- a/crates/gateway/src/store/lease_keeper.rs
+++ b/crates/gateway/src/store/lease_keeper.rs
@@ -34,6 +34,8 @@
 const LONG_LEASE_MILLIS: u64 = 10_000;
 /// Interval between the other VMs' renewals.
 const LONG_RENEWAL_INTERVAL: Duration = Duration::from_millis(2_800);
+/// Smallest fraction of the interval after which a new lease is renewed first.
+const MIN_FIRST_RENEWAL_FRACTION: f64 = 0.2;
 /// The right expires this long before the lease does, in milliseconds.
 const LEASE_MARGIN_MILLIS: u64 = 800;
 /// Delay after the first failed call, doubled with each further one: calls are priced, refused ones too.
@@ -200,7 +202,9 @@
         self.record_renewal(sent_at, grant.ttl_millis);
         self.failures = 0;
         log::info!(lease = grant.lease, ttl_millis = grant.ttl_millis; "lease.taken");
-        self.terms.renewal_interval
+        // VMs that start together would all renew at the same moments: each answer also tells the others that the
+        // store works.
+        self.terms.renewal_interval.mul_f64(rand::random_range(MIN_FIRST_RENEWAL_FRACTION..1.0))
     }
 
     /// Returns the backoff after a failed call.
