Keep late writes of removed endpoints from giving them work, and count bulk removals

An endpoint whose removed entry was written again got work at once where running work had kept its row, and 4 s later where it had not: both wait now. The status page lists endpoints that are served without an entry.

--- a/crates/decide/src/fleet/fleet_entries.rs
+++ b/crates/decide/src/fleet/fleet_entries.rs
@@ -42,8 +42,11 @@
         let has_reappeared = self.removed.remove(&key).is_some();
         let cold_until = self.cold_until_of(&entry, now);
         if let Some(row) = self.rows.get_mut(&key) {
-            row.grace_deadline = None;
-            row.grace = GraceState::default();
+            if row.grace_deadline.take().is_some_and(|deadline| now >= deadline) {
+                // As below; work that runs there has kept the row.
+                row.eject_until(now.after_millis(REAPPEARANCE_DELAY_MILLIS));
+            }
+            row.grace = GraceState { was_running: row.grace.was_running, ..GraceState::default() };
             row.is_unreadable = false;
             entry.draining |= row.entry.draining;
             row.listed_weights.clone_from(&entry.weights);
--- a/crates/decide/tests/change_propagation/removals.rs
+++ b/crates/decide/tests/change_propagation/removals.rs
@@ -60,7 +60,9 @@
             for pattern in patterns {
                 for removed_at in [4_003, 4_950] {
                     let mut simulation = Simulation::new(count);
-                    vms.iter().for_each(|vm| toggle(&mut simulation, *vm, store, pattern));
+                    for vm in &vms {
+                        toggle(&mut simulation, *vm, store, pattern);
+                    }
                     storm(&mut simulation);
                     simulation.at(removed_at, Event::Remove(LEAVING));
                     simulation.run(DAY_MILLIS);
--- a/crates/decide/tests/fleet_table.rs
+++ b/crates/decide/tests/fleet_table.rs
@@ -55,6 +55,20 @@
     assert_eq!(is_departing(&table, "i-1", at(4)), None);
 }
 
+/// Guards against work for an endpoint that left when its last write arrives late: the row stayed as work ran there.
+#[test]
+fn a_late_write_of_a_removed_endpoint_gives_it_no_work_at_once() {
+    let mut table = FleetTable::default();
+    table.apply_entry(entry("i-1", 1), Moment(0));
+    let key = EndpointKey::of("i-1");
+    table.reserve(key, LoadCount { running: 1, ..LoadCount::default() }, &[], 7);
+    table.mark_entry_missing("i-1", Moment(0));
+    table.sweep(at(500));
+    table.apply_entry(entry("i-1", 1), at(1_000));
+    assert!(table.row(key).unwrap().is_ejected(at(4_900)));
+    assert!(!table.row(key).unwrap().is_ejected(at(5_100)));
+}
+
 #[test]
 fn an_endpoint_returns_when_its_removed_entry_is_written_again() {
     let mut table = FleetTable::default();
--- a/crates/gateway/src/operators/gateway_status.rs
+++ b/crates/gateway/src/operators/gateway_status.rs
@@ -29,6 +29,8 @@
     leaving: Vec<String>,
     /// Endpoints that asked this VM for a backoff.
     rests: Vec<BackoffStatus>,
+    /// Endpoints without an entry that get work, since it expired while the store was away.
+    unlisted: Vec<UnlistedStatus>,
     /// Data centres that the operator evacuated: their endpoints get no work.
     evacuated: Vec<String>,
     /// Rollouts of services to other versions.
@@ -84,6 +86,23 @@
     }
 }
 
+/// Status of an endpoint that is served without an entry.
+#[derive(Debug, Serialize)]
+struct UnlistedStatus {
+    endpoint: String,
+    service: String,
+    /// Time for which it still gets work unless its entry returns, in milliseconds.
+    left_ms: u64,
+}
+
+impl UnlistedStatus {
+    fn of(row: &EndpointRow, now: Moment) -> Option<Self> {
+        let deadline = row.grace_deadline.filter(|deadline| now < *deadline)?;
+        let left_ms = deadline.micros_since(now) / MICROS_PER_MILLI;
+        Some(Self { endpoint: row.entry.id.clone(), service: row.entry.service.clone(), left_ms })
+    }
+}
+
 impl GatewayStatus {
     pub(crate) fn of(gateway: &Gateway) -> Self {
         let now = gateway.now();
@@ -112,6 +131,7 @@
                 .map(|(_, row)| row.entry.id.clone())
                 .collect(),
             rests: table.rows().filter_map(|(_, row)| BackoffStatus::of(row, now)).collect(),
+            unlisted: table.rows().filter_map(|(_, row)| UnlistedStatus::of(row, now)).collect(),
             evacuated: table.evacuated(now).map(str::to_owned).collect(),
             rollouts,
         }
--- a/crates/gateway/src/store/contact.rs
+++ b/crates/gateway/src/store/contact.rs
@@ -104,7 +104,7 @@
             ContactChange::None => {}
             ContactChange::Returned(outage) => log::warn!(away_ms = away_ms(outage); "store.returned"),
             ContactChange::Refuted(outage) => {
-                log::info!(away_ms = outage.map_or(0, away_ms); "store.outage_refuted");
+                log::info!(away_ms = outage.map_or(0, away_ms); "store.outage_shortened");
             }
         }
     }
--- a/crates/gateway/src/store/store_view.rs
+++ b/crates/gateway/src/store/store_view.rs
@@ -95,6 +95,8 @@
     is_bulk: bool,
     /// Endpoints changed by these.
     bulk_count: usize,
+    /// Endpoints whose entries these removed.
+    bulk_missing_count: usize,
     /// Position at which the configuration in force was written.
     configuration_at: StorePosition,
     /// When the store last confirmed that the view is current.
@@ -110,6 +112,7 @@
             listing: 0,
             is_bulk: false,
             bulk_count: 0,
+            bulk_missing_count: 0,
             configuration_at: StorePosition::default(),
             confirmed_at: Moment(0),
         }
@@ -137,9 +140,12 @@
 
     /// Logs how many endpoints a bulk of changes affected, in place of a line for each.
     fn end_bulk(&mut self, source: &str) {
-        let (is_bulk, endpoints) = (std::mem::take(&mut self.is_bulk), std::mem::take(&mut self.bulk_count));
-        if is_bulk && endpoints > 0 {
-            log::info!(endpoints, source; "endpoint.entries");
+        self.is_bulk = false;
+        let (endpoints, missing) =
+            (std::mem::take(&mut self.bulk_count), std::mem::take(&mut self.bulk_missing_count));
+        if endpoints > 0 || missing > 0 {
+            let late_ms = self.gateway.now().micros_since(self.confirmed_at) / MICROS_PER_MILLI;
+            log::info!(endpoints, missing, late_ms, source; "endpoint.entries");
         }
     }
 
@@ -211,10 +217,12 @@
     ) -> Option<Vec<StoreEvent>> {
         let missing = self.keys.iter().filter(|(_, record)| record.listing != self.listing);
         let missing: Vec<_> = missing.map(|(key, _)| key.clone()).collect();
+        self.is_bulk = missing.len() >= MIN_BULK_CHANGES;
         for key in missing {
             self.apply_removed(&key, position, "list", listing.began_at);
             listing.record_change(StoreEvent::Removed { key, position });
         }
+        self.end_bulk("list");
         if let Some(item) = listing.configuration.take()
             && self.apply_written(&item)
         {
@@ -452,7 +460,11 @@
             let (late_ms, served_ms) = (late_micros / MICROS_PER_MILLI, served_micros / MICROS_PER_MILLI);
             let outage = self.gateway.last_outage().filter(|_| served_ms > 0);
             let cause = outage.map_or("removed", |outage| outage.cause());
-            log::info!(endpoint = id, source, late_ms, served_ms, cause, position:%; "endpoint.missing");
+            if self.is_bulk {
+                self.bulk_missing_count += 1;
+            } else {
+                log::info!(endpoint = id, source, late_ms, served_ms, cause, position:%; "endpoint.missing");
+            }
         } else if let Some(data_centre) = key.strip_prefix(self.gateway.dialect.keys.evacuations) {
             if is_missing_after_restore {
                 let deadline = now.after_millis(EVACUATION_GRACE_MILLIS);
