Bound what endpoints, stores and VMs send before and after the head of an answer

What callers saw: a request at an endpoint that sends interim heads without end got 504 at its deadline. A listing or a watch whose body never ended was read into memory without a bound, for as long as the store sent 12.5 kB a second.

Change: between a request and the head of its answer a connection reads 256 KiB at most. Bodies of calls have at most 4 MiB, or 32 MiB where they may be large, and a minute beyond their deadline. What is buffered of an answer or an event beyond 16 KiB counts towards the VM's bound on held bytes: a plain answer is then passed on early, a stream with a long event broken off.

--- a/crates/gateway/src/endpoints/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -5,6 +5,7 @@
 //! most recently used connection is taken first, so that spare ones expire.
 
 use crate::EndpointKey;
+use crate::endpoints::head_limit::HeadLimitedStream;
 use crate::endpoints::observed_stream::{ConnectionEnd, EndRecord, EndSide, ObservedStream, cause_text};
 use crate::endpoints::path_probe::TrafficCounters;
 use crate::requests::outgoing_body::{BodyProgress, OutgoingBody, WRITE_BUFFER_BYTES};
@@ -130,8 +131,12 @@
                 return Err(ExchangeError::Withdrawn);
             }
             connection.progress = request.body().progress();
+            connection.end.budget().begin();
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    connection.end.budget().end();
+                    return Ok((response, connection));
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if !connection.is_new => request = unsent,
                     Some(_) => {
@@ -229,6 +234,7 @@
 ) -> io::Result<EndpointConnection> {
     let stream = ObservedStream::new(stream, traffic);
     let end = stream.record();
+    let stream = HeadLimitedStream::new(stream, end.budget().clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(WRITE_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
--- a/crates/gateway/src/endpoints/observed_stream.rs
+++ b/crates/gateway/src/endpoints/observed_stream.rs
@@ -3,6 +3,7 @@
 //! Invariant: the reason is stored before the library that reads the stream sees it. The library reports
 //! most of them as "connection error".
 
+use crate::endpoints::head_limit::HeadBudget;
 use crate::endpoints::path_probe::TrafficCounters;
 use std::io;
 use std::pin::Pin;
@@ -60,20 +61,30 @@
     }
 }
 
-/// The end of one connection, once it is known.
+/// The end of one connection, once it is known, and what it may read before the head of an answer.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct EndRecord(Arc<OnceLock<ConnectionEnd>>);
+pub(crate) struct EndRecord(Arc<EndState>);
+
+#[derive(Debug, Default)]
+struct EndState {
+    end: OnceLock<ConnectionEnd>,
+    budget: HeadBudget,
+}
 
 impl EndRecord {
     /// Returns the end; none while the connection is open, or if this VM closes it.
     pub(crate) fn end(&self) -> Option<ConnectionEnd> {
-        self.0.get().copied()
+        self.0.end.get().copied()
+    }
+
+    pub(crate) fn budget(&self) -> &HeadBudget {
+        &self.0.budget
     }
 
     fn record_error(&self, error: &io::Error) {
         if let Some(end) = ConnectionEnd::of(error) {
             // The first end counts: later errors follow from it.
-            let _ = self.0.set(end);
+            let _ = self.0.end.set(end);
         }
     }
 }
@@ -128,7 +139,7 @@
         if buffer.filled().len() > before {
             self.counters.count_read();
         } else if result.is_ok() && has_room {
-            let _ = self.record.0.set(ConnectionEnd::END_OF_FILE);
+            let _ = self.record.0.end.set(ConnectionEnd::END_OF_FILE);
         }
         Poll::Ready(self.observe(result))
     }
--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -199,7 +199,14 @@
             gateway.forwards.pool.exchange(pool_key, address, request, || true, || true).await
         });
         let send = PeerSend { place, key, code, connection: None, kind: None, origin: None };
-        Some(OpenSend::new(SendRoute::Peer(send), exchange, upload, last_event_id.is_some(), sent_at))
+        Some(OpenSend::new(
+            SendRoute::Peer(send),
+            exchange,
+            upload,
+            last_event_id.is_some(),
+            sent_at,
+            &self.gateway.memory,
+        ))
     }
 
     /// Classifies the head of another VM's answer, or its absence.
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -211,7 +211,7 @@
         let exchange = self.exchange(&flight, request);
         let sent_at = flight.sent_at;
         let route = SendRoute::Endpoint { flight, choice };
-        Ok(OpenSend::new(route, exchange, upload, last_event_id.is_some(), sent_at))
+        Ok(OpenSend::new(route, exchange, upload, last_event_id.is_some(), sent_at, &self.gateway.memory))
     }
 
     /// Waits for the interval between polls for free capacity.
@@ -458,7 +458,7 @@
     /// Records that an endpoint is gone for good: another one has its address.
     fn record_replaced(&self, flight: &SendFlight) {
         log::info!(request = self.context.id_text(), endpoint = flight.endpoint.as_str(),
-            source = "its address", held_until = 0; "endpoint.missing");
+            source = "its address", served_ms = 0; "endpoint.missing");
         self.gateway.table().mark_key_missing(flight.key, Moment(0));
     }
 
--- a/crates/gateway/src/requests/event_reader.rs
+++ b/crates/gateway/src/requests/event_reader.rs
@@ -24,6 +24,9 @@
     /// An event is too long.
     #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
     TooLong,
+    /// Memory ran out while the event was read.
+    #[error("no memory for a long event")]
+    NoMemory,
 }
 
 /// Splits a body into whole events.
@@ -56,6 +59,11 @@
         self.last_id.as_ref()
     }
 
+    /// Bytes of an event that is not whole yet.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether it has returned events.
     pub(crate) const fn has_returned_events(&self) -> bool {
         self.has_returned_events
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod endpoint_request;
 pub(crate) mod event_reader;
 pub(crate) mod flight;
+pub(crate) mod held_answer;
 pub(crate) mod long_answer;
 pub(crate) mod open_send;
 pub(crate) mod open_sends;
--- a/crates/gateway/src/requests/open_send.rs
+++ b/crates/gateway/src/requests/open_send.rs
@@ -6,8 +6,10 @@
 use crate::endpoints::endpoint_pool::{EndpointConnection, ExchangeError};
 use crate::endpoints::observed_stream::ConnectionEnd;
 use crate::forward::forward_client::PeerSend;
+use crate::memory::MemoryLimiter;
 use crate::requests::event_reader::{EventError, EventReader};
 use crate::requests::flight::SendFlight;
+use crate::requests::held_answer::HeldAnswer;
 use crate::requests::outgoing_body::BodyProgress;
 use crate::requests::own_answer::AnswerBody;
 use crate::requests::relay::answer_with;
@@ -85,6 +87,8 @@
     upload: Option<BodyProgress>,
     /// Bytes of the request that were left, and bytes of the answer that were read, at the last check.
     seen: (usize, usize),
+    /// Bytes of its answer that are read and not passed on.
+    held: HeldAnswer,
     /// Whether it is recorded as silent.
     pub is_silent: bool,
     /// The end of an unframed answer, while its endpoint is probed.
@@ -102,10 +106,12 @@
         upload: Option<BodyProgress>,
         is_resuming: bool,
         sent_at: Moment,
+        memory: &MemoryLimiter,
     ) -> Self {
         let seen = (upload.as_ref().map_or(0, BodyProgress::remaining), 0);
         let stage = AnswerStage::Head(exchange);
-        Self { route, stage, upload, seen, is_silent: false, end_check: None, is_resuming, sent_at }
+        let held = HeldAnswer::new(memory);
+        Self { route, stage, upload, seen, held, is_silent: false, end_check: None, is_resuming, sent_at }
     }
 
     /// Polls for the next step. Nothing is lost if it is not polled to its end.
@@ -119,9 +125,21 @@
         match &mut self.stage {
             AnswerStage::Head(exchange) => exchange.as_mut().poll(context).map(SendStep::Head),
             AnswerStage::Body { body, prefix, .. } => {
-                pin!(read_answer(body, prefix)).poll(context).map(SendStep::Body)
+                let step = pin!(read_answer(body, prefix)).poll(context);
+                if step.is_pending() && self.held.is_evicted(prefix.len()) {
+                    // Memory is short: what has arrived is passed on, within the bound of its caller.
+                    let start = AnswerStart::Long(std::mem::take(prefix).freeze());
+                    return Poll::Ready(SendStep::Body(Ok(start)));
+                }
+                step.map(SendStep::Body)
+            }
+            AnswerStage::Events { reader, .. } => {
+                let step = pin!(reader.next()).poll(context);
+                if self.held.is_evicted(reader.buffered_bytes()) && step.is_pending() {
+                    return Poll::Ready(SendStep::Events(Err(EventError::NoMemory)));
+                }
+                step.map(SendStep::Events)
             }
-            AnswerStage::Events { reader, .. } => pin!(reader.next()).poll(context).map(SendStep::Events),
         }
     }
 
--- a/crates/gateway/src/store/call_link.rs
+++ b/crates/gateway/src/store/call_link.rs
@@ -5,10 +5,12 @@
 //!
 //! A small answer must be complete by a deadline. For an answer that may be large, the deadline bounds only
 //! the wait for its head: its body takes as long as a narrow link needs. A limit on the whole answer would
-//! fail each time, since a repeated call begins at the first byte again.
+//! fail each time, since a repeated call begins at the first byte again. Every answer is bounded in bytes, and
+//! so in time.
 
 use crate::WireCall;
 use crate::endpoints::endpoint_pool::{CALL_UNACKNOWLEDGED_TIMEOUT, open_stream};
+use crate::endpoints::head_limit::{HeadBudget, HeadLimitedStream};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -29,6 +31,15 @@
 /// Mbit/s.
 const MIN_BODY_BYTES_PER_S: u64 = 12_500;
 
+/// Largest body of a small answer, in bytes.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Largest body of an answer that may be large, in bytes: the changes of half a minute in a large deployment.
+const MAX_LARGE_BODY_BYTES: usize = 32 << 20;
+/// Longest time for the body of a large answer.
+const MAX_BODY_TIME: Duration = Duration::from_mins(1);
+/// Size of a connection's buffers, in bytes.
+const BUFFER_BYTES: usize = 64 << 10;
+
 /// Why a call got no answer. The call may have been carried out.
 #[derive(Debug, thiserror::Error)]
 #[error("no answer: {0}")]
@@ -62,6 +73,7 @@
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    budget: HeadBudget,
 }
 
 impl Drop for OpenConnection {
@@ -77,23 +89,25 @@
 
     /// Makes a call and returns its answer, which must be complete by `deadline`.
     pub(crate) async fn call(&mut self, call: &WireCall, deadline: Instant) -> CallAnswer {
-        self.exchange(call, deadline, |_| deadline).await
+        self.exchange(call, deadline, MAX_BODY_BYTES, |_| deadline).await
     }
 
     /// Makes a call whose answer may be large; its head must arrive by `deadline`.
     pub(crate) async fn call_large(&mut self, call: &WireCall, deadline: Instant) -> CallAnswer {
-        self.exchange(call, deadline, |received_bytes| {
+        self.exchange(call, deadline, MAX_LARGE_BODY_BYTES, |received_bytes| {
             let transfer_time = Duration::from_millis(received_bytes as u64 * 1_000 / MIN_BODY_BYTES_PER_S);
+            let transfer_time = transfer_time.min(MAX_BODY_TIME);
             (Instant::now() + BODY_IDLE_TIMEOUT).min(deadline + BODY_IDLE_TIMEOUT + transfer_time)
         })
         .await
     }
 
-    /// Makes a call; `frame_deadline` maps the bytes received so far to the deadline of the next frame.
+    /// Makes a call whose answer has at most `max_bytes`; `frame_deadline` maps the bytes received so far to the deadline of the next frame.
     async fn exchange(
         &mut self,
         call: &WireCall,
         deadline: Instant,
+        max_bytes: usize,
         frame_deadline: impl Fn(usize) -> Instant,
     ) -> CallAnswer {
         let open_connection = self.connection.take();
@@ -101,7 +115,8 @@
         let (response, connection) =
             send_result.map_err(|_elapsed| LinkError("no answer in time".to_owned()))??;
         let (head, body) = response.into_parts();
-        let body = read_body(body, frame_deadline).await?;
+        connection.budget.end();
+        let body = read_body(body, max_bytes, frame_deadline).await?;
         self.connection = Some(connection);
         Ok(CallReply { status: head.status.as_u16(), headers: head.headers, body })
     }
@@ -128,13 +143,15 @@
     let body = Full::new(Bytes::from(call.body.clone().unwrap_or_default()));
     let request = request.body(body).map_err(|error| LinkError(error.to_string()))?;
     connection.sender.ready().await?;
+    connection.budget.begin();
     let response = connection.sender.send_request(request).await?;
     Ok((response, connection))
 }
 
-/// Reads an answer's body, each frame by its `frame_deadline`.
+/// Reads an answer's body of at most `max_bytes`, each frame by its `frame_deadline`.
 async fn read_body(
     mut body: Incoming,
+    max_bytes: usize,
     frame_deadline: impl Fn(usize) -> Instant,
 ) -> Result<Bytes, LinkError> {
     let mut content = Vec::new();
@@ -144,6 +161,9 @@
         };
         let Some(frame) = frame else { return Ok(content.into()) };
         if let Ok(chunk) = frame?.into_data() {
+            if content.len() + chunk.len() > max_bytes {
+                return Err(LinkError(format!("the answer is longer than {max_bytes} bytes")));
+            }
             content.extend_from_slice(&chunk);
         }
     }
@@ -153,9 +173,13 @@
     let stream = open_stream(address, CALL_UNACKNOWLEDGED_TIMEOUT)
         .await
         .map_err(|error| LinkError(error.to_string()))?;
-    let (sender, http_connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|error| LinkError(error.to_string()))?;
+    let budget = HeadBudget::default();
+    let (sender, http_connection) = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(HeadLimitedStream::new(stream, budget.clone())))
+        .await
+        .map_err(|error| LinkError(error.to_string()))?;
     // An error of the connection is reported by the call that uses it.
     let driver = tokio::spawn(async move { drop(http_connection.await) }).abort_handle();
-    Ok(OpenConnection { sender, driver })
+    Ok(OpenConnection { sender, driver, budget })
 }
