Send a request that another VM failed over the VM's own path once that is back

Cause, from the log lines of two failed runs: for a second after a VM's path to the endpoints is back, part of its requests still go over other VMs, so that the VMs of a cut do not all return at once. The stream's second and last attempt went that way, to a VM that was dying too.

--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -115,6 +115,11 @@
         }
     }
 
+    /// Sends the request to endpoints from now on if this VM reaches them: another VM has failed it.
+    pub(crate) fn prefer_own_path(&mut self) {
+        self.plan.is_direct |= *self.gateway.path.borrow() == PathState::Open;
+    }
+
     /// Whether the request, which could not be sent, goes to another VM instead.
     pub(crate) fn needs_peer(&mut self) -> bool {
         self.plan.needs_connection |= *self.gateway.path.borrow() == PathState::PooledOnly;
--- a/crates/gateway/src/requests/answer_wait.rs
+++ b/crates/gateway/src/requests/answer_wait.rs
@@ -534,6 +534,9 @@
     /// Removes a send that failed.
     fn fail(&mut self, open: &mut OpenSends, index: usize, cause: impl Into<Cow<'static, str>>) {
         let send = open.fail(index, cause);
+        if send.peer().is_some() {
+            self.prefer_own_path();
+        }
         self.resources.answer.record_send(&self.endpoint, self.sends);
         if send.is_resuming {
             self.log_resumption(&send, false);
