Review, case 2: of two models, only one ever gets its new weights

Seen each time: 6 of 6 engines hold version 1 of the second model 20 s after version 2 was named, and 150 to 166 requests started on it later than versionMs.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod http;
 mod leaving_engine;
 mod store;
+mod two_models;
 
 use deployment::Record;
 use std::path::PathBuf;
@@ -35,6 +36,7 @@
     record.line(&format!("case {name}, {} the disruption", if has_trouble { "with" } else { "without" }));
     let held = match name {
         "leaving-engine" => leaving_engine::run(folder, &record, has_trouble),
+        "two-models" => two_models::run(folder, &record, has_trouble),
         _ => None,
     };
     match held {
