Review, case 3: prompts of a tenant that was isolated stay shared

Seen each time: after a desired state sets isolated for tenant one, requests of tenant two read the parts that tenant one's requests had made.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 
 mod deployment;
 mod http;
+mod isolation;
 mod leaving_engine;
 mod store;
 mod two_models;
@@ -37,6 +38,7 @@
     let held = match name {
         "leaving-engine" => leaving_engine::run(folder, &record, has_trouble),
         "two-models" => two_models::run(folder, &record, has_trouble),
+        "isolation" => isolation::run(folder, &record, has_trouble),
         _ => None,
     };
     match held {
