--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -70,6 +70,14 @@
         Self { name: name.to_owned(), callers, readiness, settings, log, process }
     }
 
+    pub fn freeze(&self) {
+        signal("STOP", self.process.id());
+    }
+
+    pub fn thaw(&self) {
+        signal("CONT", self.process.id());
+    }
+
     /// Sends SIGTERM.
     pub fn terminate(&self) {
         signal("TERM", self.process.id());
--- a/review/standins/src/leaving_engine.rs
+++ b/review/standins/src/leaving_engine.rs
@@ -12,18 +12,18 @@
 use std::time::Duration;
 
 /// Pieces of each answer.
-const PIECES: usize = 20;
+pub const PIECES: usize = 20;
 /// Time between pieces: below the pause that the route allows.
 const PIECE_INTERVAL: Duration = Duration::from_millis(200);
 /// Time from the notice to the engine's end.
 const NOTICE: Duration = Duration::from_secs(2);
 /// Interval between an engine's entries.
-const BEAT: Duration = Duration::from_millis(1_200);
+pub const BEAT: Duration = Duration::from_millis(1_200);
 const ENGINES: usize = 4;
 
 /// Serves requests as one engine, in a process of its own, until it is killed.
-pub fn run_engine(id: &str) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("an address for the engine");
+pub fn run_engine(id: &str, address: &str) {
+    let listener = TcpListener::bind(address).expect("an address for the engine");
     println!("address {}", listener.local_addr().expect("its address"));
     // It ends with the process that started it.
     thread::spawn(|| {
@@ -76,11 +76,11 @@
     }
 }
 
-struct Engine {
-    id: String,
+pub struct Engine {
+    pub id: String,
     service: &'static str,
-    address: SocketAddr,
-    process: Child,
+    pub address: SocketAddr,
+    pub process: Child,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -92,10 +92,15 @@
 }
 
 impl Engine {
-    fn start(id: &str, service: &'static str, record: &Record) -> Self {
+    pub fn start(id: &str, service: &'static str, record: &Record) -> Self {
+        Self::start_at("127.0.0.1:0", id, service, record)
+    }
+
+    /// Starts an engine at an address that another one had.
+    pub fn start_at(address: &str, id: &str, service: &'static str, record: &Record) -> Self {
         let program = std::env::current_exe().expect("this program");
         let mut process = Command::new(program)
-            .args(["engine", id])
+            .args(["engine", id, address])
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
@@ -115,7 +120,7 @@
         Self { id: id.to_owned(), service, address: address.expect("an address"), process, lines }
     }
 
-    fn runs(&self, request: &str) -> bool {
+    pub fn runs(&self, request: &str) -> bool {
         self.lines.lock().expect("the lines").iter().any(|line| line == &format!("runs {request}"))
     }
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,9 +1,10 @@
-//! Stand-ins and checks of the independent review. `case NAME` runs one; `engine ID` serves as an engine.
+//! Stand-ins and checks of the independent review. `case NAME` runs one; `engine ID ADDRESS` serves as an engine.
 
 mod deployment;
 mod http;
 mod isolation;
 mod leaving_engine;
+mod restarted_engine;
 mod store;
 mod two_models;
 
@@ -19,13 +20,13 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     match arguments.iter().map(String::as_str).collect::<Vec<_>>().as_slice() {
-        ["engine", id] => {
-            leaving_engine::run_engine(id);
+        ["engine", id, address] => {
+            leaving_engine::run_engine(id, address);
             ExitCode::SUCCESS
         }
         ["case", name, folder, record] => run_case(name, &PathBuf::from(folder), &PathBuf::from(record)),
         _ => {
-            eprintln!("usage: spanfold-review case NAME TEMPORARY-FOLDER RECORD | engine ID");
+            eprintln!("usage: spanfold-review case NAME TEMPORARY-FOLDER RECORD | engine ID ADDRESS");
             ExitCode::from(EXIT_NOT_RUN)
         }
     }
@@ -38,6 +39,7 @@
     let held = match name {
         "leaving-engine" => leaving_engine::run(folder, &record, has_trouble),
         "two-models" => two_models::run(folder, &record, has_trouble),
+        "restarted-engine" => restarted_engine::run(folder, &record, has_trouble),
         "isolation" => isolation::run(folder, &record, has_trouble),
         _ => None,
     };
