--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -5,7 +5,7 @@
 use std::fs::{self, File};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -41,8 +41,6 @@
     pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
-    settings: PathBuf,
-    log: PathBuf,
     process: Child,
 }
 
@@ -67,7 +65,7 @@
         let (settings, log) = (folder.join(format!("{name}.ini")), folder.join(format!("{name}.log")));
         fs::write(&settings, text).expect("the settings");
         let process = spawn(&settings, &log);
-        Self { name: name.to_owned(), callers, readiness, settings, log, process }
+        Self { name: name.to_owned(), callers, readiness, process }
     }
 
     pub fn freeze(&self) {
@@ -78,17 +76,6 @@
         signal("CONT", self.process.id());
     }
 
-    /// Sends SIGTERM.
-    pub fn terminate(&self) {
-        signal("TERM", self.process.id());
-    }
-
-    /// Waits for the end of the process, and starts it again with the same settings.
-    pub fn restart_after_end(&mut self) {
-        let _ = self.process.wait();
-        self.process = spawn(&self.settings, &self.log);
-    }
-
     /// Waits until the process says that it is ready.
     pub fn until_ready(&self) -> bool {
         until(Duration::from_secs(20), || ready_status(self.readiness) == Some(200))
@@ -236,7 +223,11 @@
 
 /// Returns an engine's entry in the store.
 pub fn entry(service: &str, address: SocketAddr, state: &str, weights: u64, sequence: u64) -> Value {
-    let models = if service == "manual-llm" { json!([{"name": "m0", "version": weights, "adapters": []}]) } else { json!([]) };
+    let models = if service == "manual-llm" {
+        json!([{"name": "m0", "version": weights, "adapters": []}])
+    } else {
+        json!([])
+    };
     json!({"service": service, "address": address.to_string(), "zone": "depot-a", "version": "v1",
         "slots": 64, "state": state, "coldLeftMs": 0, "stage": "colocated", "models": models,
         "sequence": sequence})
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -90,7 +90,12 @@
 }
 
 /// Writes an answer with a length.
-pub fn write_answer(stream: &mut TcpStream, status: u16, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+pub fn write_answer(
+    stream: &mut TcpStream,
+    status: u16,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
     let lines: String = headers.iter().map(|(key, value)| format!("{key}: {value}\r\n")).collect();
     let head = format!("HTTP/1.1 {status} Status\r\n{lines}Content-Length: {}\r\n\r\n", body.len());
     stream.write_all(&[head.as_bytes(), body].concat())
--- a/review/standins/src/isolation.rs
+++ b/review/standins/src/isolation.rs
@@ -163,7 +163,10 @@
     thread::spawn(move || {
         for sequence in 1.. {
             for (engine, address) in addresses.iter().enumerate() {
-                beats.put(&format!("servers/i-{engine}"), &entry("manual-llm", *address, "ready", 1, sequence));
+                beats.put(
+                    &format!("servers/i-{engine}"),
+                    &entry("manual-llm", *address, "ready", 1, sequence),
+                );
             }
             thread::sleep(BEAT);
         }
--- a/review/standins/src/leaving_engine.rs
+++ b/review/standins/src/leaving_engine.rs
@@ -168,18 +168,20 @@
             let text = request(method, path, &id, 12_000, extra);
             let (address, record) = (vms[number % 2].callers, record.clone());
             record.line(&format!("caller sends {id} to {}: {method} {path}", vms[number % 2].name));
-            calls.push((id.clone(), thread::spawn(move || {
-                let answer = call(address, &text, Duration::from_secs(15));
-                let seen = answer.as_ref().map_or("no answer".to_owned(), Answer::describe);
-                record.line(&format!("caller of {id}: {seen}"));
-                answer
-            })));
+            calls.push((
+                id.clone(),
+                thread::spawn(move || {
+                    let answer = call(address, &text, Duration::from_secs(15));
+                    let seen = answer.as_ref().map_or("no answer".to_owned(), Answer::describe);
+                    record.line(&format!("caller of {id}: {seen}"));
+                    answer
+                }),
+            ));
         }
     }
     let ids: Vec<String> = calls.iter().map(|(id, _)| id.clone()).collect();
-    let all_run = until(Duration::from_secs(1), || {
-        ids.iter().all(|id| engines.iter().any(|engine| engine.runs(id)))
-    });
+    let all_run =
+        until(Duration::from_secs(1), || ids.iter().all(|id| engines.iter().any(|engine| engine.runs(id))));
     if !all_run {
         record.line("not every request runs at an engine");
         return None;
@@ -193,7 +195,10 @@
         thread::sleep(Duration::from_millis(300));
         for victim in &victims {
             leaving.lock().expect("the list").push(victim.id.clone());
-            store.put(&format!("servers/{}", victim.id), &entry(victim.service, victim.address, "draining", 1, 99));
+            store.put(
+                &format!("servers/{}", victim.id),
+                &entry(victim.service, victim.address, "draining", 1, 99),
+            );
             record.line(&format!("notice: engine {} is draining", victim.id));
         }
         thread::sleep(NOTICE);
--- a/review/standins/src/restarted_engine.rs
+++ b/review/standins/src/restarted_engine.rs
@@ -54,12 +54,15 @@
         let text = request("POST", "/reply-draft/1", &id, 12_000, &prompt);
         let (address, record) = (vms[number % 2].callers, record.clone());
         record.line(&format!("caller sends {id} to {}: POST /reply-draft/1", vms[number % 2].name));
-        calls.push((id.clone(), thread::spawn(move || {
-            let answer = call(address, &text, PATIENCE);
-            let seen = answer.as_ref().map_or("no answer".to_owned(), Answer::describe);
-            record.line(&format!("caller of {id}: {seen}"));
-            answer
-        })));
+        calls.push((
+            id.clone(),
+            thread::spawn(move || {
+                let answer = call(address, &text, PATIENCE);
+                let seen = answer.as_ref().map_or("no answer".to_owned(), Answer::describe);
+                record.line(&format!("caller of {id}: {seen}"));
+                answer
+            }),
+        ));
     }
     let all_run = until(Duration::from_secs(1), || {
         calls.iter().all(|(id, _)| engines.iter().any(|engine| engine.runs(id)))
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -67,14 +67,6 @@
         self.shared.1.notify_all();
     }
 
-    /// Returns the value of an item.
-    pub fn value(&self, key: &str) -> Option<Value> {
-        let mut state = self.shared.0.lock().expect("the store's state");
-        expire(&mut state);
-        let bytes = STANDARD.decode(&state.items.get(key)?.value).ok()?;
-        serde_json::from_slice(&bytes).ok()
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(mut writer) = stream.try_clone() else { return };
@@ -121,7 +113,13 @@
         }
     }
 
-    fn execute(&self, method: &str, path: &str, query: &BTreeMap<&str, String>, body: &Value) -> (u16, Value) {
+    fn execute(
+        &self,
+        method: &str,
+        path: &str,
+        query: &BTreeMap<&str, String>,
+        body: &Value,
+    ) -> (u16, Value) {
         let mut state = self.shared.0.lock().expect("the store's state");
         expire(&mut state);
         let answer = execute(&mut state, method, path, query, body);
@@ -154,7 +152,9 @@
     match (method, path) {
         ("GET", "/kv-key") => {
             let key = query.get("tlsKey").cloned().unwrap_or_default();
-            let Some(item) = state.items.get(&key) else { return (404, json!({"currentRev": state.revision})) };
+            let Some(item) = state.items.get(&key) else {
+                return (404, json!({"currentRev": state.revision}));
+            };
             let mut answer = item_json(&key, item);
             answer["currentRev"] = state.revision.into();
             (200, answer)
--- a/review/standins/src/two_models.rs
+++ b/review/standins/src/two_models.rs
@@ -67,7 +67,11 @@
 
     fn models(&self, engine: usize) -> Value {
         let state = self.state(engine);
-        state.versions.iter().map(|(name, version)| json!({"name": name, "version": version, "adapters": []})).collect()
+        state
+            .versions
+            .iter()
+            .map(|(name, version)| json!({"name": name, "version": version, "adapters": []}))
+            .collect()
     }
 
     fn serve(&self, engine: usize, stream: TcpStream) {
@@ -129,7 +133,8 @@
         let order: Value = serde_json::from_slice(body).unwrap_or_default();
         let (holder, model) = (order["holder"].as_str().unwrap_or(""), order["model"].as_str().unwrap_or(""));
         let version = order["version"].as_u64().unwrap_or(0);
-        let is_named = self.named.lock().expect("the versions").get(model).is_some_and(|named| *named >= version);
+        let is_named =
+            self.named.lock().expect("the versions").get(model).is_some_and(|named| *named >= version);
         let mut state = self.state(engine);
         let expected = order["expectedRev"].as_u64().unwrap_or(state.sequence);
         let status = if !is_named {
@@ -144,7 +149,8 @@
             202
         };
         drop(state);
-        self.record.line(&format!("engine i-{engine}: order of {holder}, {model} version {version}: {status}"));
+        self.record
+            .line(&format!("engine i-{engine}: order of {holder}, {model} version {version}: {status}"));
         status
     }
 
@@ -221,8 +227,10 @@
             thread::sleep(BEAT);
         }
     });
-    let vms: Vec<Vm> =
-        ["vm-1", "vm-2", "vm-3"].iter().map(|name| Vm::start(folder, name, "depot-a", store.address)).collect();
+    let vms: Vec<Vm> = ["vm-1", "vm-2", "vm-3"]
+        .iter()
+        .map(|name| Vm::start(folder, name, "depot-a", store.address))
+        .collect();
     if !vms.iter().all(Vm::until_ready) {
         record.line("the processes of the system did not become ready");
         return None;
@@ -243,16 +251,19 @@
         .iter()
         .map(|vm| {
             let (address, name) = (vm.callers, vm.name.clone());
-            let (is_over, refused, served) = (Arc::clone(&is_over), Arc::clone(&refused), Arc::clone(&served));
+            let (is_over, refused, served) =
+                (Arc::clone(&is_over), Arc::clone(&refused), Arc::clone(&served));
             thread::spawn(move || {
                 for number in 0.. {
                     if is_over.load(Ordering::SeqCst) {
                         return;
                     }
-                    let extra = "X-Model: m1\r\nX-Token-Usage: 300,20\r\nX-Prefix-Hash: a1:100,b2:150,c3:50\r\n";
+                    let extra =
+                        "X-Model: m1\r\nX-Token-Usage: 300,20\r\nX-Prefix-Hash: a1:100,b2:150,c3:50\r\n";
                     let text = request("POST", "/reply-draft/1", &format!("{name}-{number}"), 12_000, extra);
                     let answer = call(address, &text, Duration::from_secs(13));
-                    let is_served = answer.is_some_and(|answer| answer.head.status() == 200 && answer.is_complete);
+                    let is_served =
+                        answer.is_some_and(|answer| answer.head.status() == 200 && answer.is_complete);
                     if is_served { &served } else { &refused }.fetch_add(1, Ordering::SeqCst);
                     thread::sleep(REQUEST_INTERVAL);
                 }
