Logs: lines are bounded in bytes, and texts of clients are cut

What operators saw: clients that reset connections or send requests ahead made a VM write 5 to 8 MB of log in four seconds. Cause: the queue was bounded in lines only, and a line held whatever a client put into its id or path. A line's fields are cut after 512 characters; beyond 256 KiB a second, lines are dropped and counted as those that wait for a slow reader.

--- a/crates/spanfoldd/src/logging.rs
+++ b/crates/spanfoldd/src/logging.rs
@@ -7,18 +7,55 @@
 use std::str::FromStr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, sync_channel};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// Collects the fields of one log record.
 struct FieldReader(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for FieldReader {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        self.0.insert(key.to_string(), json!(value.to_string()));
+        let mut text = value.to_string();
+        if let Some((end, _)) = text.char_indices().nth(MAX_FIELD_CHARS) {
+            text.truncate(end);
+            text.push_str(CUT_MARK);
+        }
+        self.0.insert(key.to_string(), json!(text));
         Ok(())
     }
 }
 
+/// Characters of a field; callers choose some of them, such as a request's id.
+const MAX_FIELD_CHARS: usize = 512;
+/// Ends a field that was longer.
+const CUT_MARK: &str = "...";
+/// Bytes of lines in a second; further lines are dropped and counted.
+const MAX_BYTES_PER_S: u64 = 256 << 10;
+/// Bytes of lines at once after a quiet time.
+const MAX_BURST_BYTES: u64 = 512 << 10;
+
+/// Bytes of lines that may be written now.
+#[derive(Debug)]
+struct LineBudget {
+    bytes: u64,
+    counted_at: Instant,
+}
+
+impl LineBudget {
+    fn take(&mut self, line_bytes: u64) -> bool {
+        let elapsed_millis = self.counted_at.elapsed().as_millis() as u64;
+        if elapsed_millis > 0 {
+            self.bytes = (self.bytes + elapsed_millis * MAX_BYTES_PER_S / 1_000).min(MAX_BURST_BYTES);
+            self.counted_at = Instant::now();
+        }
+        let is_within = self.bytes >= line_bytes;
+        if is_within {
+            self.bytes -= line_bytes;
+        }
+        is_within
+    }
+}
+
 /// Bound on lines queued for a slow reader of standard output; further lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 4_096;
 
@@ -67,8 +104,11 @@
     let dispatch = dispatch(level)?;
     let (lines, queued) = sync_channel::<String>(MAX_QUEUED_LINES);
     std::thread::Builder::new().name("log".to_owned()).spawn(move || write_lines(&queued))?;
+    let budget = Mutex::new(LineBudget { bytes: MAX_BURST_BYTES, counted_at: Instant::now() });
     let output = fern::Output::call(move |record| {
-        if lines.try_send(record.args().to_string()).is_err() {
+        let line = record.args().to_string();
+        let is_within = budget.lock().unwrap_or_else(PoisonError::into_inner).take(line.len() as u64);
+        if !is_within || lines.try_send(line).is_err() {
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
     });
