Decisions: which connection is closed for a new one; reservations of one size do not evict each other

ConnectionTable holds what each connection carries and since when. HeldBytes::grow_beside evicts only much larger reservations: bodies of one size evicted each other, so that none of them was ever whole. Evicted bytes count until their owner has released them.

--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod blocked_counts;
+mod connection_table;
 mod cost_model;
 mod endpoint_sample;
 mod held_bytes;
@@ -16,6 +17,9 @@
 
 pub use admission::{AdmissionVerdict, AdmissionView, claim_probability};
 pub use blocked_counts::BlockedCounts;
+pub use connection_table::{
+    CloseCause, ConnectionId, ConnectionPhase, ConnectionTable, ConnectionTimeouts, OpenRefusal,
+};
 pub use cost_model::{CostModel, ServiceCosts};
 pub use held_bytes::{HeldBytes, ReservationId};
 pub(crate) use placement::candidates;
--- a/crates/decide/tests/held_bytes.rs
+++ b/crates/decide/tests/held_bytes.rs
@@ -82,3 +82,19 @@
     assert_eq!(held.grow(large, 30), [large]);
     assert_eq!(held.total(), 90);
 }
+
+/// Guards against reservations of one size that evict each other, so that none is ever whole.
+#[test]
+fn reservations_of_one_size_do_not_evict_each_other() {
+    let mut held = HeldBytes::new(100);
+    let ids: Vec<_> = (0..4).map(|_| held.begin()).collect();
+    let grown: Vec<_> = ids.iter().map(|id| held.grow_beside(*id, 40).is_some()).collect();
+    assert_eq!(grown, [true, true, false, false]);
+    // A small one displaces a large one, whose memory is in use until it is released.
+    let small = held.begin();
+    assert!(held.grow(small, 19).is_empty());
+    assert_eq!(held.grow_beside(ids[2], 10), Some(vec![ids[1]]));
+    assert!(!held.has_room(30));
+    held.release(ids[1]);
+    assert!(held.has_room(30));
+}
