Callers: budgets of memory and descriptors for connections and requests

What callers saw (tests of hostile_clients on, VM of 88 MB): the process passed its VM's memory (88 to 131 MB) under bodies of legal size, whole, in pieces, chunked, slow or half sent; endless and oversized bodies; half and slow heads; requests sent ahead; answers that were not read; crowds at the ports for readiness and metrics. 0 to 76 of 150 ordinary requests were served. Legal heads with more than a hundred fields got 431.

Causes: no limit on connections, each with buffers from its start; receive buffers of megabytes; bodies that doubled their buffer while they grew; long answers, heads, header maps and connections to endpoints that nothing counted; accepted connections faster than displaced ones end; no timeout for unread answers and at the operators' ports; a hundred header fields as the library's default.

Now: a limit on connections from memory and descriptors, and one on the memory of requests, each 0.3 of what the process leaves. A connection has no buffers before its first bytes; in a crowd a head is read once it is whole, reads are short, and whoever sends much pauses. Bodies are kept in pieces, their declared length is reserved before they are read, and they wait before they are refused. Whole long answers are counted until they are read. Receive buffers are small. The operators' ports have limits of their own. Up to 16,384 header fields.

--- a/crates/declare/src/gateway_settings.rs
+++ b/crates/declare/src/gateway_settings.rs
@@ -21,7 +21,8 @@
         "vm" "data_centre" "" "the data centre that this VM stands in; required";
         "vm" "regions" "" "region of each data centre, as NAME:REGION, separated by commas; needed where homes are named";
         "vm" "link_mbps" "1000" "this VM's link in megabits a second; VMs with wide links pass on what others ask";
-        "vm" "memory_mb" "256" "this VM's memory in megabytes; a quarter of it is for bytes held for slow callers";
+        "vm" "memory_mb" "256" "this VM's memory in megabytes; without 32 for the process, 0.3 of it is for callers' requests and 0.3 for their connections";
+        "vm" "descriptors" "0" "descriptors that the platform gives this VM, 200 of them for files; 0: the process's own limit alone";
         "listen" "callers" "" "address for callers; required";
         "listen" "readiness" "" "address where the balancer asks for readiness; required";
         "listen" "metrics" "" "address for /metrics; required";
@@ -64,6 +65,7 @@
     pub regions: BTreeMap<String, String>,
     pub link_mbps: f64,
     pub memory_mb: f64,
+    pub descriptors: u64,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub metrics: SocketAddr,
@@ -92,6 +94,7 @@
             regions: BTreeMap::new(),
             link_mbps: 1_000.0,
             memory_mb: 256.0,
+            descriptors: 0,
             callers: unset_address,
             readiness: unset_address,
             metrics: unset_address,
@@ -150,6 +153,7 @@
                 self.regions = reader.parsed("regions", parse_regions);
                 self.link_mbps = reader.number("link_mbps", self.link_mbps);
                 self.memory_mb = reader.number("memory_mb", self.memory_mb);
+                self.descriptors = reader.number("descriptors", self.descriptors);
             }
             "listen" => {
                 self.callers = required_address(reader, "callers");
--- a/crates/gateway/src/endpoints/endpoint_pool.rs
+++ b/crates/gateway/src/endpoints/endpoint_pool.rs
@@ -19,7 +19,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 
 /// Timeout of a connection attempt: some twenty round trips.
@@ -37,6 +37,9 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Subtracted from a granted idle timeout, so that a connection is not used near its end.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_secs(1);
+/// Receive buffer of a connection in bytes. What an endpoint sends while a caller does not read counts towards the
+/// VM's memory.
+const RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
 /// Idle connections kept for one endpoint.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -265,7 +268,9 @@
     address: SocketAddr,
     unacknowledged_timeout: Duration,
 ) -> io::Result<TcpStream> {
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, socket.connect(address))
         .await
         .map_err(|_elapsed| io::Error::new(io::ErrorKind::TimedOut, "no connection in time"))??;
     stream.set_nodelay(true)?;
--- a/crates/gateway/src/endpoints/observed_stream.rs
+++ b/crates/gateway/src/endpoints/observed_stream.rs
@@ -3,6 +3,7 @@
 //! Invariant: the reason is stored before the library that reads the stream sees it. The library reports
 //! most of them as "connection error".
 
+use crate::connections::{CROWDED_READ_BYTES, poll_read_part};
 use crate::endpoints::head_limit::HeadBudget;
 use crate::endpoints::path_probe::TrafficCounters;
 use std::io;
@@ -135,7 +136,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let (before, has_room) = (buffer.filled().len(), buffer.remaining() > 0);
-        let result = ready!(Pin::new(&mut self.stream).poll_read(context, buffer));
+        let max_bytes = if self.counters.is_crowded() { CROWDED_READ_BYTES } else { usize::MAX };
+        let result = ready!(poll_read_part(&mut self.stream, context, buffer, max_bytes));
         if buffer.filled().len() > before {
             self.counters.count_read();
         } else if result.is_ok() && has_room {
--- a/crates/gateway/src/endpoints/path_probe.rs
+++ b/crates/gateway/src/endpoints/path_probe.rs
@@ -11,7 +11,7 @@
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -44,9 +44,19 @@
     newest_opened: AtomicU64,
     /// Connections that were opened for exchanges.
     connections: AtomicU32,
+    /// Whether connections read little at once, since there are many callers.
+    is_crowded: AtomicBool,
 }
 
 impl TrafficCounters {
+    pub(crate) fn set_crowded(&self, is_crowded: bool) {
+        self.is_crowded.store(is_crowded, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_crowded(&self) -> bool {
+        self.is_crowded.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn count_read(&self) {
         self.reads.fetch_add(1, Ordering::Relaxed);
     }
--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -293,7 +293,7 @@
                 .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_owned()))
                 .collect(),
             body_bytes: self.body.len() as u64,
-            body_hash: *blake3::hash(&self.body).as_bytes(),
+            body_hash: *self.body.hash().as_bytes(),
             elapsed_micros: now.micros_since(context.received_at),
             remaining_micros,
             sends: self.sends,
--- a/crates/gateway/src/forward/forward_port.rs
+++ b/crates/gateway/src/forward/forward_port.rs
@@ -7,7 +7,7 @@
 use super::forward_message::{AnswerKind, FORWARD_PATH, ForwardEnvelope};
 use crate::clock::DeadlinePassed;
 use crate::gateway::{CountGuard, Gateway};
-use crate::memory::{BodyFault, MemoryReservation, read_limited};
+use crate::memory::{BodyFault, MemoryReservation, RequestBody, read_limited};
 use crate::requests::accept_loop::{ACCEPT_RETRY_DELAY, ListenerState};
 use crate::requests::answer_record::AnswerRecord;
 use crate::requests::own_answer::{AnswerBody, OwnAnswer, full_body};
@@ -210,6 +210,7 @@
             }
         };
         let reservation = gateway.memory.reserve();
+        reservation.grow_request(relay::REQUEST_BYTES);
         let body = self.read_body(body, &reservation, context.deadline).await?;
         let open_guard = CountGuard::new(gateway, |gateway| &gateway.open_requests);
         let answer = AnswerRecord::of_forwarded(gateway, context.id.clone());
@@ -279,7 +280,7 @@
         mut body: Incoming,
         reservation: &MemoryReservation,
         deadline: Moment,
-    ) -> Result<Bytes, NotServed> {
+    ) -> Result<RequestBody, NotServed> {
         // Its sender has checked its length, under a configuration that may differ.
         let max_bytes = self.envelope.body_bytes as usize;
         let read = read_limited(&mut body, max_bytes, reservation);
@@ -290,7 +291,7 @@
             Ok(Err(BodyFault::NoMemory)) => return Err(NotServed::NotTaken("no memory for its body")),
             Err(DeadlinePassed) => return Err(NotServed::NotTaken("its body came too slowly")),
         };
-        if content.len() != max_bytes || *blake3::hash(&content).as_bytes() != self.envelope.body_hash {
+        if content.len() != max_bytes || *content.hash().as_bytes() != self.envelope.body_hash {
             return Err(NotServed::Altered);
         }
         Ok(content)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::PeerTable;
 use crate::clock::GatewayClock;
+use crate::connections::{CALLER_LIFETIME_MILLIS, ConnectionLimiter, connection_limit};
 use crate::endpoints::answer_handler::ObservedAnswer;
 use crate::endpoints::crash_detector::CrashDetector;
 use crate::endpoints::endpoint_pool::EndpointPool;
@@ -9,6 +10,7 @@
 use crate::forward::forward_state::ForwardState;
 use crate::memory::MemoryLimiter;
 use crate::operators::gateway_metrics::GatewayMetrics;
+use crate::operators::operator_port::OperatorLimiters;
 use crate::peers::digest_relay::DigestRelay;
 use crate::peers::gossip::LinkPaces;
 use crate::peers::peer_message::{PeerKey, PeerMessage, PeerStamp};
@@ -18,6 +20,7 @@
 use crate::quarantine::quarantine_tracker::QuarantineTracker;
 use crate::requests::prompt_waits::PromptWaits;
 use crate::requests::quota_queue::QuotaQueue;
+use crate::requests::refusal_log::RefusalLog;
 use crate::store::SnapshotCache;
 use crate::store::store_era::StoreEra;
 use crate::streams::stream_tracker::StreamTracker;
@@ -156,6 +159,12 @@
     /// Prompts that wait at this VM because no engine has free capacity.
     pub waiting_prompts: AtomicU64,
     pub caller_connections: AtomicU64,
+    /// Connections of callers.
+    pub caller_limiter: ConnectionLimiter,
+    /// Log lines of requests that are refused by their heads.
+    pub refusal_log: RefusalLog,
+    /// Connections to the ports for readiness and for metrics.
+    pub operator_limiters: OperatorLimiters,
     /// Connections of other VMs.
     pub peer_connections: AtomicU64,
     /// Incarnation of this process: random, never zero.
@@ -170,6 +179,7 @@
             window_millis: settings.retry_window_s * 1_000,
         };
         let memory = MemoryLimiter::new(settings.memory_mb);
+        let caller_limiter = ConnectionLimiter::new(connection_limit(&settings), CALLER_LIFETIME_MILLIS);
         let streams = StreamTracker::new(settings.memory_mb);
         let link_paces = LinkPaces::new(settings.link_mbps);
         let incarnation = rand::random::<u64>() | 1;
@@ -241,6 +251,9 @@
             open_requests: AtomicU64::new(0),
             waiting_prompts: AtomicU64::new(0),
             caller_connections: AtomicU64::new(0),
+            caller_limiter,
+            refusal_log: RefusalLog::default(),
+            operator_limiters: OperatorLimiters::default(),
             peer_connections: AtomicU64::new(0),
             incarnation,
         }
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -4,6 +4,7 @@
 use crate::endpoints::path_probe;
 use crate::forward::{forward_port, forward_state};
 use crate::gateway::Gateway;
+use crate::operators::operator_port::OperatorPort;
 use crate::operators::{load_sampler, operator_port};
 use crate::orders::{order_task, publication_task, release_task};
 use crate::peers::{cache_digest, cache_index_task, digest_relay, gossip};
@@ -13,7 +14,7 @@
 use crate::store::store_view::OrdersView;
 use crate::store::{follow, lease_keeper};
 use crate::streams::{copy_task, software_task};
-use crate::{FleetSweep, PathState, WireDialect, clock, rollout, store};
+use crate::{FleetSweep, PathState, WireDialect, clock, connections, rollout, store};
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::Moment;
 use std::io::ErrorKind;
@@ -35,6 +36,9 @@
 /// Interval between removals of expired state.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Longest time between two such removals of a VM that was not suspended.
+const MAX_SWEEP_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Ports that are tried if the operating system chooses the one of messages between VMs.
 const MAX_PORT_ATTEMPTS: usize = 16;
 
@@ -78,9 +82,9 @@
         dialect: WireDialect,
         clock: GatewayClock,
     ) -> Result<Self, GatewayError> {
-        let callers = listen(settings.callers).await?;
-        let readiness = listen(settings.readiness).await?;
-        let metrics = listen(settings.metrics).await?;
+        let callers = listen(settings.callers)?;
+        let readiness = listen(settings.readiness)?;
+        let metrics = listen(settings.metrics)?;
         let (socket, snapshot_listener) = bind_peer_port(settings.peers).await?;
         // With port zero the operating system chose a port, which other VMs need to receive.
         settings.peers = socket.local_addr().unwrap_or(settings.peers);
@@ -114,17 +118,14 @@
             tokio::spawn(gossip::relay_remote_digests(handle(), Arc::clone(&socket))),
             tokio::spawn(digest_relay::relay_digests(handle(), Arc::clone(&socket))),
             tokio::spawn(gossip::receive(handle(), socket, updates)),
-            tokio::spawn(operator_port::serve_operators(
-                handle(),
-                readiness,
-                operator_port::answer_readiness,
-            )),
-            tokio::spawn(operator_port::serve_operators(handle(), metrics, operator_port::answer_management)),
+            tokio::spawn(operator_port::serve_operators(handle(), readiness, OperatorPort::READINESS)),
+            tokio::spawn(operator_port::serve_operators(handle(), metrics, OperatorPort::MANAGEMENT)),
             tokio::spawn(accept_loop::serve_callers(handle(), callers, listener_state.subscribe())),
             tokio::spawn(path_probe::watch_path(handle())),
             tokio::spawn(copy_task::keep_copies(handle())),
             tokio::spawn(software_task::record_software(handle())),
             tokio::spawn(forward_state::follow_path(handle())),
+            tokio::spawn(accept_loop::adjust_pauses(handle())),
             tokio::spawn(sweep(handle())),
             tokio::spawn(load_sampler::sample_loads(handle())),
         ];
@@ -208,7 +209,11 @@
     listener.local_addr().unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 0)))
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+fn listen(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    connections::listen(address).map_err(|cause| GatewayError { address, cause })
+}
+
+async fn listen_to_peers(address: SocketAddr) -> Result<TcpListener, GatewayError> {
     TcpListener::bind(address).await.map_err(|cause| GatewayError { address, cause })
 }
 
@@ -219,13 +224,13 @@
     let bind_socket =
         async |address| UdpSocket::bind(address).await.map_err(|cause| GatewayError { address, cause });
     if address.port() != 0 {
-        return Ok((bind_socket(address).await?, listen(address).await));
+        return Ok((bind_socket(address).await?, listen_to_peers(address).await));
     }
     // The system chooses the port over TCP, where it skips those in TIME_WAIT. The same number may be taken
     // over UDP: then it chooses another one.
     let mut attempts = 1;
     loop {
-        let listener = listen(address).await?;
+        let listener = listen_to_peers(address).await?;
         match bind_socket(local_address(&listener)).await {
             Ok(socket) => return Ok((socket, Ok(listener))),
             Err(error) if error.cause.kind() != ErrorKind::AddrInUse => return Err(error),
@@ -274,6 +279,8 @@
         gateway.quota_queue.queue().sweep(now);
         gateway.prompt_waits.queue().sweep(now);
         gateway.pool.sweep();
+        accept_loop::close_overdue(&gateway, MAX_SWEEP_INTERVAL);
+        operator_port::close_overdue(&gateway, MAX_SWEEP_INTERVAL);
         gateway.sweep_forwards();
         gateway.sweep_streams();
         gateway.peers().sweep(now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`EventReader`] splits streams into whole events.
 
 mod clock;
+mod connections;
 mod dialect;
 mod endpoints;
 mod forward;
@@ -44,22 +45,23 @@
 };
 pub(crate) use spanfold_decide::{
     AdmissionVerdict, AdmissionView, AnswerCounts, AvoidanceCause, AvoidanceChange, AvoidanceReport,
-    BackoffChange, BudgetTerms, CacheReport, CanaryDraw, CatchUpSchedule, ColdTerms, ContactAges,
-    ContactChange, ContactSource, CopyLedger, CopyTarget, CordonSource, CostModel, CrashReport, CrashVerdict,
-    DueCopies, DueCopy, EndpointCrash, EndpointRow, EndpointSnapshot, EngineState, ExposureTerms, FleetSweep,
+    BackoffChange, BudgetTerms, CacheReport, CanaryDraw, CatchUpSchedule, CloseCause, ColdTerms,
+    ConnectionId, ConnectionPhase, ConnectionTable, ConnectionTimeouts, ContactAges, ContactChange,
+    ContactSource, CopyLedger, CopyTarget, CordonSource, CostModel, CrashReport, CrashVerdict, DueCopies,
+    DueCopy, EndpointCrash, EndpointRow, EndpointSnapshot, EngineState, ExposureTerms, FleetSweep,
     FleetTable, ForwardPeer, ForwardPeers, HeldBytes, IdentityKey, IndexReporter, LEADERS_PER_DATA_CENTRE,
     LeaseHolder, LeaseOwnership, LimitChange, LimitReport, LinkTransfers, ListMembership, LoadCount,
-    LoadSource, LoadSpread, MAX_FRAGMENT_BYTES, PathChange, PathMonitor, PathTraffic, PauseTracker,
-    PeerHeartbeat, PeerTable, PlacementChoice, PlacementRequest, PollDuty, PollSchedule, PromptPlacement,
-    PromptQueue, PropagationPlan, PublicationMark, PublicationRecord, PublicationSource, PublishedVersion,
-    PublishedWeights, QuarantineChange, QuarantineMessage, QuarantinePhase, QuarantinedSuspect, QueueEntry,
-    RateTerms, ReassemblyProgress, RecordHolders, RelayGroup, RequestCount, RequestIdentity,
-    RequestQuarantine, RequiredWeights, ReservationId, RetryBudget, RolloutAnswer, RolloutReason,
-    RolloutRecord, RolloutRun, RolloutStep, RolloutTable, RouteCounts, RouteTable, SendOutcome, SendPace,
-    SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView, ShortRecord, SoftwareKey, SoleSoftware,
-    StoreContact, StoreOutage, StreamCopy, StreamKey, StreamOrigin, StreamRecords, SumKey, SuspectKey,
-    SuspectKind, SuspectMessage, UNKNOWN_VERSION, UnstoredSoftware, UnstoredWeights, UpdateFragment,
-    UpdateHistory, UpdateReassembly, UsedSequences, VersionSplit, ViewAges, VmEntry, VmKey, WeightScheduler,
-    WeightStep, claim_probability, direct_share, outdated_segments, pack, pick_target, place, salted_key,
-    short_digest, split_update, unpack,
+    LoadSource, LoadSpread, MAX_FRAGMENT_BYTES, OpenRefusal, PathChange, PathMonitor, PathTraffic,
+    PauseTracker, PeerHeartbeat, PeerTable, PlacementChoice, PlacementRequest, PollDuty, PollSchedule,
+    PromptPlacement, PromptQueue, PropagationPlan, PublicationMark, PublicationRecord, PublicationSource,
+    PublishedVersion, PublishedWeights, QuarantineChange, QuarantineMessage, QuarantinePhase,
+    QuarantinedSuspect, QueueEntry, RateTerms, ReassemblyProgress, RecordHolders, RelayGroup, RequestCount,
+    RequestIdentity, RequestQuarantine, RequiredWeights, ReservationId, RetryBudget, RolloutAnswer,
+    RolloutReason, RolloutRecord, RolloutRun, RolloutStep, RolloutTable, RouteCounts, RouteTable,
+    SendOutcome, SendPace, SendReport, ShareQueue, ShareRight, ShareVerdict, ShareView, ShortRecord,
+    SoftwareKey, SoleSoftware, StoreContact, StoreOutage, StreamCopy, StreamKey, StreamOrigin, StreamRecords,
+    SumKey, SuspectKey, SuspectKind, SuspectMessage, UNKNOWN_VERSION, UnstoredSoftware, UnstoredWeights,
+    UpdateFragment, UpdateHistory, UpdateReassembly, UsedSequences, VersionSplit, ViewAges, VmEntry, VmKey,
+    WeightScheduler, WeightStep, claim_probability, direct_share, outdated_segments, pack, pick_target,
+    place, salted_key, short_digest, split_update, unpack,
 };
--- a/crates/gateway/src/memory/body_reader.rs
+++ b/crates/gateway/src/memory/body_reader.rs
@@ -1,13 +1,18 @@
 //! Reads a caller's body within the bound on buffered bytes.
 
 use super::MemoryReservation;
-use bytes::{Bytes, BytesMut};
+use super::request_body::{BodyBuffer, RequestBody};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
+use std::pin::pin;
 
-/// Maximum number of bytes of a refused request's body that are read.
-const MAX_DISCARDED_BYTES: usize = 1 << 20;
+/// Bytes of a refused request's body that are read, and those that are while there are many connections.
+pub(crate) const MAX_DISCARDED_BYTES: usize = 1 << 20;
+pub(crate) const MAX_CROWDED_DISCARDED_BYTES: usize = 16 << 10;
 
+/// Bytes up to which a body is counted as it arrives.
+const MAX_UNRESERVED_BYTES: usize = 64 << 10;
 /// Why a body was not read whole.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyFault {
@@ -19,12 +24,12 @@
     NoMemory,
 }
 
-/// Reads and discards what remains of a body, up to [`MAX_DISCARDED_BYTES`].
-pub(crate) async fn discard(body: &mut Incoming) {
+/// Reads and discards what remains of a body, up to `max_bytes`.
+pub(crate) async fn discard(body: &mut Incoming, max_bytes: usize) {
     let mut discarded_bytes = 0;
     while let Some(Ok(frame)) = body.frame().await {
         discarded_bytes += frame.data_ref().map_or(0, Bytes::len);
-        if discarded_bytes > MAX_DISCARDED_BYTES {
+        if discarded_bytes > max_bytes {
             return;
         }
     }
@@ -35,27 +40,38 @@
     body: &mut Incoming,
     max_bytes: usize,
     reservation: &MemoryReservation,
-) -> Result<Bytes, BodyFault> {
+) -> Result<RequestBody, BodyFault> {
+    let declared_bytes = body.size_hint().exact().map(|bytes| bytes as usize);
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(BodyFault::TooLong);
     }
-    let mut content = BytesMut::new();
+    // The memory for a long body is there before the first byte is read.
+    let mut reserved_bytes = declared_bytes.filter(|bytes| *bytes > MAX_UNRESERVED_BYTES).unwrap_or(0);
+    if reserved_bytes > 0 && !reservation.acquire(reserved_bytes).await {
+        return Err(BodyFault::NoMemory);
+    }
+    let mut content = BodyBuffer::new(declared_bytes);
+    let mut evicted = pin!(reservation.wait_until_evicted());
     loop {
         let frame = tokio::select! {
+            biased;
             frame = body.frame() => frame,
-            () = reservation.wait_until_evicted() => return Err(BodyFault::NoMemory),
+            () = evicted.as_mut() => return Err(BodyFault::NoMemory),
         };
         let Some(frame) = frame else { break };
         let Ok(chunk) = frame.map_err(|_error| BodyFault::Broken)?.into_data() else { continue };
         if content.len() + chunk.len() > max_bytes {
             return Err(BodyFault::TooLong);
         }
-        reservation.grow(chunk.len());
-        if reservation.is_evicted() {
-            return Err(BodyFault::NoMemory);
+        content.push(&chunk);
+        if content.held_bytes() > reserved_bytes {
+            reservation.grow(content.held_bytes() - reserved_bytes);
+            reserved_bytes = content.held_bytes();
+            if reservation.is_evicted() {
+                return Err(BodyFault::NoMemory);
+            }
         }
-        content.extend_from_slice(&chunk);
     }
     reservation.disable_eviction();
-    Ok(content.freeze())
+    Ok(content.finish())
 }
--- a/crates/gateway/src/operators/gateway_metrics.rs
+++ b/crates/gateway/src/operators/gateway_metrics.rs
@@ -218,6 +218,32 @@
     }
 }
 
+/// Metrics of connections from outside.
+#[derive(Debug)]
+pub(crate) struct ConnectionMetrics {
+    /// Open connections of callers.
+    pub open: Gauge,
+    /// Largest number of them.
+    pub limit: Gauge,
+    /// Connections that this VM closed or did not accept, by cause.
+    pub closed: Family<KindLabel, Counter>,
+}
+
+impl ConnectionMetrics {
+    fn register(registry: &mut Registry) -> Self {
+        let metrics = Self { open: Gauge::default(), limit: Gauge::default(), closed: Family::default() };
+        registry.register("caller_connections", "Open connections of callers", metrics.open.clone());
+        let help = "Largest number of connections of callers";
+        registry.register("caller_connection_limit", help, metrics.limit.clone());
+        registry.register("connections_closed", "Connections closed here, by cause", metrics.closed.clone());
+        metrics
+    }
+
+    pub(crate) fn count_closed(&self, cause: &str) {
+        self.closed.get_or_create(&KindLabel::new(cause)).inc();
+    }
+}
+
 /// Metrics of quarantines of requests, and of parts of prompts, under which endpoints crash.
 #[derive(Debug, Default)]
 pub(crate) struct QuarantineMetrics {
@@ -536,6 +562,8 @@
     pub endpoint_copies: Family<KindLabel, Counter>,
     /// Metrics of bytes buffered for callers that send or read slowly.
     pub memory: MemoryMetrics,
+    /// Metrics of connections from outside.
+    pub connections: ConnectionMetrics,
     /// Rollouts of services, by step at this VM.
     pub rollouts: Family<KindLabel, Counter>,
     /// Counts of endpoints that get less work than others.
@@ -605,6 +633,7 @@
         registry.register("departures", "Departures of endpoints, by source", departures.clone());
         registry.register("rests", "Answers that asked for a rest, by what was said", rests.clone());
         let memory = MemoryMetrics::register(&mut registry);
+        let connections = ConnectionMetrics::register(&mut registry);
         let (endpoint_copies, rollouts) =
             <(Family<KindLabel, Counter>, Family<KindLabel, Counter>)>::default();
         registry.register("endpoint_copies", "Copies of all endpoints asked for", endpoint_copies.clone());
@@ -632,6 +661,7 @@
             rests,
             endpoint_copies,
             memory,
+            connections,
             rollouts,
             fleet: FleetGauges::register(&mut registry),
             spread: SpreadMetrics::register(&mut registry),
--- a/crates/gateway/src/operators/operator_port.rs
+++ b/crates/gateway/src/operators/operator_port.rs
@@ -1,13 +1,14 @@
 //! HTTP handlers for readiness checks of the balancer, metrics, status, and quarantined requests.
 //!
 //! Invariant: requests that change state are answered at the metrics address only, since the readiness
-//! address is the balancer's.
+//! address is the balancer's. Connections to one of the addresses take no room from another one.
 
-use crate::SuspectKey;
+use crate::connections::{ConnectionLimiter, GuardedStream, OpenConnection};
 use crate::gateway::Gateway;
 use crate::operators::gateway_status::GatewayStatus;
 use crate::requests::accept_loop::ACCEPT_RETRY_DELAY;
 use crate::requests::own_answer::{AnswerBody, full_body};
+use crate::{ConnectionTimeouts, SuspectKey};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -19,7 +20,8 @@
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use tokio::net::TcpListener;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Path of the list of quarantined requests.
 const QUARANTINE_PATH: &str = "/held";
@@ -28,31 +30,105 @@
 /// Last segment of the path that releases a suspect from quarantine, after its digest.
 const RELEASE_SEGMENT: &str = "lift";
 
+/// Connections to one of the addresses.
+const MAX_CONNECTIONS: usize = 128;
+/// Time that a new connection has for its request in a crowd, in milliseconds: the balancer waits one second in all.
+const LIFETIME_MILLIS: u64 = 20;
+/// Size of the buffers of a connection: the smallest that the library allows.
+const BUFFER_BYTES: usize = 8 << 10;
+/// Timeouts of connections: operators and balancers send short requests, and repeat them within a minute.
+const TIMEOUTS: ConnectionTimeouts = ConnectionTimeouts { head_millis: 3_000, idle_millis: 60_000 };
+
 /// Handler of the requests at one address for operators or the balancer.
-pub(crate) type OperatorHandler = fn(&Gateway, &Request<Incoming>) -> Response<AnswerBody>;
+type OperatorHandler = fn(&Gateway, &Request<Incoming>) -> Response<AnswerBody>;
+
+/// Limits on the connections to each address.
+#[derive(Debug)]
+pub(crate) struct OperatorLimiters {
+    readiness: ConnectionLimiter,
+    management: ConnectionLimiter,
+}
+
+impl Default for OperatorLimiters {
+    fn default() -> Self {
+        let limiter = || ConnectionLimiter::new(MAX_CONNECTIONS, LIFETIME_MILLIS);
+        Self { readiness: limiter(), management: limiter() }
+    }
+}
+
+/// What is answered at one address, and its limit on connections.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OperatorPort {
+    answer: OperatorHandler,
+    limiter: fn(&OperatorLimiters) -> &ConnectionLimiter,
+}
+
+impl OperatorPort {
+    pub(crate) const READINESS: Self =
+        Self { answer: answer_readiness, limiter: |limiters| &limiters.readiness };
+    pub(crate) const MANAGEMENT: Self =
+        Self { answer: answer_management, limiter: |limiters| &limiters.management };
+}
 
 /// Serves operators at one listener, until the process ends.
-pub(crate) async fn serve_operators(gateway: Arc<Gateway>, listener: TcpListener, answer: OperatorHandler) {
+pub(crate) async fn serve_operators(gateway: Arc<Gateway>, listener: TcpListener, port: OperatorPort) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let gateway = Arc::clone(&gateway);
-        tokio::spawn(async move {
-            let service = service_fn(|request| {
-                let response = answer(&gateway, &request);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // The balancer repeats its checks, so a broken connection from it is not an error.
-            let _ = connection.await;
-        });
+        match (port.limiter)(&gateway.operator_limiters).open(&gateway.memory).await {
+            Some((open, displaced)) => {
+                if displaced.is_some() {
+                    gateway.metrics.connections.count_closed("operator displaced");
+                }
+                tokio::spawn(serve_operator(Arc::clone(&gateway), stream, open, port.answer));
+            }
+            None => gateway.metrics.connections.count_closed("operator refused"),
+        }
+    }
+}
+
+async fn serve_operator(
+    gateway: Arc<Gateway>,
+    stream: TcpStream,
+    open: OpenConnection,
+    answer: OperatorHandler,
+) {
+    let monitor = open.monitor();
+    let service = service_fn(|request| {
+        let (gateway, monitor) = (&gateway, &monitor);
+        async move {
+            if monitor.record_request(false) {
+                tokio::task::yield_now().await;
+            }
+            let response = answer(gateway, &request);
+            monitor.record_idle();
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let stream = GuardedStream::new(stream, Arc::clone(&monitor));
+    let connection =
+        http1::Builder::new().max_buf_size(BUFFER_BYTES).serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // The balancer repeats its checks, so a broken connection from it is not an error.
+        _ = connection => {}
+        _ = monitor.closed() => {}
+    }
+}
+
+/// Closes the connections that take too long, unless the last call is longer than `max_interval` ago.
+pub(crate) fn close_overdue(gateway: &Gateway, max_interval: Duration) {
+    let limiters = &gateway.operator_limiters;
+    for limiter in [&limiters.readiness, &limiters.management] {
+        for _ in limiter.close_overdue(&TIMEOUTS, max_interval.as_millis() as u64) {
+            gateway.metrics.connections.count_closed("operator overdue");
+        }
     }
 }
 
 /// Answers readiness checks and requests for metrics.
-pub(crate) fn answer_readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+fn answer_readiness(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
     let path = request.uri().path();
     if path == "/metrics" {
         let open = gateway.open_requests.load(Ordering::Relaxed);
@@ -73,7 +149,7 @@
 /// Answers requests for status, and to list and release quarantined requests.
 ///
 /// All others go to [`answer_readiness`].
-pub(crate) fn answer_management(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
+fn answer_management(gateway: &Gateway, request: &Request<Incoming>) -> Response<AnswerBody> {
     if request.uri().path() == STATUS_PATH {
         return json_of(&GatewayStatus::of(gateway));
     }
--- a/crates/gateway/src/requests/answer_record.rs
+++ b/crates/gateway/src/requests/answer_record.rs
@@ -3,6 +3,7 @@
 //! Invariant: a request that was read whole and whose caller gets no whole answer is counted once, under
 //! the first cause recorded for it. It has a log line, unless its caller left first.
 
+use crate::connections::ConnectionMonitor;
 use crate::endpoints::observed_stream::{ConnectionEnd, EndSide};
 use crate::gateway::Gateway;
 use crate::operators::gateway_metrics::KindLabel;
@@ -16,6 +17,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 /// Why a request that was read whole has no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,6 +32,8 @@
     EndpointTimedOut,
     /// The request had most bytes buffered when memory ran out.
     NoMemory,
+    /// The caller did not read, and its connection was closed.
+    Unread,
     /// The process stopped before the answer was written.
     Stopped,
     /// This VM closed the caller's connection for no cause recorded elsewhere.
@@ -52,6 +56,7 @@
             Self::EndpointBroke => "endpoint broke off",
             Self::EndpointTimedOut => "connection to the endpoint timed out",
             Self::NoMemory => "no memory",
+            Self::Unread => "not read",
             Self::Stopped => "stopped",
             Self::Closed => "closed here",
         }
@@ -76,12 +81,23 @@
     config_version: u64,
     received_at: Moment,
     progress: Mutex<AnswerProgress>,
+    /// The caller's connection; none if another VM forwarded the request.
+    monitor: Option<Arc<ConnectionMonitor>>,
+    /// Whether it arrived together with the request before.
+    is_ahead: bool,
 }
 
 impl AnswerRecord {
-    pub(crate) fn new(gateway: &Gateway, request: &Request<Incoming>) -> Arc<Self> {
-        let progress = AnswerProgress { is_read_whole: request.body().is_end_stream(), ..Default::default() };
+    pub(crate) fn new(
+        gateway: &Gateway,
+        request: &Request<Incoming>,
+        monitor: &Arc<ConnectionMonitor>,
+    ) -> Arc<Self> {
+        let is_read_whole = request.body().is_end_stream();
+        let progress = AnswerProgress { is_read_whole, ..Default::default() };
         Arc::new(Self {
+            monitor: Some(Arc::clone(monitor)),
+            is_ahead: monitor.record_request(!is_read_whole),
             request_id: request.headers().get(&gateway.dialect.headers.request_id).cloned(),
             config_version: config_version(gateway),
             received_at: gateway.now(),
@@ -96,12 +112,43 @@
             config_version: config_version(gateway),
             received_at: gateway.now(),
             progress: Mutex::default(),
+            monitor: None,
+            is_ahead: false,
         })
     }
 
+    /// Returns how long the request waits if it arrived together with the one before on its connection.
+    pub(crate) fn ahead_pause(&self) -> Option<Duration> {
+        let monitor = self.monitor.as_ref().filter(|_| self.is_ahead)?;
+        Some(monitor.ahead_pause())
+    }
+
+    /// Whether its connection ends after it: requests that are sent ahead keep a connection in work for ever, and a
+    /// crowd of those would leave none for others.
+    pub(crate) fn ends_connection(&self) -> bool {
+        self.is_ahead && self.monitor.as_ref().is_some_and(|monitor| monitor.is_crowded())
+    }
+
+    /// Records that a request without a body, which was sent ahead, is in work.
+    pub(crate) fn record_work(&self) {
+        if let Some(monitor) = self.monitor.as_ref().filter(|_| self.progress().is_read_whole) {
+            monitor.record_body();
+        }
+    }
+
+    /// Records that an endpoint answered.
+    pub(crate) fn record_served(&self) {
+        if let Some(monitor) = &self.monitor {
+            monitor.record_served();
+        }
+    }
+
     /// Records that the request's last byte was read.
     pub(crate) fn record_read_whole(&self) {
         self.progress().is_read_whole = true;
+        if let Some(monitor) = &self.monitor {
+            monitor.record_body();
+        }
     }
 
     /// Records the endpoint of the last send, and the sends that reached one.
@@ -155,6 +202,7 @@
 #[derive(Debug)]
 pub(crate) struct ConnectionRecord {
     gateway: Arc<Gateway>,
+    monitor: Arc<ConnectionMonitor>,
     /// The connection's last request. An earlier one was answered whole, or the connection would have ended.
     request: Mutex<Option<Arc<AnswerRecord>>>,
     end: Mutex<Option<UnansweredCause>>,
@@ -162,13 +210,14 @@
 
 impl ConnectionRecord {
     /// Without a recorded end, its task ended with the process.
-    pub(crate) fn new(gateway: &Arc<Gateway>) -> Self {
-        Self { gateway: Arc::clone(gateway), request: Mutex::default(), end: Mutex::default() }
+    pub(crate) fn new(gateway: &Arc<Gateway>, monitor: &Arc<ConnectionMonitor>) -> Self {
+        let (gateway, monitor) = (Arc::clone(gateway), Arc::clone(monitor));
+        Self { gateway, monitor, request: Mutex::default(), end: Mutex::default() }
     }
 
     /// Begins the record of a request on this connection.
     pub(crate) fn begin(&self, request: &Request<Incoming>) -> Arc<AnswerRecord> {
-        let record = AnswerRecord::new(&self.gateway, request);
+        let record = AnswerRecord::new(&self.gateway, request, &self.monitor);
         *self.request.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(&record));
         record
     }
@@ -221,6 +270,15 @@
     response.map(|body| RecordedBody { body, record, declared })
 }
 
+impl Drop for RecordedBody {
+    /// The connection waits for its next request.
+    fn drop(&mut self) {
+        if let Some(monitor) = &self.record.monitor {
+            monitor.record_idle();
+        }
+    }
+}
+
 impl RecordedBody {
     fn record_frame(&mut self, frame: Option<&Frame<Bytes>>) {
         if let Some(data) = frame.and_then(Frame::data_ref)
--- a/crates/gateway/src/requests/long_answer.rs
+++ b/crates/gateway/src/requests/long_answer.rs
@@ -17,12 +17,20 @@
 use hyper::header::CONTENT_LENGTH;
 use std::sync::Arc;
 
+/// Memory of the connection to an endpoint while a long answer waits for its caller: the read buffer, and what has
+/// arrived unread.
+const ENDPOINT_BUFFER_BYTES: usize = 96 << 10;
+
 /// Answers with the `prefix` bytes and forwards the others from a task of its own.
 pub(crate) async fn forward_long(mut run: RequestRun, send: OpenSend, prefix: Bytes) -> Response<AnswerBody> {
     run.record_first_event();
-    let (chunks, stream) = chunk_channel(run.gateway.memory.reserve());
+    let reservation = run.gateway.memory.reserve_for(&run.resources.disconnect);
+    reservation.grow_request(ENDPOINT_BUFFER_BYTES);
+    let (chunks, stream) = chunk_channel(reservation);
     // The channel is empty and its receiver exists: only lack of memory fails it, and the next send, too.
-    let _ = chunks.send(prefix).await;
+    if !prefix.is_empty() {
+        let _ = chunks.send(prefix).await;
+    }
     let mut response = send.response(StreamBody::new(stream).boxed_unsync());
     if let Some(length) = send.head().and_then(|head| head.headers.get(CONTENT_LENGTH)) {
         response.headers_mut().insert(CONTENT_LENGTH, length.clone());
--- a/crates/gateway/src/requests/open_send.rs
+++ b/crates/gateway/src/requests/open_send.rs
@@ -25,10 +25,6 @@
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
-/// Answers up to this size are read whole before they are forwarded, so that a broken one can be reported
-/// or its request repeated. Longer ones are forwarded as they arrive.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 1 << 20;
-
 /// The result of an exchange with an endpoint or another VM: the answer's head.
 pub(crate) type ExchangeResult = Result<(Response<Incoming>, EndpointConnection), ExchangeError>;
 /// An exchange under way.
@@ -124,9 +120,17 @@
         }
         match &mut self.stage {
             AnswerStage::Head(exchange) => exchange.as_mut().poll(context).map(SendStep::Head),
-            AnswerStage::Body { body, prefix, .. } => {
-                let step = pin!(read_answer(body, prefix)).poll(context);
-                if step.is_pending() && self.held.is_evicted(prefix.len()) {
+            AnswerStage::Body { head, body, prefix } => {
+                let max_bytes = self.held.max_whole_bytes();
+                // What will be read is counted before it is read.
+                let expected_bytes = content_length(head).unwrap_or(0).min(max_bytes);
+                if self.held.is_evicted(expected_bytes.max(prefix.capacity())) {
+                    let start = AnswerStart::Long(std::mem::take(prefix).freeze());
+                    return Poll::Ready(SendStep::Body(Ok(start)));
+                }
+                let step = pin!(read_answer(body, prefix, max_bytes)).poll(context);
+                // The buffer grows by doubling.
+                if step.is_pending() && self.held.is_evicted(expected_bytes.max(prefix.capacity())) {
                     // Memory is short: what has arrived is passed on, within the bound of its caller.
                     let start = AnswerStart::Long(std::mem::take(prefix).freeze());
                     return Poll::Ready(SendStep::Body(Ok(start)));
@@ -283,12 +287,20 @@
 }
 
 /// Reads an answer's body after `prefix`, or the beginning of a long one.
-async fn read_answer(body: &mut Incoming, prefix: &mut BytesMut) -> Result<AnswerStart, hyper::Error> {
+fn content_length(head: &response::Parts) -> Option<usize> {
+    head.headers.get(CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
+
+async fn read_answer(
+    body: &mut Incoming,
+    prefix: &mut BytesMut,
+    max_bytes: usize,
+) -> Result<AnswerStart, hyper::Error> {
     while let Some(frame) = body.frame().await {
         if let Ok(chunk) = frame?.into_data() {
             prefix.extend_from_slice(&chunk);
         }
-        if prefix.len() > MAX_BUFFERED_ANSWER_BYTES {
+        if prefix.len() > max_bytes {
             return Ok(AnswerStart::Long(std::mem::take(prefix).freeze()));
         }
     }
--- a/crates/gateway/src/requests/outgoing_body.rs
+++ b/crates/gateway/src/requests/outgoing_body.rs
@@ -5,6 +5,7 @@
 //! because the connection buffers a single large one at once, which would not show how much the endpoint
 //! has accepted.
 
+use crate::memory::RequestBody;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::convert::Infallible;
@@ -36,19 +37,25 @@
 /// A body that is sent in chunks.
 #[derive(Debug)]
 pub(crate) struct OutgoingBody {
-    remaining: Bytes,
+    body: RequestBody,
+    /// Index of the next piece.
+    next_piece: usize,
+    /// What is left of the current piece.
+    piece: Bytes,
+    remaining_bytes: usize,
     progress: BodyProgress,
 }
 
 impl OutgoingBody {
-    pub(crate) fn new(bytes: Bytes) -> Self {
-        let progress = BodyProgress(Arc::new(AtomicUsize::new(bytes.len())));
-        Self { remaining: bytes, progress }
+    pub(crate) fn new(body: RequestBody) -> Self {
+        let remaining_bytes = body.len();
+        let progress = BodyProgress(Arc::new(AtomicUsize::new(remaining_bytes)));
+        Self { body, next_piece: 0, piece: Bytes::new(), remaining_bytes, progress }
     }
 
     /// Whether sending it may have to wait for the endpoint to read.
     pub(crate) fn is_long(&self) -> bool {
-        self.remaining.len() > WRITE_BUFFER_BYTES
+        self.remaining_bytes > WRITE_BUFFER_BYTES
     }
 
     /// Returns the progress, which can be read while the connection owns the body.
@@ -65,20 +72,25 @@
         mut self: Pin<&mut Self>,
         _context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        if self.remaining.is_empty() {
-            return Poll::Ready(None);
+        if self.piece.is_empty() {
+            let Some(piece) = self.body.pieces().get(self.next_piece).cloned() else {
+                return Poll::Ready(None);
+            };
+            self.piece = piece;
+            self.next_piece += 1;
         }
-        let length = self.remaining.len().min(CHUNK_BYTES);
-        let chunk = self.remaining.split_to(length);
-        self.progress.0.store(self.remaining.len(), Ordering::Release);
+        let length = self.piece.len().min(CHUNK_BYTES);
+        let chunk = self.piece.split_to(length);
+        self.remaining_bytes -= length;
+        self.progress.0.store(self.remaining_bytes, Ordering::Release);
         Poll::Ready(Some(Ok(Frame::data(chunk))))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.remaining.is_empty()
+        self.remaining_bytes == 0
     }
 
     fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.remaining.len() as u64)
+        SizeHint::with_exact(self.remaining_bytes as u64)
     }
 }
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -5,8 +5,12 @@
 
 use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
+use crate::connections::FIELD_BYTES;
 use crate::gateway::{CountGuard, Gateway};
-use crate::memory::{BodyFault, MemoryReservation, discard, read_limited};
+use crate::memory::{
+    BodyFault, MAX_CROWDED_DISCARDED_BYTES, MAX_DISCARDED_BYTES, MemoryReservation, RequestBody, discard,
+    read_limited,
+};
 use crate::operators::gateway_metrics::KindLabel;
 use crate::requests::answer_record::AnswerRecord;
 use crate::requests::answer_wait::{AnswerFault, AnswerPart};
@@ -21,7 +25,9 @@
 use crate::requests::request_context::{RequestContext, header_text, is_hop_by_hop};
 use crate::requests::request_run::{CallerResources, RequestRun};
 use crate::requests::stream_relay::forward_stream;
+use crate::requests::whole_answer::WholeAnswer;
 use bytes::Bytes;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, EXPECT, HeaderMap};
 use hyper::http::request::Parts;
@@ -41,6 +47,10 @@
 const TRIAL_RETRY_MILLIS: u64 = 1_000;
 /// Retry delay after an endpoint's refusal; a random delay is added.
 const REFUSED_RETRY_MILLIS: u64 = 100;
+/// Bytes of a whole answer that are not counted towards the VM's memory: its connection's share covers them.
+const MAX_UNCOUNTED_ANSWER_BYTES: usize = 16 << 10;
+/// Memory of a request in work: its state, and the buffers of its connection to an endpoint.
+pub(crate) const REQUEST_BYTES: usize = 32 << 10;
 /// Timeout of reading the body of a refused request.
 const DISCARD_TIMEOUT_MILLIS: u64 = 1_000;
 
@@ -66,15 +76,21 @@
     };
     let open_guard = CountGuard::new(&gateway, |gateway| &gateway.open_requests);
     let reservation = gateway.memory.reserve();
-    let body = match read_body(&gateway, &mut body, context.deadline, &reservation).await {
+    let received = match reserve_request(&gateway, &head, &reservation) {
+        Ok(()) => read_body(&gateway, &mut body, context.deadline, &reservation).await,
+        Err(answer) => Err(answer),
+    };
+    let body = match received {
         Ok(body) => body,
         Err(answer) => {
+            drop(reservation);
             log_unrouted(&gateway, &head, &answer);
             discard_body(&gateway, &head, &mut body, context.deadline).await;
             return answer.response();
         }
     };
     answer.record_read_whole();
+    drop(head);
     let mut run = RequestRun::new(
         gateway,
         context,
@@ -87,10 +103,30 @@
     serve(run).await
 }
 
+/// Counts a request without its body towards the VM's memory. It does not wait for room, since the head is
+/// already there.
+fn reserve_request(
+    gateway: &Gateway,
+    head: &Parts,
+    reservation: &MemoryReservation,
+) -> Result<(), OwnAnswer> {
+    let text_bytes: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    let head_bytes = 2 * (text_bytes + head.uri.path().len()) + head.headers.len() * FIELD_BYTES;
+    reservation.grow_request(REQUEST_BYTES + head_bytes);
+    if !reservation.is_evicted() {
+        return Ok(());
+    }
+    gateway.metrics.memory.ends.get_or_create(&KindLabel::new("head")).inc();
+    Err(OwnAnswer::not_run("no memory for its head", NO_MEMORY_RETRY_MILLIS))
+}
+
 fn log_unrouted(gateway: &Gateway, head: &Parts, answer: &OwnAnswer) {
+    gateway.metrics.answers.get_or_create(&KindLabel::new(answer.reason)).inc();
+    if !gateway.refusal_log.may_write() {
+        return;
+    }
     let id = header_text(&head.headers, &gateway.dialect.headers.request_id).unwrap_or("");
     let config = gateway.routes().map_or(0, |table| table.config().version);
-    gateway.metrics.answers.get_or_create(&KindLabel::new(answer.reason)).inc();
     log::info!(request = id, path = head.uri.path(), config, status = answer.status.as_u16(),
         outcome = answer.reason; "request.refused");
 }
@@ -103,8 +139,10 @@
         return;
     }
     let deadline = gateway.now().after_millis(DISCARD_TIMEOUT_MILLIS).min(deadline);
+    let max_bytes =
+        if gateway.caller_limiter.is_crowded() { MAX_CROWDED_DISCARDED_BYTES } else { MAX_DISCARDED_BYTES };
     // What is unread by then is left unread.
-    let _ = gateway.complete_before(deadline, discard(body)).await;
+    let _ = gateway.complete_before(deadline, discard(body, max_bytes)).await;
 }
 
 async fn read_body(
@@ -112,7 +150,7 @@
     body: &mut Incoming,
     deadline: Moment,
     reservation: &MemoryReservation,
-) -> Result<Bytes, OwnAnswer> {
+) -> Result<RequestBody, OwnAnswer> {
     let max_bytes = gateway.routes().map_or(0, |table| table.config().limits.body_bytes);
     match gateway.complete_before(deadline, read_limited(body, max_bytes, reservation)).await {
         Ok(Ok(content)) => Ok(content),
@@ -192,7 +230,13 @@
         }
         SendRoute::Peer(peer) => peer.outcome(),
     };
-    let response = send.response(full_body(bytes));
+    let body = if bytes.len() > MAX_UNCOUNTED_ANSWER_BYTES {
+        let reservation = run.gateway.memory.reserve_for(&run.resources.disconnect);
+        WholeAnswer::new(bytes, reservation).boxed_unsync()
+    } else {
+        full_body(bytes)
+    };
+    let response = send.response(body);
     run.set_status(response.status().as_u16());
     run.set_outcome(outcome);
     response
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -6,7 +6,7 @@
 use crate::endpoints::crash_detector::{BrokenEndpoint, BrokenSend, millis};
 use crate::forward::forward_client::ForwardPlan;
 use crate::gateway::{CountGuard, Gateway};
-use crate::memory::MemoryReservation;
+use crate::memory::{MemoryReservation, RequestBody};
 use crate::operators::gateway_metrics::KindLabel;
 use crate::requests::answer_record::{AnswerRecord, UnansweredCause};
 use crate::requests::dispatch::RetryDelay;
@@ -56,7 +56,7 @@
 pub(crate) struct RequestRun {
     pub gateway: Arc<Gateway>,
     pub context: RequestContext,
-    pub body: Bytes,
+    pub body: RequestBody,
     pub tried: Vec<EndpointKey>,
     /// Sends that reached an endpoint.
     pub sends: u32,
@@ -162,7 +162,7 @@
     pub(crate) fn new(
         gateway: Arc<Gateway>,
         context: RequestContext,
-        body: Bytes,
+        body: RequestBody,
         resources: CallerResources,
     ) -> Self {
         let queue_entry = QueueEntry {
--- a/crates/gateway/src/requests/request_suspects.rs
+++ b/crates/gateway/src/requests/request_suspects.rs
@@ -55,12 +55,13 @@
     pub(crate) fn request_key(&mut self) -> Option<SuspectKey> {
         if self.suspects.request.is_none() {
             let context = &self.context;
+            let body = self.body.joined();
             let identity = RequestIdentity {
                 account: context.account.as_deref().unwrap_or_default(),
                 method: context.method.as_str(),
                 host: &context.host,
                 path: &context.path,
-                body: &self.body,
+                body: &body,
             };
             self.suspects.request = Some(self.gateway.identity_key()?.of(&identity));
         }
