Callers: a long body gets a receive buffer for a distant caller

What a caller would see: the receive buffers of 4 KiB let one buffer through in each round trip, so a body of 4 MB from a caller 6 ms away would take six seconds, longer than its deadline. By computing: tests run on loopback, where a round trip takes no time. While a body over 16 KiB arrives, the buffer is widened to its length, 256 KiB at most: its memory is reserved. In a crowd it stays small.

--- a/crates/gateway/src/connections/connection_limiter.rs
+++ b/crates/gateway/src/connections/connection_limiter.rs
@@ -3,6 +3,7 @@
 //! Invariant: a connection that the table no longer holds has been told to close.
 
 use super::connection_buffers::ConnectionBuffers;
+use super::listener::RECEIVE_BUFFER_BYTES;
 use crate::memory::MemoryLimiter;
 use crate::{CloseCause, ConnectionId, ConnectionPhase, ConnectionTable, ConnectionTimeouts, OpenRefusal};
 use spanfold_entity::Moment;
@@ -12,6 +13,10 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
+/// Receive buffer while a long body arrives, in bytes: at a round trip of 20 ms, 12 MB a second.
+const LONG_BODY_RECEIVE_BYTES: usize = 256 << 10;
+/// The same for a body of unknown length, whose memory is not reserved.
+const CHUNKED_RECEIVE_BYTES: usize = 32 << 10;
 /// Connections beyond the limit that are being closed.
 const MAX_CLOSING_CONNECTIONS: usize = 32;
 /// Part of the limit from which on connections read little at once.
@@ -150,6 +155,7 @@
             is_idle: AtomicBool::new(true),
             is_blocked: AtomicBool::new(false),
             unserved_bytes: AtomicUsize::new(0),
+            receive_buffer_bytes: AtomicU32::new(RECEIVE_BUFFER_BYTES),
             buffers: ConnectionBuffers::new(memory),
         };
         Ok((OpenConnection(Arc::new(monitor)), displaced))
@@ -265,6 +271,7 @@
     is_blocked: AtomicBool,
     /// Bytes read since an endpoint last answered.
     unserved_bytes: AtomicUsize,
+    receive_buffer_bytes: AtomicU32,
     buffers: ConnectionBuffers,
 }
 
@@ -353,8 +360,24 @@
         is_ahead
     }
 
+    /// Lets as much of a body arrive unread as a distant caller needs to send it in time.
+    ///
+    /// `length` is the declared one, whose memory is reserved if it is long.
+    pub(crate) fn widen_receive_buffer(&self, length: Option<usize>) {
+        if !self.limiter.is_crowded() {
+            let bytes = length.map_or(CHUNKED_RECEIVE_BYTES, |length| length.min(LONG_BODY_RECEIVE_BYTES));
+            self.receive_buffer_bytes.store(bytes as u32, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the size of the system's receive buffer for the connection.
+    pub(crate) fn receive_buffer_bytes(&self) -> u32 {
+        self.receive_buffer_bytes.load(Ordering::Relaxed)
+    }
+
     /// Records that a request is whole.
     pub(crate) fn record_body(&self) {
+        self.receive_buffer_bytes.store(RECEIVE_BUFFER_BYTES, Ordering::Relaxed);
         self.set_phase(ConnectionPhase::Working);
     }
 
--- a/crates/gateway/src/connections/guarded_stream.rs
+++ b/crates/gateway/src/connections/guarded_stream.rs
@@ -2,6 +2,7 @@
 
 use super::ConnectionMonitor;
 use super::connection_limiter::{CROWDED_READ_BYTES, ReadPace};
+use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
 use std::pin::Pin;
@@ -36,11 +37,24 @@
     monitor: Arc<ConnectionMonitor>,
     /// Until when nothing is read.
     pause: Option<Pin<Box<Sleep>>>,
+    /// Size of the system's receive buffer.
+    receive_buffer_bytes: u32,
 }
 
 impl GuardedStream {
-    pub(crate) const fn new(stream: TcpStream, monitor: Arc<ConnectionMonitor>) -> Self {
-        Self { stream, monitor, pause: None }
+    pub(crate) fn new(stream: TcpStream, monitor: Arc<ConnectionMonitor>) -> Self {
+        let receive_buffer_bytes = monitor.receive_buffer_bytes();
+        Self { stream, monitor, pause: None, receive_buffer_bytes }
+    }
+
+    fn resize_receive_buffer(&mut self) {
+        let bytes = self.monitor.receive_buffer_bytes();
+        if bytes != self.receive_buffer_bytes {
+            self.receive_buffer_bytes = bytes;
+            if let Err(error) = SockRef::from(&self.stream).set_recv_buffer_size(bytes as usize) {
+                log::debug!(cause:% = error; "connection.buffer_size");
+            }
+        }
     }
 
     fn poll_pause(&mut self, context: &mut Context<'_>) -> Poll<()> {
@@ -64,6 +78,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         ready!(self.poll_pause(context));
+        self.resize_receive_buffer();
         let before = buffer.filled().len();
         let (mut max_bytes, mut next_pause) = (usize::MAX, Duration::ZERO);
         match self.monitor.read_pace() {
--- a/crates/gateway/src/connections/listener.rs
+++ b/crates/gateway/src/connections/listener.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpSocket};
 
 /// Receive buffer of a new connection in bytes. What arrives before it is read counts towards the VM's memory.
-const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
+pub(super) const RECEIVE_BUFFER_BYTES: u32 = 4 << 10;
 /// Send buffer of a connection in bytes.
 const SEND_BUFFER_BYTES: u32 = 32 << 10;
 /// Time that a caller's new connection has for its first request in a crowd, in milliseconds: some round trips.
--- a/crates/gateway/src/forward/forward_port.rs
+++ b/crates/gateway/src/forward/forward_port.rs
@@ -283,7 +283,7 @@
     ) -> Result<RequestBody, NotServed> {
         // Its sender has checked its length, under a configuration that may differ.
         let max_bytes = self.envelope.body_bytes as usize;
-        let read = read_limited(&mut body, max_bytes, reservation);
+        let read = read_limited(&mut body, max_bytes, reservation, |_| {});
         let content = match self.gateway.complete_before(deadline, read).await {
             Ok(Ok(content)) => content,
             Ok(Err(BodyFault::TooLong)) => return Err(NotServed::Altered),
--- a/crates/gateway/src/memory/body_reader.rs
+++ b/crates/gateway/src/memory/body_reader.rs
@@ -11,6 +11,8 @@
 pub(crate) const MAX_DISCARDED_BYTES: usize = 1 << 20;
 pub(crate) const MAX_CROWDED_DISCARDED_BYTES: usize = 16 << 10;
 
+/// Size up to which a body arrives in a few round trips whatever its connection's buffer.
+const MAX_SHORT_BYTES: usize = 16 << 10;
 /// Bytes up to which a body is counted as it arrives.
 const MAX_UNRESERVED_BYTES: usize = 64 << 10;
 /// Why a body was not read whole.
@@ -36,10 +38,13 @@
 }
 
 /// Reads a whole body of at most `max_bytes`, and counts it in `reservation`.
+///
+/// Calls `on_reserved` with the declared length when a body that is not short may arrive.
 pub(crate) async fn read_limited(
     body: &mut Incoming,
     max_bytes: usize,
     reservation: &MemoryReservation,
+    on_reserved: impl FnOnce(Option<usize>),
 ) -> Result<RequestBody, BodyFault> {
     let declared_bytes = body.size_hint().exact().map(|bytes| bytes as usize);
     if body.size_hint().lower() > max_bytes as u64 {
@@ -50,6 +55,9 @@
     if reserved_bytes > 0 && !reservation.acquire(reserved_bytes).await {
         return Err(BodyFault::NoMemory);
     }
+    if declared_bytes.is_none_or(|bytes| bytes > MAX_SHORT_BYTES) {
+        on_reserved(declared_bytes);
+    }
     let mut content = BodyBuffer::new(declared_bytes);
     let mut evicted = pin!(reservation.wait_until_evicted());
     loop {
--- a/crates/gateway/src/requests/answer_record.rs
+++ b/crates/gateway/src/requests/answer_record.rs
@@ -136,6 +136,13 @@
         }
     }
 
+    /// Lets a body that is not short arrive fast; `length` is the declared one.
+    pub(crate) fn widen_receive_buffer(&self, length: Option<usize>) {
+        if let Some(monitor) = &self.monitor {
+            monitor.widen_receive_buffer(length);
+        }
+    }
+
     /// Records that an endpoint answered.
     pub(crate) fn record_served(&self) {
         if let Some(monitor) = &self.monitor {
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -77,7 +77,7 @@
     let open_guard = CountGuard::new(&gateway, |gateway| &gateway.open_requests);
     let reservation = gateway.memory.reserve();
     let received = match reserve_request(&gateway, &head, &reservation) {
-        Ok(()) => read_body(&gateway, &mut body, context.deadline, &reservation).await,
+        Ok(()) => read_body(&gateway, &mut body, context.deadline, &reservation, &answer).await,
         Err(answer) => Err(answer),
     };
     let body = match received {
@@ -150,9 +150,11 @@
     body: &mut Incoming,
     deadline: Moment,
     reservation: &MemoryReservation,
+    answer: &AnswerRecord,
 ) -> Result<RequestBody, OwnAnswer> {
     let max_bytes = gateway.routes().map_or(0, |table| table.config().limits.body_bytes);
-    match gateway.complete_before(deadline, read_limited(body, max_bytes, reservation)).await {
+    let reading = read_limited(body, max_bytes, reservation, |length| answer.widen_receive_buffer(length));
+    match gateway.complete_before(deadline, reading).await {
         Ok(Ok(content)) => Ok(content),
         Ok(Err(BodyFault::TooLong)) => {
             Err(OwnAnswer::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"))
