Tests: the stalled log reader gets lines of broken connections

The check is the same: a reader that stalls blocks no request and is told the number of dropped lines. The lines now come from 8,000 connections that break within a head, at level debug, with 800 requests in between.

--- a/crates/spanfoldd/tests/gateway_command.rs
+++ b/crates/spanfoldd/tests/gateway_command.rs
@@ -90,12 +90,13 @@
 /// Lines of a process's log.
 type LogLines = Box<dyn Iterator<Item = String>>;
 
-/// Starts a gateway without a store; returns its process, caller address, settings file and log.
-fn start_gateway(name: &str) -> (Child, SocketAddr, PathBuf, LogLines) {
+/// Starts a gateway without a store that logs from `level` on; returns its process, caller address, settings file and log.
+fn start_gateway(name: &str, level: &str) -> (Child, SocketAddr, PathBuf, LogLines) {
     let path = std::env::temp_dir().join(format!("spanfold-{name}-{}.ini", std::process::id()));
     for _ in 0..MAX_START_ATTEMPTS {
         let callers = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
         let text = VALID_SETTINGS.replacen("callers = 127.0.0.1:0", &format!("callers = {callers}"), 1);
+        let text = format!("{text}[log]\nlevel = {level}\n");
         std::fs::write(&path, &text).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_spanfoldd"));
         let command = command.args(["gateway", "--settings"]).arg(&path);
@@ -111,11 +112,17 @@
 
 #[test]
 fn a_stalled_log_reader_blocks_nothing_and_gets_the_number_of_dropped_lines() {
-    let (mut child, callers, _path, mut log) = start_gateway("unread");
-    // Each request writes a line: more lines than the pipe and the line queue can hold.
+    let (mut child, callers, _path, mut log) = start_gateway("unread", "debug");
+    // Each connection that breaks within a head writes a line: more lines than the pipe and the line queue can
+    // hold. Lines of refused requests are bounded.
     let mut stream = TcpStream::connect(callers).unwrap();
-    for _ in 0..8_000 {
-        assert!(request_status(&mut stream, "/read/").contains("503"));
+    for number in 0..8_000 {
+        let mut broken = TcpStream::connect(callers).unwrap();
+        broken.write_all(b"GET /read/ HTTP/1.1\r\n").unwrap();
+        drop(broken);
+        if number % 10 == 0 {
+            assert!(request_status(&mut stream, "/read/").contains("503"));
+        }
     }
     let dropped = log.find(|line| line.contains("log.dropped")).unwrap();
     let dropped: serde_json::Value = serde_json::from_str(&dropped).unwrap();
@@ -126,7 +133,7 @@
 
 #[test]
 fn a_hangup_checks_the_settings_and_cuts_no_connection() {
-    let (mut child, callers, path, mut log) = start_gateway("hangup");
+    let (mut child, callers, path, mut log) = start_gateway("hangup", "info");
     let mut stream = TcpStream::connect(callers).unwrap();
     assert!(request_status(&mut stream, "/read/").contains("503"));
     let text = std::fs::read_to_string(&path).unwrap();
