Tests: VMs of one run have addresses of their own

Seen in a run of vms_restart_under_all_crowds alone: a VM could not listen (address in use). Cause: the last byte of an address was raised from 0 to 1, which is the next VM's, in processes whose id is a multiple of four and that start several VMs first. The whole suite starts single VMs first. Numbers now begin at one.

--- a/crates/spanfoldd/tests/hostile_clients/vm.rs
+++ b/crates/spanfoldd/tests/hostile_clients/vm.rs
@@ -228,7 +228,8 @@
 
 /// Returns a loopback address of its own for each VM, so that no other test takes its ports.
 fn vm_address() -> Ipv4Addr {
-    let vm = NEXT_VM.fetch_add(1, Ordering::SeqCst) + std::process::id() * 64;
+    // A last byte of zero would become that of the next VM.
+    let vm = 1 + NEXT_VM.fetch_add(1, Ordering::SeqCst) + std::process::id() * 64;
     let [_, high, middle, low] = vm.to_be_bytes();
     Ipv4Addr::new(127, 2 + high % 250, middle, low.clamp(1, 254))
 }
