Stops: each request has a deadline that leaves time for its answer

What callers saw: in a planned stop, requests that became ready late in the grace period (a body's last byte, a head, a wait for an engine) were sent to endpoints with whatever time was left, also ones that may not be repeated, and ended without an answer when the process exited. With a grace period of 2 s the process was killed before it closed its connections at all.

Cause: the stop was a time at which connections were dropped; nothing on a request's path knew of it. Class: a deadline that is kept by the process and not by what it has promised.

Change: `StopSchedule` gives the stop's moments: when idle connections close, by when each request is answered, when the process ends. Each wait of a request - for its body, for evidence, for an engine, for an answer, for the rest of a long one - ends no later. A request that may not be repeated is sent only if its own deadline lies before the stop's; another one only if the longest recent answer on its route fits. The others get 503 with Retry-After, or NotTaken if another VM forwarded them. A head that has begun to arrive is read to its end before its connection is shut down.

Evidence: planned_stops, nine cases with processes of the daemon.

--- a/crates/decide/src/admit/mod.rs
+++ b/crates/decide/src/admit/mod.rs
@@ -12,6 +12,7 @@
 mod retry_budget;
 mod share_queue;
 mod shared_rate;
+mod stop_schedule;
 mod stream_pauses;
 mod unseen_load;
 
@@ -31,5 +32,6 @@
 pub use share_queue::{QueueEntry, ShareCapacity, ShareQueue, ShareVerdict};
 pub use shared_rate::{ColdTerms, ListMembership, RateTerms, RecentSends, ShareRight};
 pub(crate) use shared_rate::{MIN_REQUESTS_PER_S, SHARE_RETENTION_MILLIS};
+pub use stop_schedule::{AnswerTimes, StopSchedule};
 pub use stream_pauses::{PauseTracker, StreamPauses};
 pub use unseen_load::{CostedEndpoint, PendingTime, ViewAges, choose_endpoint};
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -23,11 +23,11 @@
 mod weights;
 
 pub use admit::{
-    AdmissionVerdict, AdmissionView, BlockedCounts, BudgetTerms, CloseCause, ColdTerms, ConnectionId,
-    ConnectionPhase, ConnectionTable, ConnectionTimeouts, CostModel, CostedEndpoint, HeldBytes,
+    AdmissionVerdict, AdmissionView, AnswerTimes, BlockedCounts, BudgetTerms, CloseCause, ColdTerms,
+    ConnectionId, ConnectionPhase, ConnectionTable, ConnectionTimeouts, CostModel, CostedEndpoint, HeldBytes,
     ListMembership, OpenRefusal, PauseTracker, PendingTime, PlacementChoice, PlacementRequest,
     PromptPlacement, PromptQueue, QueueEntry, RateTerms, RecentSends, ReservationId, RetryBudget,
-    ServiceCosts, ShareCapacity, ShareQueue, ShareRight, ShareVerdict, ShareView, StreamPauses,
+    ServiceCosts, ShareCapacity, ShareQueue, ShareRight, ShareVerdict, ShareView, StopSchedule, StreamPauses,
     UNKNOWN_VERSION, ViewAges, choose_endpoint, claim_probability, claim_share, format_cache_salt,
     parse_cache_salt, place,
 };
--- a/crates/gateway/src/connections/connection_limiter.rs
+++ b/crates/gateway/src/connections/connection_limiter.rs
@@ -153,6 +153,7 @@
             signal,
             has_read: AtomicBool::new(false),
             is_idle: AtomicBool::new(true),
+            is_head_arriving: AtomicBool::new(false),
             is_blocked: AtomicBool::new(false),
             unserved_bytes: AtomicUsize::new(0),
             receive_buffer_bytes: AtomicU32::new(RECEIVE_BUFFER_BYTES),
@@ -268,6 +269,8 @@
     has_read: AtomicBool,
     /// Whether no request has begun to arrive.
     is_idle: AtomicBool,
+    /// Whether a request's head has begun to arrive and is not whole.
+    is_head_arriving: AtomicBool,
     is_blocked: AtomicBool,
     /// Bytes read since an endpoint last answered.
     unserved_bytes: AtomicUsize,
@@ -333,9 +336,15 @@
         self.limiter.is_crowded()
     }
 
+    /// Whether a request's head has begun to arrive and is not whole.
+    pub(crate) fn is_head_arriving(&self) -> bool {
+        self.is_head_arriving.load(Ordering::Relaxed)
+    }
+
     /// Records that a head has begun to arrive, which is not read yet.
     pub(crate) fn record_beginning(&self) {
         if self.is_idle.swap(false, Ordering::Relaxed) {
+            self.is_head_arriving.store(true, Ordering::Relaxed);
             self.buffers.begin_head();
             self.set_phase(ConnectionPhase::Head);
         }
@@ -352,6 +361,7 @@
     /// Records that a head is whole; returns whether it arrived together with the request before.
     pub(crate) fn record_request(&self, has_body: bool) -> bool {
         self.is_idle.store(false, Ordering::Relaxed);
+        self.is_head_arriving.store(false, Ordering::Relaxed);
         self.buffers.end_head();
         let is_ahead = !self.has_read.swap(false, Ordering::Relaxed);
         // A request that was sent ahead waits before it is in work.
--- a/crates/gateway/src/forward/forward_client.rs
+++ b/crates/gateway/src/forward/forward_client.rs
@@ -276,7 +276,7 @@
         if let Some(id) = last_event_id {
             headers.insert(LAST_EVENT_ID, HeaderValue::from_bytes(id).ok()?);
         }
-        let remaining_micros = context.deadline.micros_since(now).saturating_sub(RESPONSE_MARGIN_MICROS);
+        let remaining_micros = self.deadline().micros_since(now).saturating_sub(RESPONSE_MARGIN_MICROS);
         let envelope = ForwardEnvelope {
             stamp: PeerStamp {
                 vm: VmKey::of(&gateway.settings.name),
--- a/crates/gateway/src/forward/forward_port.rs
+++ b/crates/gateway/src/forward/forward_port.rs
@@ -14,7 +14,8 @@
 use crate::requests::relay;
 use crate::requests::request_context::RequestContext;
 use crate::requests::request_run::{CallerResources, RequestRun};
-use crate::store;
+use crate::requests::stopping::STOPPING;
+use crate::{StopSchedule, store};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -211,7 +212,7 @@
         };
         let reservation = gateway.memory.reserve();
         reservation.grow_request(relay::REQUEST_BYTES);
-        let body = self.read_body(body, &reservation, context.deadline).await?;
+        let body = self.read_body(body, &reservation, &context).await?;
         let open_guard = CountGuard::new(gateway, |gateway| &gateway.open_requests);
         let answer = AnswerRecord::of_forwarded(gateway, context.id.clone());
         let resources = CallerResources {
@@ -238,7 +239,7 @@
     async fn context(&self) -> Result<RequestContext, NotServed> {
         let (gateway, envelope) = (self.gateway, self.envelope);
         if gateway.is_stopping() {
-            return Err(NotServed::NotTaken("it is stopping"));
+            return Err(NotServed::NotTaken(STOPPING));
         }
         if gateway.is_closed_to_peers() {
             return Err(NotServed::NotTaken("it reaches no endpoints"));
@@ -279,17 +280,20 @@
         &self,
         mut body: Incoming,
         reservation: &MemoryReservation,
-        deadline: Moment,
+        context: &RequestContext,
     ) -> Result<RequestBody, NotServed> {
         // Its sender has checked its length, under a configuration that may differ.
         let max_bytes = self.envelope.body_bytes as usize;
         let read = read_limited(&mut body, max_bytes, reservation, |_| {});
-        let content = match self.gateway.complete_before(deadline, read).await {
+        let deadline = |stop: &StopSchedule| self.gateway.send_deadline_in(stop, context);
+        let content = match self.gateway.complete_before_due(deadline, read).await {
             Ok(Ok(content)) => content,
             Ok(Err(BodyFault::TooLong)) => return Err(NotServed::Altered),
             Ok(Err(BodyFault::Broken)) => return Err(NotServed::NotTaken("its body broke off")),
             Ok(Err(BodyFault::NoMemory)) => return Err(NotServed::NotTaken("no memory for its body")),
-            Err(DeadlinePassed) => return Err(NotServed::NotTaken("its body came too slowly")),
+            Err(DeadlinePassed) => {
+                return Err(NotServed::NotTaken(self.gateway.late_body_answer(context).reason));
+            }
         };
         if content.len() != max_bytes || *content.hash().as_bytes() != self.envelope.body_hash {
             return Err(NotServed::Altered);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,11 +25,11 @@
 use crate::store::store_era::StoreEra;
 use crate::streams::stream_tracker::StreamTracker;
 use crate::{
-    AvoidanceCause, AvoidanceChange, AvoidanceReport, BudgetTerms, EndpointRow, FleetTable, IdentityKey,
-    ListMembership, LoadSpread, PathState, PlacementChoice, PlacementRequest, PublicationMark,
+    AnswerTimes, AvoidanceCause, AvoidanceChange, AvoidanceReport, BudgetTerms, EndpointRow, FleetTable,
+    IdentityKey, ListMembership, LoadSpread, PathState, PlacementChoice, PlacementRequest, PublicationMark,
     PublicationSource, PublishedVersion, PublishedWeights, RequiredWeights, RetryBudget, RolloutTable,
-    RouteTable, SendReport, StoreContact, StorePosition, SuspectMessage, UnstoredWeights, VmEntry, VmKey,
-    WeightTarget, WireDialect, place, short_digest,
+    RouteTable, SendReport, StopSchedule, StoreContact, StorePosition, SuspectMessage, UnstoredWeights,
+    VmEntry, VmKey, WeightTarget, WireDialect, place, short_digest,
 };
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
@@ -140,7 +140,10 @@
     peer_key: RwLock<Option<PeerKey>>,
     /// Sequence number of the last message to other VMs.
     pub sequence: AtomicU64,
-    pub stopping: watch::Sender<bool>,
+    /// Deadlines of the planned stop.
+    pub stop: watch::Sender<StopSchedule>,
+    /// How long answers take, by route.
+    answer_times: Mutex<AnswerTimes>,
     /// Whether this VM has a path to the endpoints.
     pub path: watch::Sender<PathState>,
     /// When the configuration in force took effect, in microseconds; zero before the first one.
@@ -240,7 +243,8 @@
             era: StoreEra::default(),
             peer_key: RwLock::default(),
             sequence: AtomicU64::new(0),
-            stopping: watch::channel(false).0,
+            stop: watch::channel(StopSchedule::NONE).0,
+            answer_times: Mutex::default(),
             path: watch::channel(PathState::Open).0,
             configured_at: AtomicU64::new(0),
             path_watch: PathWatch::default(),
@@ -284,7 +288,9 @@
         if routes.as_ref().is_some_and(|current| current.config().version >= table.config().version) {
             return false;
         }
-        self.table().set_services(table.config());
+        let config = table.config();
+        self.table().set_services(config);
+        self.answer_times().retain(|name| config.routes.iter().any(|route| route.name == name));
         *routes = Some(Arc::new(table));
         self.configured_at.store(self.now().0, Ordering::Relaxed);
         true
@@ -306,6 +312,11 @@
         self.load_spread.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the times that answers take; the lock is not held across an await.
+    pub(crate) fn answer_times(&self) -> MutexGuard<'_, AnswerTimes> {
+        self.answer_times.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Locks the table of the other VMs; the lock is not held across an await.
     pub(crate) fn peers(&self) -> MutexGuard<'_, PeerTable> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
@@ -578,10 +589,6 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner).restore(service);
     }
 
-    pub(crate) fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
-    }
-
     /// Returns the position up to which the store's changes are applied; the default before the first
     /// listing.
     pub(crate) fn applied_position(&self) -> StorePosition {
--- a/crates/gateway/src/gateway_daemon.rs
+++ b/crates/gateway/src/gateway_daemon.rs
@@ -14,7 +14,7 @@
 use crate::store::store_view::OrdersView;
 use crate::store::{follow, lease_keeper};
 use crate::streams::{copy_task, software_task};
-use crate::{FleetSweep, PathState, WireDialect, clock, connections, rollout, store};
+use crate::{FleetSweep, PathState, StopSchedule, WireDialect, clock, connections, rollout, store};
 use spanfold_declare::GatewaySettings;
 use spanfold_entity::Moment;
 use std::io::ErrorKind;
@@ -24,15 +24,9 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 
-/// Time in which the balancer notices that this VM is not ready: it checks once a second, and reacts to the
-/// second failed check.
-const BALANCER_DRAIN_DELAY: Duration = Duration::from_millis(2_600);
 /// Interval between checks for open requests during a stop.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Unused end of the stop's grace period, so that the process exits by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(600);
 /// Interval between removals of expired state.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -176,12 +170,14 @@
     }
 
     /// Stops gracefully: leaves the balancer, closes idle connections, and waits for open requests.
+    ///
+    /// Each request is answered, or refused as not run, before the end of the grace period.
     pub async fn stop(self) {
-        let begun = Instant::now();
-        let grace = Duration::from_secs(self.gateway.settings.grace_s).saturating_sub(GRACE_MARGIN);
-        log::info!(name = self.gateway.settings.name.as_str(); "gateway.stopping");
-        self.gateway.stopping.send_replace(true);
-        tokio::time::sleep_until(begun + BALANCER_DRAIN_DELAY).await;
+        let schedule = StopSchedule::begin(self.gateway.now(), self.gateway.settings.grace_s * 1_000);
+        log::info!(name = self.gateway.settings.name.as_str(), grace_s = self.gateway.settings.grace_s;
+            "gateway.stopping");
+        self.gateway.stop.send_replace(schedule);
+        self.gateway.wait_until(schedule.closes_at()).await;
         self.listener_state.send_replace(ListenerState::Draining);
         loop {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
@@ -189,7 +185,7 @@
                 + self.gateway.caller_connections.load(Ordering::SeqCst)
                 + self.gateway.peer_connections.load(Ordering::SeqCst);
             // A connection counts until its last answer is written, and no new one is accepted.
-            if open == 0 || begun.elapsed() >= grace {
+            if open == 0 || self.gateway.now() >= schedule.ends_at() {
                 log::info!(open; "gateway.stopped");
                 break;
             }
--- a/crates/gateway/src/requests/accept_loop.rs
+++ b/crates/gateway/src/requests/accept_loop.rs
@@ -20,7 +20,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::mem::MaybeUninit;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
@@ -112,9 +112,14 @@
             if !is_open {
                 return;
             }
+            monitor.record_beginning();
         }
         _ = monitor.closed() => return,
-        _ = state.wait_for(|state| *state >= ListenerState::Draining) => {}
+        _ = state.wait_for(|state| *state >= ListenerState::Draining) => {
+            if !monitor.is_head_arriving() {
+                return;
+            }
+        }
     }
     Box::pin(serve_requests(gateway, stream, monitor, state)).await;
 }
@@ -162,17 +167,17 @@
     gateway: Arc<Gateway>,
     stream: TcpStream,
     monitor: Arc<ConnectionMonitor>,
-    mut state: watch::Receiver<ListenerState>,
+    state: watch::Receiver<ListenerState>,
 ) {
     let limits = current_limits(&gateway);
     let buffer_bytes = MIN_BUFFER_BYTES.max(limits.header_bytes.saturating_add(MAX_FRAMING_BYTES));
     monitor.set_buffer_bytes(buffer_bytes);
-    let disconnect = Arc::clone(monitor.disconnect());
+    let disconnect = monitor.disconnect();
     // Declared before the connection, so that it is dropped after it.
     let record = ConnectionRecord::new(&gateway, &monitor);
     let service = service_fn(|request| {
         // The future of a request is large: a connection without one does not keep the memory for it.
-        Box::pin(answer_caller(Arc::clone(&gateway), limits, request, Arc::clone(&disconnect), &record))
+        Box::pin(answer_caller(Arc::clone(&gateway), limits, request, Arc::clone(disconnect), &record))
     });
     let stream = GuardedStream::new(stream, Arc::clone(&monitor));
     let connection = http1::Builder::new()
@@ -182,29 +187,52 @@
         .max_headers((limits.header_bytes / MIN_FIELD_BYTES).clamp(1, MAX_FIELDS))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
+    let (mut draining, mut closed) = (state.clone(), state);
+    let until_draining = draining.wait_for(|state| *state >= ListenerState::Draining);
+    let until_closed = closed.wait_for(|state| *state == ListenerState::Closed);
+    let mut until_closed = pin!(until_closed);
+    if !serve_until(connection.as_mut(), &monitor, &record, until_draining).await {
+        return;
+    }
+    // The library would close the connection within a head.
+    let until_whole = async {
+        while monitor.is_head_arriving() {
+            tokio::time::sleep(PEEK_INTERVAL).await;
+        }
+    };
+    let is_open = tokio::select! {
+        is_open = serve_until(connection.as_mut(), &monitor, &record, until_whole) => is_open,
+        _ = until_closed.as_mut() => return record.record_end(UnansweredCause::Stopped),
+    };
+    if !is_open {
+        return;
+    }
+    connection.as_mut().graceful_shutdown();
+    if serve_until(connection, &monitor, &record, until_closed).await {
+        record.record_end(UnansweredCause::Stopped);
+    }
+}
+
+/// Serves a connection until it ends or `until` is ready; whether it is still open.
+async fn serve_until(
+    connection: Pin<&mut impl Future<Output = hyper::Result<()>>>,
+    monitor: &ConnectionMonitor,
+    record: &ConnectionRecord,
+    until: impl Future,
+) -> bool {
     tokio::select! {
-        ended = connection.as_mut() => {
+        ended = connection => {
             record.record_end(classify_end(&ended));
             if let Err(error) = ended {
                 log::debug!(cause:% = error; "connection.ended");
             }
-            return;
         }
         // Dropping the connection discards the data buffered for the caller, who sees the connection break.
-        () = disconnect.notified() => return record.record_end(UnansweredCause::NoMemory),
-        cause = monitor.closed() => return record.record_end(unanswered_cause(cause)),
-        _ = state.wait_for(|state| *state >= ListenerState::Draining) => {}
-    }
-    connection.as_mut().graceful_shutdown();
-    // The result is ignored: the process is stopping.
-    tokio::select! {
-        ended = connection => record.record_end(classify_end(&ended)),
-        () = disconnect.notified() => record.record_end(UnansweredCause::NoMemory),
+        () = monitor.disconnect().notified() => record.record_end(UnansweredCause::NoMemory),
         cause = monitor.closed() => record.record_end(unanswered_cause(cause)),
-        Ok(_) = state.wait_for(|state| *state == ListenerState::Closed) => {
-            record.record_end(UnansweredCause::Stopped);
-        }
+        _ = until => return true,
     }
+    false
 }
 
 /// Closes the connections of callers that take too long, and records the number of open ones.
--- a/crates/gateway/src/requests/answer_wait.rs
+++ b/crates/gateway/src/requests/answer_wait.rs
@@ -8,7 +8,6 @@
 //! others. There is one send at a time of a request that may not be repeated, and of one that endpoints crashed
 //! under. Further sends are bounded by the route's attempts, the retry budget and a delay that doubles.
 
-use crate::SendOutcome;
 use crate::endpoints::observed_stream::ConnectionEnd;
 use crate::operators::gateway_metrics::KindLabel;
 use crate::requests::dispatch::{HeadVerdict, Unsent};
@@ -16,6 +15,7 @@
 use crate::requests::open_send::{AnswerStart, ExchangeResult, OpenSend, SendRoute, SendStep, UnframedEnd};
 use crate::requests::open_sends::OpenSends;
 use crate::requests::request_run::RequestRun;
+use crate::{SendOutcome, StopSchedule};
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::http::response;
@@ -71,7 +71,7 @@
         let mut is_peer_silent = false;
         loop {
             let now = self.gateway.now();
-            if now >= self.context.deadline {
+            if now >= self.deadline() {
                 self.record_unanswered(open);
                 return Err(AnswerFault::OutOfTime);
             }
@@ -101,6 +101,7 @@
         let peer = open.newest().and_then(OpenSend::peer).filter(|_| open.offer_at < Moment::NEVER);
         let offer_at = if peer.is_some() { Moment::NEVER } else { open.offer_at };
         let wake_at = self.context.deadline.min(offer_at).min(self.overdue_check_at(open));
+        let wake_at = |stop: &StopSchedule| wake_at.min(stop.answer_deadline());
         let peer_silence = async {
             match peer {
                 Some(vm) => gateway.wait_until_silent(vm).await,
@@ -110,7 +111,7 @@
         tokio::select! {
             biased;
             (index, step) = open.step() => WaitEnd::Step(index, step),
-            () = gateway.wait_until(wake_at) => WaitEnd::Timer,
+            () = gateway.wait_until_due(wake_at) => WaitEnd::Timer,
             () = peer_silence => WaitEnd::SilentPeer,
         }
     }
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::requests::open_send::{ExchangeFuture, OpenSend, SendRoute};
 use crate::requests::outgoing_body::OutgoingBody;
 use crate::requests::request_run::RequestRun;
+use crate::requests::stopping::STOPPING;
 use crate::rollout::VersionedSend;
 use crate::{
     AdmissionVerdict, AdmissionView, CanaryDraw, EndpointKey, PlacementChoice, PlacementRequest,
@@ -78,6 +79,8 @@
     OnTrial,
     /// Its deadline passed before.
     OutOfTime,
+    /// This VM stops before the answer would be whole.
+    Stopping,
 }
 
 impl Unsent {
@@ -94,6 +97,7 @@
             Self::Quarantined => "held back",
             Self::OnTrial => "on trial",
             Self::OutOfTime => "out of time",
+            Self::Stopping => STOPPING,
         }
     }
 }
@@ -158,9 +162,13 @@
     /// Sends the request to an endpoint, or to another VM if this one reaches none, if one takes it now.
     pub(crate) fn try_open_send(&mut self, last_event_id: Option<&Bytes>) -> Result<OpenSend, Unsent> {
         loop {
-            if self.gateway.now() >= self.context.deadline {
+            let now = self.gateway.now();
+            if now >= self.context.deadline {
                 return Err(Unsent::OutOfTime);
             }
+            if now >= self.send_deadline() {
+                return Err(Unsent::Stopping);
+            }
             if self.goes_to_peer() {
                 if let Some(send) = self.open_peer_send(last_event_id)? {
                     return Ok(send);
--- a/crates/gateway/src/requests/endpoint_request.rs
+++ b/crates/gateway/src/requests/endpoint_request.rs
@@ -28,7 +28,7 @@
     ) -> Result<Request<OutgoingBody>, hyper::http::Error> {
         let names = &self.gateway.dialect.headers;
         let context = &self.context;
-        let remaining_millis = context.deadline.micros_since(self.gateway.now()) / MICROS_PER_MILLI;
+        let remaining_millis = self.deadline().micros_since(self.gateway.now()) / MICROS_PER_MILLI;
         let mut request = Request::builder()
             .method(context.method.clone())
             .uri(&context.path)
--- a/crates/gateway/src/requests/long_answer.rs
+++ b/crates/gateway/src/requests/long_answer.rs
@@ -3,7 +3,6 @@
 //! Invariant: its beginning is sent before its end is known, so the request is not repeated. An answer that
 //! breaks is visibly aborted: it never looks complete.
 
-use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
 use crate::endpoints::observed_stream::cause_text;
 use crate::memory::{ChunkFault, ChunkSender, chunk_channel};
@@ -11,6 +10,7 @@
 use crate::requests::open_send::{OpenSend, SendRoute};
 use crate::requests::own_answer::{AnswerBody, BrokenAnswer};
 use crate::requests::request_run::RequestRun;
+use crate::{SendOutcome, StopSchedule};
 use bytes::Bytes;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::Response;
@@ -50,12 +50,13 @@
 impl LongForwarder {
     async fn forward(mut self) {
         let (gateway, deadline) = (Arc::clone(&self.run.gateway), self.run.context.deadline);
-        let broken = match gateway.complete_before(deadline, self.forward_body()).await {
+        let due_at = |stop: &StopSchedule| deadline.min(stop.answer_deadline());
+        let broken = match gateway.complete_before_due(due_at, self.forward_body()).await {
             Ok(Ok(outcome)) => return self.run.set_outcome(outcome),
             Ok(Err(broken)) => broken,
             Err(DeadlinePassed) => {
                 self.run.set_outcome("answer out of time");
-                self.run.resources.answer.record_cause(UnansweredCause::OutOfTime);
+                self.run.record_out_of_time();
                 BrokenAnswer("no end in time".to_owned())
             }
         };
@@ -103,6 +104,7 @@
         }
         self.chunks.finish();
         self.send.complete();
+        self.run.record_answer_time();
         if let SendRoute::Endpoint { flight, .. } = &self.send.route {
             flight.record_outcome(SendOutcome::Answered);
             self.run.record_answered();
--- a/crates/gateway/src/requests/mod.rs
+++ b/crates/gateway/src/requests/mod.rs
@@ -22,5 +22,6 @@
 pub(crate) mod request_run;
 pub(crate) mod request_suspects;
 pub(crate) mod started_weights;
+pub(crate) mod stopping;
 pub(crate) mod stream_relay;
 pub(crate) mod whole_answer;
--- a/crates/gateway/src/requests/own_answer.rs
+++ b/crates/gateway/src/requests/own_answer.rs
@@ -3,6 +3,7 @@
 //! Invariant: 429 and 503 are given only to requests of which no byte reached an endpoint, or that every
 //! endpoint refused before running them; whatever may have run gets 502 or 504.
 
+use crate::requests::stopping::STOPPING;
 use bytes::Bytes;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
@@ -134,9 +135,10 @@
         Self { retry_after_millis: Some(millis), ..Self::plain(StatusCode::SERVICE_UNAVAILABLE, reason) }
     }
 
-    /// Whether it says that no endpoint was reached, or may be used, which may differ at another VM.
+    /// Whether it says that no endpoint was reached, or may be used, or that this VM is stopping, which may differ at
+    /// another VM.
     pub(crate) fn is_unreached(&self) -> bool {
-        [NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, ENDPOINTS_LIMITED].contains(&self.reason)
+        [NO_ENDPOINT_REACHED, NO_ENDPOINT_TAKES_WORK, ENDPOINTS_LIMITED, STOPPING].contains(&self.reason)
     }
 
     /// Builds the HTTP response.
--- a/crates/gateway/src/requests/relay.rs
+++ b/crates/gateway/src/requests/relay.rs
@@ -3,7 +3,6 @@
 //! Invariant: after a send only the endpoint's own refusal makes "not run" true again. While a send is open, the
 //! request is not refused before its deadline.
 
-use crate::SendOutcome;
 use crate::clock::DeadlinePassed;
 use crate::connections::FIELD_BYTES;
 use crate::gateway::{CountGuard, Gateway};
@@ -24,8 +23,10 @@
 };
 use crate::requests::request_context::{RequestContext, header_text, is_hop_by_hop};
 use crate::requests::request_run::{CallerResources, RequestRun};
+use crate::requests::stopping::{STOPPING, STOPPING_RETRY_MILLIS};
 use crate::requests::stream_relay::forward_stream;
 use crate::requests::whole_answer::WholeAnswer;
+use crate::{SendOutcome, StopSchedule};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -77,7 +78,7 @@
     let open_guard = CountGuard::new(&gateway, |gateway| &gateway.open_requests);
     let reservation = gateway.memory.reserve();
     let received = match reserve_request(&gateway, &head, &reservation) {
-        Ok(()) => read_body(&gateway, &mut body, context.deadline, &reservation, &answer).await,
+        Ok(()) => read_body(&gateway, &mut body, &context, &reservation, &answer).await,
         Err(answer) => Err(answer),
     };
     let body = match received {
@@ -142,19 +143,21 @@
     let max_bytes =
         if gateway.caller_limiter.is_crowded() { MAX_CROWDED_DISCARDED_BYTES } else { MAX_DISCARDED_BYTES };
     // What is unread by then is left unread.
-    let _ = gateway.complete_before(deadline, discard(body, max_bytes)).await;
+    let due_at = |stop: &StopSchedule| deadline.min(stop.answer_deadline());
+    let _ = gateway.complete_before_due(due_at, discard(body, max_bytes)).await;
 }
 
 async fn read_body(
     gateway: &Gateway,
     body: &mut Incoming,
-    deadline: Moment,
+    context: &RequestContext,
     reservation: &MemoryReservation,
     answer: &AnswerRecord,
 ) -> Result<RequestBody, OwnAnswer> {
     let max_bytes = gateway.routes().map_or(0, |table| table.config().limits.body_bytes);
     let reading = read_limited(body, max_bytes, reservation, |length| answer.widen_receive_buffer(length));
-    match gateway.complete_before(deadline, reading).await {
+    let deadline = |stop: &StopSchedule| gateway.send_deadline_in(stop, context);
+    match gateway.complete_before_due(deadline, reading).await {
         Ok(Ok(content)) => Ok(content),
         Ok(Err(BodyFault::TooLong)) => {
             Err(OwnAnswer::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"))
@@ -164,7 +167,7 @@
             gateway.metrics.memory.ends.get_or_create(&KindLabel::new("body")).inc();
             Err(OwnAnswer::not_run("no memory for its body", NO_MEMORY_RETRY_MILLIS))
         }
-        Err(DeadlinePassed) => Err(OwnAnswer::plain(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
+        Err(DeadlinePassed) => Err(gateway.late_body_answer(context)),
     }
 }
 
@@ -188,10 +191,9 @@
 /// Answers a request that no endpoint has answered.
 fn refuse(run: &mut RequestRun, open: &OpenSends, fault: &AnswerFault) -> Response<AnswerBody> {
     match *fault {
+        AnswerFault::OutOfTime if run.is_stopped_unsent() => run.refuse(STOPPING, STOPPING_RETRY_MILLIS),
         AnswerFault::OutOfTime | AnswerFault::Unsent(Unsent::OutOfTime) => run.time_out(),
-        AnswerFault::Failed if run.may_have_run && run.gateway.now() >= run.context.deadline => {
-            run.time_out()
-        }
+        AnswerFault::Failed if run.may_have_run && run.gateway.now() >= run.deadline() => run.time_out(),
         AnswerFault::Failed if open.is_peer_at_fault => {
             run.refuse_unless_run("lost at another VM", NO_PEER_RETRY_MILLIS)
         }
@@ -211,6 +213,7 @@
         AnswerFault::Unsent(Unsent::Limited(return_delay_millis)) => {
             run.refuse_unless_run(ENDPOINTS_LIMITED, return_delay_millis)
         }
+        AnswerFault::Unsent(Unsent::Stopping) => run.refuse_unless_run(STOPPING, STOPPING_RETRY_MILLIS),
         AnswerFault::Unsent(Unsent::Quarantined) => run.refuse_quarantined(),
         AnswerFault::Unsent(Unsent::OnTrial) => {
             run.refuse_unless_run("another request tries whether endpoints end under it", TRIAL_RETRY_MILLIS)
@@ -222,6 +225,7 @@
 fn pass_whole(run: &mut RequestRun, mut send: OpenSend, bytes: Bytes) -> Response<AnswerBody> {
     run.record_first_event();
     send.complete();
+    run.record_answer_time();
     let outcome = match &send.route {
         SendRoute::Endpoint { flight, .. } => {
             if send.head().is_some_and(|head| head.status.is_success()) {
--- a/crates/gateway/src/requests/request_run.rs
+++ b/crates/gateway/src/requests/request_run.rs
@@ -337,7 +337,7 @@
     pub(crate) fn may_send_again(&self) -> bool {
         (self.context.route.repeatable() || !self.may_have_run)
             && self.sends < self.context.route.attempts
-            && self.gateway.now() < self.context.deadline
+            && self.gateway.now() < self.send_deadline()
             && self.gateway.try_spend_second_send(&self.context.service)
     }
 
--- a/crates/gateway/src/requests/request_suspects.rs
+++ b/crates/gateway/src/requests/request_suspects.rs
@@ -9,7 +9,7 @@
 use crate::requests::own_answer::{AnswerBody, OwnAnswer};
 use crate::requests::request_context::RequestContext;
 use crate::requests::request_run::RequestRun;
-use crate::{PathState, RequestIdentity, SuspectKey, SuspectKind};
+use crate::{PathState, RequestIdentity, StopSchedule, SuspectKey, SuspectKind};
 use hyper::Response;
 use spanfold_entity::Moment;
 use std::time::Duration;
@@ -145,7 +145,10 @@
             keys.iter().filter_map(|key| tracker.quarantine.evaluation_at_of(*key)).min()
         };
         if let Some(next_evaluation_at) = next_evaluation_at {
-            self.gateway.wait_until(next_evaluation_at.min(self.context.deadline)).await;
+            let due_at = |stop: &StopSchedule| {
+                next_evaluation_at.min(self.gateway.send_deadline_in(stop, &self.context))
+            };
+            self.gateway.wait_until_due(due_at).await;
             self.gateway.evaluate_suspects();
         }
     }
@@ -160,8 +163,9 @@
                 let _ = completion.wait_for(|is_probed| *is_probed).await;
             }
         };
+        let deadline = |stop: &StopSchedule| gateway.send_deadline_in(stop, &self.context);
         let decided = tokio::select! {
-            decided = gateway.complete_before(self.context.deadline, all_decided) => decided.is_ok(),
+            decided = gateway.complete_before_due(deadline, all_decided) => decided.is_ok(),
             _ = path.wait_for(|state| *state != PathState::Open) => false,
         };
         let took_ms = millis(gateway.now().micros_since(started_at));
@@ -207,7 +211,7 @@
         let now = self.gateway.now();
         let deadline =
             *self.suspects.trial_deadline.get_or_insert_with(|| now.after_millis(TRIAL_TIMEOUT_MILLIS));
-        if now >= deadline.min(self.context.deadline) {
+        if now >= deadline.min(self.send_deadline()) {
             return false;
         }
         tokio::time::sleep(TRIAL_POLL_INTERVAL).await;
--- a/crates/gateway/src/requests/stream_relay.rs
+++ b/crates/gateway/src/requests/stream_relay.rs
@@ -128,7 +128,7 @@
                 Ok(AnswerPart::Events(None)) => has_ended = true,
                 Err(AnswerFault::OutOfTime) => {
                     self.run.set_outcome("stream out of time");
-                    self.run.resources.answer.record_cause(UnansweredCause::OutOfTime);
+                    self.run.record_out_of_time();
                     return self.abort("no end in time").await;
                 }
                 // A stream that has begun goes on with events only.
@@ -142,6 +142,7 @@
         self.chunks.finish();
         if let Some(mut send) = self.open.take_last() {
             send.complete();
+            self.run.record_answer_time();
             if send.peer().is_none() {
                 self.run.record_answered();
             }
--- a/crates/spanfoldd/tests/hostile_clients/main.rs
+++ b/crates/spanfoldd/tests/hostile_clients/main.rs
@@ -15,6 +15,7 @@
 #[path = "../../../../platform/tests/fleet/support/store.rs"]
 #[expect(dead_code, reason = "shared with the tests of the platform")]
 mod store;
+#[expect(dead_code, reason = "shared with the tests of planned stops")]
 mod vm;
 
 use crowd::{ClientLimits, Misuse};
--- a/crates/spanfoldd/tests/hostile_clients/site.rs
+++ b/crates/spanfoldd/tests/hostile_clients/site.rs
@@ -59,6 +59,7 @@
             vm: VmLimits {
                 memory_mb: number("SPANFOLD_VM_MEMORY", 88),
                 descriptors: number("SPANFOLD_VM_DESCRIPTORS", 3_900),
+                grace_s: 8,
             },
             clients: ClientLimits { header_bytes: 16_384, body_bytes: 4 << 20 },
             timeout_millis: 4_000,
--- a/crates/spanfoldd/tests/hostile_clients/vm.rs
+++ b/crates/spanfoldd/tests/hostile_clients/vm.rs
@@ -5,10 +5,10 @@
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Interval between samples of a process's resident memory.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
@@ -30,6 +30,8 @@
 pub(crate) struct VmLimits {
     pub(crate) memory_mb: u64,
     pub(crate) descriptors: u64,
+    /// Seconds between a planned stop's signal and the kill.
+    pub(crate) grace_s: u64,
 }
 
 /// Largest values of a process's resources.
@@ -82,9 +84,9 @@
         let text = format!(
             "[vm]\nname = vm-{number}\ndata_centre = dc-a\nregions = dc-a:r\nlink_mbps = 1000\n\
              memory_mb = {}\n[listen]\ncallers = {callers}\nreadiness = {readiness}\n\
-             metrics = {metrics}\npeers = {peers}\n[store]\naddress = {store}\n[bounds]\ngrace_s = 8\n\
+             metrics = {metrics}\npeers = {peers}\n[store]\naddress = {store}\n[bounds]\ngrace_s = {}\n\
              lease_ms = 3000\nretry_slack = 168\n",
-            limits.memory_mb,
+            limits.memory_mb, limits.grace_s,
         );
         let name = format!("vm-{number}");
         let (settings, log) = (folder.join(format!("{name}.ini")), folder.join(format!("{name}.log")));
@@ -197,6 +199,24 @@
         Some(format!("{} ended by itself: {status}; log: {}", self.name, self.log.display()))
     }
 
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: Signal) {
+        // It may have ended.
+        let _ = kill(Pid::from_raw(self.process.id() as i32), signal);
+    }
+
+    /// Waits until the process ends by itself, for `limit` at most; none if it runs on.
+    pub(crate) async fn until_ended(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if let Some(status) = self.process.try_wait().unwrap() {
+                return Some(status);
+            }
+            tokio::time::sleep(SAMPLE_INTERVAL).await;
+        }
+        None
+    }
+
     fn end(&mut self) {
         self.watch.is_over.store(true, Ordering::SeqCst);
         // It may have ended.
