Weights: a version that was marked once is overdue when its mark is gone

Cause: VMs that start read the publication without a mark, newer than the key of the last holder, which its lease still kept. That was taken for "made while that VM was about to stop", but the mark had just ended. Class: an absence with two meanings, of which the harmless one was assumed.

A recorded version without a mark is overdue; only one that is neither marked nor recorded is bounded by the holder's lease.

--- a/crates/decide/src/weights/published_weights.rs
+++ b/crates/decide/src/weights/published_weights.rs
@@ -172,7 +172,10 @@
         }
     }
 
-    /// Records that a version was published at most `age_millis` ago; returns whether nothing better is known.
+    /// Records that a version was published at most `age_millis` ago, unless it was marked before that; returns
+    /// whether nothing better is known.
+    ///
+    /// The record names each version that was marked, and outlasts the mark.
     ///
     /// # Examples
     /// ```
@@ -182,10 +185,13 @@
     /// weights.record_listed(2, 10, now);
     /// assert!(weights.bound_age(2, 4, 10, now));
     /// assert_eq!(weights.required(10).unwrap().start_deadline(1), now.after_millis(6));
+    /// weights.record_stored(&[3], 10, now);
+    /// assert!(!weights.bound_age(3, 4, 10, now));
     /// ```
     pub fn bound_age(&mut self, version: u64, age_millis: u64, version_millis: u64, now: Moment) -> bool {
         let Ok(index) = self.find(version) else { return false };
-        let is_unknown = self.rows[index].source == PublicationSource::Unknown;
+        let is_unknown =
+            self.rows[index].source == PublicationSource::Unknown && !self.recorded.contains(&version);
         if is_unknown && age_millis < version_millis {
             let since = Moment(now.0.saturating_sub(Moment(0).after_millis(age_millis).0));
             self.rows[index] = PublishedVersion { version, since, source: PublicationSource::Bound };
