Streams: progress is a new event, not bytes

Cause: any whole event counted as progress: it restarted the stall timeout and selected its send over others. Class: liveness taken from bytes.

Comments are passed on, but neither restart the stall timeout nor cancel a send that resumes the stream. A VM that is silent, or sends an occasional comment, is treated as before.

--- a/crates/gateway/src/requests/answer_wait.rs
+++ b/crates/gateway/src/requests/answer_wait.rs
@@ -3,7 +3,7 @@
 //! This is the only place that decides whether a request is sent again: before the head of its answer, while
 //! a plain answer is read, before a stream's first event and after it, at endpoints and over other VMs.
 //!
-//! Invariant: the first send that brings the next part - a whole answer, the beginning of a long one, an
+//! Invariant: the first send that brings the next part - a whole answer, the beginning of a long one, a new
 //! event - goes on, and the others are cancelled at once. Until then each is kept, whatever becomes of the
 //! others. There is one send at a time of a request that may not be repeated, and of one that endpoints crashed
 //! under. Further sends are bounded by the route's attempts, the retry budget and a delay that doubles.
@@ -67,7 +67,10 @@
 impl RequestRun {
     /// Returns the next part of the answer, from whichever send brings it first.
     pub(crate) async fn next_part(&mut self, open: &mut OpenSends) -> Result<AnswerPart, AnswerFault> {
-        open.offer_at = self.next_offer_at(open);
+        // An endpoint that sends comments only is as silent as one that sends nothing.
+        if !std::mem::take(&mut open.awaits_event) {
+            open.offer_at = self.next_offer_at(open);
+        }
         let mut is_peer_silent = false;
         loop {
             let now = self.gateway.now();
@@ -325,6 +328,13 @@
             SendStep::Body(Err(error)) => {
                 self.fail_broken(open, index, &error.to_string(), "the answer broke off");
             }
+            SendStep::Events(Ok(Some(comments)))
+                if open.has_begun() && !open.send_mut(index).has_brought_progress() =>
+            {
+                // While another send may go on with the stream, they decide nothing.
+                open.awaits_event = open.count() == 1;
+                return Ok(open.awaits_event.then_some(AnswerPart::Events(Some(comments))));
+            }
             SendStep::Events(Ok(events)) => {
                 self.select(open, index);
                 return Ok(Some(AnswerPart::Events(events)));
--- a/crates/gateway/src/requests/open_send.rs
+++ b/crates/gateway/src/requests/open_send.rs
@@ -203,6 +203,14 @@
         }
     }
 
+    /// Whether the events that it brought last include a new one.
+    pub(crate) const fn has_brought_progress(&self) -> bool {
+        match &self.stage {
+            AnswerStage::Events { reader, .. } => reader.has_progressed(),
+            AnswerStage::Head(_) | AnswerStage::Body { .. } => false,
+        }
+    }
+
     /// Whether an endpoint answers it, rather than another VM itself.
     pub(crate) fn is_answered(&self) -> bool {
         match &self.route {
--- a/crates/gateway/src/requests/open_sends.rs
+++ b/crates/gateway/src/requests/open_sends.rs
@@ -21,6 +21,8 @@
     last_id: Option<Bytes>,
     /// Attempts at a further send since the answer last went on.
     pub offers: u32,
+    /// Whether the caller has got comments since the last event.
+    pub awaits_event: bool,
     /// No further send is made before.
     pub offer_at: Moment,
     /// Whether the next send may be made: the first one, or one that the retry budget has been charged for.
@@ -41,6 +43,7 @@
             has_begun: false,
             last_id: None,
             offers: 0,
+            awaits_event: false,
             offer_at: Moment(0),
             has_permit: true,
             cause: Cow::Borrowed(""),
