Segments: a salt's model may have dots in its name

What operators would see: parts of a model called m.v1.5 that were computed with outdated weights stayed in kept-cache stores, and a model called 5 could have had them released.

Cause: the model was parsed as the text between the last two dots of a salt. The scope before it has had no dots since they are escaped, so the model is all that lies between the first and the last dot.

Evidence: the example of parse_cache_salt (Some(("5", 2)) before).

--- a/crates/decide/src/admit/placement.rs
+++ b/crates/decide/src/admit/placement.rs
@@ -173,10 +173,18 @@
     format!("{isolation_scope}.{model}.{version}")
 }
 
-/// Returns the model and version in a text made by [`format_cache_salt`].
+/// Returns the model and version in a text made by [`format_cache_salt`]; the model's name may contain dots.
+///
+/// # Examples
+/// ```
+/// use spanfold_decide::{format_cache_salt, parse_cache_salt};
+/// let salt = format_cache_salt("shared", "m.v1.5", 2);
+/// assert_eq!(parse_cache_salt(&salt), Some(("m.v1.5", 2)));
+/// ```
 pub fn parse_cache_salt(text: &str) -> Option<(&str, u64)> {
     let (prefix, version) = text.rsplit_once('.')?;
-    let (_, model) = prefix.rsplit_once('.')?;
+    // A scope contains no dots.
+    let (_, model) = prefix.split_once('.')?;
     Some((model, version.parse().ok()?))
 }
 
