Streams: a software version begins resumable streams once all VMs know it

What callers saw: while engines of a new software version joined, VMs that were out of step for less than 2.5 s (cut from the store and from the VM that had the news) took up streams that had begun on the new version, and continued them on the old one (ORDER).

Cause: a VM vouches for "this service has one version only" while the store confirmed its list at most 2.5 s ago. The new version was used at once by whoever had read it, and a majority of the VMs that are asked may be out of step. Class: a fact that is used before all that rely on its absence know it.

Change: `view_lifetime` holds how long a VM acts on what it has read, and when a fact that is in the store is known everywhere. A version that is not its service's only one takes new resumable streams when its record has been in the store for that long; the record then says so, for VMs that start later. Other requests, and streams that go on at their own version, are not affected. If no settled engine takes work, streams wait for it.

Cost: 2.6 s of the first engine of a release; one write a version.

--- a/crates/decide/src/admit/shared_rate.rs
+++ b/crates/decide/src/admit/shared_rate.rs
@@ -16,7 +16,7 @@
 //! from the store and still sending; the others take the share over after that. A new VM has no share until
 //! the others have recorded its entry.
 
-use crate::{ColdSpec, EndpointKey, VmKey};
+use crate::{ColdSpec, EndpointKey, VmKey, is_view_current};
 use spanfold_entity::{MICROS_PER_MILLI, Moment};
 use std::collections::{BTreeSet, VecDeque};
 
@@ -35,12 +35,9 @@
 pub(crate) const MIN_REQUESTS_PER_S: f64 = 1.0 / 60.0;
 
 /// Time after which all reachable VMs have recorded a new entry, in milliseconds. Store changes reach them
-/// within 2 s.
+/// within 2 s. It is longer than a view of the store is current, so that a new VM begins only when VMs that use a
+/// list without it have stopped.
 const PROPAGATION_DELAY_MILLIS: u64 = 3_000;
-/// Time for which a list counts as current after the store confirmed it, in milliseconds. It is less than
-/// [`PROPAGATION_DELAY_MILLIS`], so that a new VM begins only when VMs that use a list without it have
-/// stopped.
-const LIST_FRESHNESS_MILLIS: u64 = 2_500;
 /// Time for which a VM keeps its share without list confirmation, in milliseconds. The same applies after its
 /// removal from the list. It exceeds most outages of the store, so that endpoints with a limit stay in use
 /// meanwhile.
@@ -198,7 +195,7 @@
     /// assert!(membership.is_list_confirmed(at(2)) && !membership.is_list_confirmed(at(8)));
     /// ```
     pub fn is_list_confirmed(&self, now: Moment) -> bool {
-        self.confirmed_since.is_some() && now < self.confirmed_at.after_millis(LIST_FRESHNESS_MILLIS)
+        self.confirmed_since.is_some() && is_view_current(self.confirmed_at, now)
     }
 
     /// Whether this VM may use its share, is listed, and has a current list.
--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -113,6 +113,8 @@
     pub(super) grace: GraceState,
     /// Whether its last written entry cannot be parsed, and so gives no endpoint to use.
     pub is_unreadable: bool,
+    /// Whether all VMs know its software version, as last checked.
+    pub is_software_settled: bool,
     /// End of its data centre's evacuation; it gets no new work until then, and running work finishes.
     pub evacuated_until: Moment,
     /// End of its warm-up; until then it takes only a few requests a second if its service has a reduced rate.
@@ -165,6 +167,7 @@
             grace_deadline: None,
             grace: GraceState::default(),
             is_unreadable: false,
+            is_software_settled: false,
             evacuated_until: Moment(0),
             cold_until: Moment(0),
             limit: ReportedLimit::default(),
--- a/crates/decide/src/fleet/fleet_entries.rs
+++ b/crates/decide/src/fleet/fleet_entries.rs
@@ -71,12 +71,15 @@
             }
             if entry.version != row.entry.version {
                 let software = short_digest(&row.entry.version);
+                self.settle_due.remove(&row.entry.service);
+                row.is_software_settled = false;
                 self.software_history.record_gone(&row.entry.service, software, now);
             }
             let changed = entry.draining != row.entry.draining;
             row.entry = entry;
             return changed;
         }
+        self.settle_due.remove(&entry.service);
         self.keys_by_service.entry(entry.service.clone()).or_default().push(key);
         let mut row = EndpointRow::new(entry);
         row.cold_until = cold_until;
--- a/crates/decide/src/fleet/fleet_table.rs
+++ b/crates/decide/src/fleet/fleet_table.rs
@@ -72,6 +72,8 @@
     pub(super) max_cold_until: Moment,
     /// Software versions of endpoints that are gone.
     pub(super) software_history: SoftwareHistory,
+    /// When to check again whether the software versions of a service are settled, by its name.
+    pub(super) settle_due: HashMap<String, Moment>,
     /// Whether any endpoint may have a reported limit.
     pub(super) has_limits: bool,
     /// Ages of other VMs' reports; zero while they count as current.
@@ -262,6 +264,7 @@
                 keys.retain(|listed_key| listed_key != key);
             }
             let software = short_digest(&row.entry.version);
+            self.settle_due.remove(&row.entry.service);
             self.software_history.record_gone(&row.entry.service, software, now);
             let has_departed = row.has_announced_departure();
             let EndpointEntry { id, weights, .. } = row.entry;
--- a/crates/decide/src/fleet/fleet_versions.rs
+++ b/crates/decide/src/fleet/fleet_versions.rs
@@ -15,6 +15,9 @@
 /// A version of at most this many endpoints is scarce, too.
 const SCARCE_ENDPOINTS: usize = 2;
 
+/// Longest time between two checks whether a version is settled, in milliseconds.
+const MAX_SETTLE_INTERVAL_MILLIS: u64 = 500;
+
 impl FleetTable {
     /// Returns the canary order of the last canary endpoint for a share of the requests.
     ///
@@ -80,10 +83,57 @@
     }
 
     /// Returns the store's record of software versions.
-    pub fn software_record(&mut self) -> &mut SoftwareRecord {
+    pub const fn software_record(&self) -> &SoftwareRecord {
+        &self.software_history.record
+    }
+
+    /// Returns the store's record of software versions, to change it.
+    pub fn software_record_mut(&mut self) -> &mut SoftwareRecord {
+        self.settle_due.clear();
         &mut self.software_history.record
     }
 
+    /// Records at a service's endpoints whether all VMs know their software versions, if that may have changed;
+    /// returns whether it is so for each of them.
+    ///
+    /// The only version of a service is never mistaken for another one.
+    pub fn settle_software(&mut self, service: &str, now: Moment) -> bool {
+        if let Some(due_at) = self.settle_due.get(service)
+            && now < *due_at
+        {
+            return *due_at == Moment::NEVER;
+        }
+        let id = short_digest(service);
+        let mut listed: HashMap<Arc<str>, u64> = HashMap::new();
+        for (_, row) in self.rows_of(service) {
+            if !listed.contains_key(&row.entry.version) {
+                listed.insert(Arc::clone(&row.entry.version), short_digest(&row.entry.version));
+            }
+        }
+        let record = &mut self.software_history.record;
+        let known: BTreeSet<u64> = listed.values().copied().chain(record.versions_of(id)).collect();
+        let key_of = |software| SoftwareKey { service: id, software };
+        if let (Some(software), 1) = (known.first(), known.len()) {
+            record.record_sole(key_of(*software));
+        }
+        let settled_at = |software| record.settled_at(key_of(software));
+        let settled: HashMap<Arc<str>, Moment> =
+            listed.iter().map(|(version, software)| (Arc::clone(version), settled_at(*software))).collect();
+        let due_at = settled.values().filter(|at| now < **at).min().copied();
+        for key in self.keys_by_service.get(service).into_iter().flatten() {
+            if let Some(row) = self.rows.get_mut(key) {
+                row.is_software_settled = settled.get(&row.entry.version).is_some_and(|at| now >= *at);
+            }
+        }
+        // A version without a record gets one, which is a change.
+        let next_at = match due_at {
+            None => Moment::NEVER,
+            Some(at) => at.min(now.after_millis(MAX_SETTLE_INTERVAL_MILLIS)),
+        };
+        self.settle_due.insert(service.to_owned(), next_at);
+        due_at.is_none()
+    }
+
     /// Returns the software versions of the listed endpoints of some services.
     pub fn listed_software<'a>(&self, services: impl Iterator<Item = &'a str>) -> BTreeSet<SoftwareKey> {
         let versions = services.flat_map(|name| {
--- a/crates/decide/src/fleet/mod.rs
+++ b/crates/decide/src/fleet/mod.rs
@@ -35,6 +35,7 @@
 mod store_position;
 mod update_fragments;
 mod update_history;
+mod view_lifetime;
 
 pub use catch_up_schedule::{CatchUpSchedule, RequestCount};
 pub use deployment::{
@@ -69,3 +70,6 @@
     MAX_FRAGMENT_BYTES, MAX_FRAGMENTS, ReassemblyProgress, UpdateFragment, UpdateReassembly, split_update,
 };
 pub use update_history::UpdateHistory;
+
+pub(crate) use view_lifetime::is_view_current;
+pub use view_lifetime::known_everywhere_at;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -31,7 +31,6 @@
     UNKNOWN_VERSION, ViewAges, choose_endpoint, claim_probability, claim_share, format_cache_salt,
     parse_cache_salt, place,
 };
-pub(crate) use fleet::SharedWeights;
 pub use fleet::{
     AccountRow, AvoidanceCause, AvoidanceChange, AvoidanceReport, BackoffChange, CacheChange, CacheUpdate,
     CatchUpSchedule, ColdSpec, ContactAges, ContactChange, ContactSource, CordonSource, DeploymentConfig,
@@ -43,9 +42,10 @@
     RequestCount, RequestLimits, RouteKind, RouteRow, RouteTable, SendOutcome, SendPace, SendReport,
     ServiceRow, ServiceWeight, SpreadSample, SpreadUpdate, StoreContact, StoreEvent, StoreItem, StoreOutage,
     StorePosition, StoreSilence, StoreSpec, UnevenReport, UpdateFragment, UpdateHistory, UpdateReassembly,
-    UsedSequences, VmEntry, VmKey, WeightTarget, direct_share, pack, pick_target, short_digest, split_update,
-    unpack,
+    UsedSequences, VmEntry, VmKey, WeightTarget, direct_share, known_everywhere_at, pack, pick_target,
+    short_digest, split_update, unpack,
 };
+pub(crate) use fleet::{SharedWeights, is_view_current};
 pub use kept::{
     CacheReport, CachedSegments, IndexReport, IndexReporter, PollSchedule, StoreRow, TransferPlan,
     outdated_segments, salted_key,
@@ -63,7 +63,8 @@
 pub(crate) use streams::SoftwareHistory;
 pub use streams::{
     CopyLedger, CopyTarget, DueCopies, DueCopy, RECORD_COPIES, RecordHolders, ShortRecord, SoftwareKey,
-    SoftwareRecord, SoleSoftware, StreamCopy, StreamKey, StreamOrigin, StreamRecords, UnstoredSoftware,
+    SoftwareRecord, SoleSoftware, StoredSoftware, StreamCopy, StreamKey, StreamOrigin, StreamRecords,
+    UnstoredSoftware,
 };
 pub use weights::{
     EngineState, LeaseHolder, LeaseOwnership, PublicationMark, PublicationRecord, PublicationSource,
--- a/crates/decide/src/rollout/version_split.rs
+++ b/crates/decide/src/rollout/version_split.rs
@@ -13,6 +13,9 @@
     Except(Arc<str>),
     /// Endpoints of this version.
     Only(Arc<str>),
+    /// Of the given endpoints, those whose version all VMs know, so that a stream may begin there that its caller takes
+    /// up at any VM.
+    Settled(Box<Self>),
     /// Endpoints of the version with this short digest, which began the request's stream.
     Began(u64),
     /// Endpoints of this version with a [`canary_order`](VersionSplit::canary_order) up to a bound. A small share
@@ -28,11 +31,20 @@
             Self::Any => true,
             Self::Except(version) => *row.entry.version != **version,
             Self::Only(version) => *row.entry.version == **version,
+            Self::Settled(split) => row.is_software_settled && split.allows(key, row),
             Self::Began(software) => short_digest(&row.entry.version) == *software,
             Self::Tested(version, max) => *row.entry.version == **version && Self::canary_order(key) <= *max,
         }
     }
 
+    /// Whether it leads to canaries only.
+    pub fn is_canary(&self) -> bool {
+        match self {
+            Self::Settled(split) => split.is_canary(),
+            _ => matches!(self, Self::Tested(..)),
+        }
+    }
+
     /// Returns the position of an endpoint in the canary order of its version, which is the same on all VMs.
     pub const fn canary_order(key: EndpointKey) -> u64 {
         key.0.wrapping_mul(0x9e37_79b9_7f4a_7c15)
--- a/crates/decide/src/streams/software_record.rs
+++ b/crates/decide/src/streams/software_record.rs
@@ -4,8 +4,15 @@
 //! removes it when no stream that it began can go on. VMs that start know from that which versions can have
 //! begun a stream, without having followed the services.
 //!
+//! A version begins streams that callers may take up elsewhere only once it is settled: no VM takes it any more for
+//! one that does not exist. Until then it was recorded too short a while ago. The record says that a version is
+//! settled, for VMs that start later.
+//!
 //! Invariant: what a restored store lacks is not forgotten: it is written again.
 
+use crate::known_everywhere_at;
+use serde::{Deserialize, Serialize};
+use spanfold_entity::Moment;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A software version of a service, by short digests.
@@ -17,11 +24,22 @@
     pub software: u64,
 }
 
+/// Value of a version's record.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredSoftware {
+    /// Whether the record ends with its lease.
+    pub is_ending: bool,
+    /// Whether all VMs know the version.
+    #[serde(default)]
+    pub is_settled: bool,
+}
+
 /// How a version is recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct RecordedSoftware {
-    /// Whether its record ends with a lease.
-    is_ending: bool,
+    stored: StoredSoftware,
+    /// When all VMs know it.
+    settled_at: Moment,
     /// Whether the store holds it, as far as this VM knows.
     is_stored: bool,
 }
@@ -30,6 +48,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct SoftwareRecord {
     versions: BTreeMap<SoftwareKey, RecordedSoftware>,
+    /// Versions that were once the only known one of their service.
+    sole: BTreeSet<SoftwareKey>,
     is_complete: bool,
 }
 
@@ -40,25 +60,50 @@
     pub listed: Vec<SoftwareKey>,
     /// Recorded versions without endpoints, to be recorded under a lease.
     pub gone: Vec<SoftwareKey>,
+    /// Versions of services with several, to be recorded as settled.
+    pub settled: Vec<SoftwareKey>,
 }
 
 impl SoftwareRecord {
-    /// Records that the store holds a version, under a lease if it `is_ending`.
+    /// Records that the store holds a version, as this VM learned at `now`.
     ///
     /// # Examples
     /// ```
-    /// use spanfold_decide::{SoftwareKey, SoftwareRecord};
-    /// let mut record = SoftwareRecord::default();
-    /// record.record_stored(SoftwareKey { service: 1, software: 2 }, false);
+    /// use spanfold_decide::{SoftwareKey, SoftwareRecord, StoredSoftware};
+    /// use spanfold_entity::Moment;
+    /// let (mut record, key) = (SoftwareRecord::default(), SoftwareKey { service: 1, software: 2 });
+    /// record.record_stored(key, StoredSoftware::default(), Moment(0));
     /// assert!(record.versions_of(1).eq([2]));
+    /// assert_eq!(record.settled_at(key), Moment(0).after_millis(2_600));
     /// ```
-    pub fn record_stored(&mut self, key: SoftwareKey, is_ending: bool) {
-        self.versions.insert(key, RecordedSoftware { is_ending, is_stored: true });
+    pub fn record_stored(&mut self, key: SoftwareKey, stored: StoredSoftware, now: Moment) {
+        let settled_at = if stored.is_settled { now } else { known_everywhere_at(now) };
+        let settled_at = self.versions.get(&key).map_or(settled_at, |known| known.settled_at.min(settled_at));
+        self.versions.insert(key, RecordedSoftware { stored, settled_at, is_stored: true });
+    }
+
+    /// Records that a version is the only known one of its service: no VM takes it for another one.
+    pub(crate) fn record_sole(&mut self, key: SoftwareKey) {
+        self.sole.insert(key);
+    }
+
+    /// Returns when all VMs know a version; never if it is not recorded.
+    pub fn settled_at(&self, key: SoftwareKey) -> Moment {
+        if self.sole.contains(&key) {
+            return Moment(0);
+        }
+        self.versions.get(&key).map_or(Moment::NEVER, |version| version.settled_at)
+    }
+
+    /// Whether the store's record says that a version is settled.
+    pub fn is_settled(&self, key: SoftwareKey) -> bool {
+        self.versions.get(&key).is_some_and(|version| version.stored.is_settled)
     }
 
     /// Records that the store has removed a version: the lease has ended.
     pub fn record_removed(&mut self, key: SoftwareKey) {
         self.versions.remove(&key);
+        self.sole.remove(&key);
     }
 
     /// Records that the store was restored from a backup, which may lack versions.
@@ -86,25 +131,31 @@
     ///
     /// # Examples
     /// ```
-    /// use spanfold_decide::{SoftwareKey, SoftwareRecord};
+    /// use spanfold_decide::{SoftwareKey, SoftwareRecord, StoredSoftware};
+    /// use spanfold_entity::Moment;
     /// let (old, new) =
     ///     (SoftwareKey { service: 1, software: 2 }, SoftwareKey { service: 1, software: 3 });
     /// let mut record = SoftwareRecord::default();
-    /// record.record_stored(old, false);
-    /// let unstored = record.unstored(&[new].into());
+    /// record.record_stored(old, StoredSoftware::default(), Moment(0));
+    /// let unstored = record.unstored(&[new].into(), Moment(0));
     /// assert_eq!((unstored.listed, unstored.gone), (vec![new], vec![old]));
     /// ```
-    pub fn unstored(&self, listed: &BTreeSet<SoftwareKey>) -> UnstoredSoftware {
+    pub fn unstored(&self, listed: &BTreeSet<SoftwareKey>, now: Moment) -> UnstoredSoftware {
         let lacks = |key: &&SoftwareKey| {
-            self.versions.get(key).is_none_or(|version| version.is_ending || !version.is_stored)
+            self.versions.get(key).is_none_or(|version| version.stored.is_ending || !version.is_stored)
+        };
+        let gone = self.versions.iter().filter(|(key, version)| {
+            !listed.contains(key) && (!version.stored.is_ending || !version.is_stored)
+        });
+        let settles = |key: &&SoftwareKey| {
+            self.versions.get(key).is_some_and(|version| {
+                !version.stored.is_ending && !version.stored.is_settled && now >= self.settled_at(**key)
+            }) && self.versions_of(key.service).nth(1).is_some()
         };
-        let gone = self
-            .versions
-            .iter()
-            .filter(|(key, version)| !listed.contains(key) && (!version.is_ending || !version.is_stored));
         UnstoredSoftware {
             listed: listed.iter().filter(lacks).copied().collect(),
             gone: gone.map(|(key, _)| *key).collect(),
+            settled: listed.iter().filter(settles).copied().collect(),
         }
     }
 }
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -275,6 +275,10 @@
             None => gateway.version_splits(&context.service, &mut draw),
         };
         self.canary_draw.has_slack |= draw.has_slack;
+        // Its caller may take the stream up at a VM that does not know a new version yet.
+        let begins_resumable = self.origin.is_none() && context.route.resumable;
+        let is_settled =
+            !begins_resumable || gateway.table().settle_software(&context.service, gateway.now());
         let regions = request.homes.digest();
         // A prompt that resumes a stream goes first.
         // In small deployments, prompts wait as they did before.
@@ -291,6 +295,10 @@
                 _ => (verdict, false),
             }
         };
+        let splits: Vec<_> = match is_settled {
+            true => splits,
+            false => splits.into_iter().map(|split| VersionSplit::Settled(Box::new(split))).collect(),
+        };
         let placed = splits.iter().find_map(|versions| {
             let request = PlacementRequest { versions, ..request.clone() };
             let choice = gateway.place(&request).filter(|choice| self.is_next_for(choice));
@@ -299,11 +307,15 @@
             let choice = choice.or_else(|| gateway.place(&unlimited))?;
             let (verdict, has_room) = admit(&choice);
             // A canary does not wait for capacity that other endpoints have.
-            let must_wait = matches!(versions, VersionSplit::Tested(..)) && verdict != AdmissionVerdict::Go;
+            let must_wait = versions.is_canary() && verdict != AdmissionVerdict::Go;
             (!must_wait).then_some((choice, verdict, has_room))
         });
         let request = PlacementRequest { versions: splits.last().unwrap_or(&VersionSplit::Any), ..request };
-        let Some((choice, verdict, has_room)) = placed else { return self.queue_or_refuse(&request) };
+        let Some((choice, verdict, has_room)) = placed else {
+            let result = self.queue_or_refuse(&request);
+            // Soon the remaining endpoints may take it.
+            return result.or_else(|| (!is_settled).then_some(PlaceResult::Wait));
+        };
         self.count_if_late_at_full(&choice);
         let ordered = order_view.map(|view| PromptPlacement {
             entry: &self.queue_entry,
--- a/crates/gateway/src/store/contact.rs
+++ b/crates/gateway/src/store/contact.rs
@@ -34,7 +34,7 @@
     pub(crate) fn record_store_restoration(&self) {
         let now = self.now();
         self.forget_stored_publications();
-        self.table().software_record().record_restoration();
+        self.table().software_record_mut().record_restoration();
         let outage = self.contact().record_restoration(now);
         self.table().apply_contact_change(ContactChange::Returned(outage), now);
     }
--- a/crates/gateway/src/store/store_view.rs
+++ b/crates/gateway/src/store/store_view.rs
@@ -13,10 +13,10 @@
 use crate::quarantine::stored_quarantine::StoredQuarantine;
 use crate::rollout::RECORD_PREFIX;
 use crate::store::lease_keeper::{CANDIDATE_LEASE_MILLIS, ORDERS_KEY, VM_PREFIX};
-use crate::streams::software_task::{COMPLETE_KEY, SOFTWARE_PREFIX, StoredSoftware, parse_software_key};
+use crate::streams::software_task::{COMPLETE_KEY, SOFTWARE_PREFIX, parse_software_key};
 use crate::{
     EndpointCrash, EndpointEntry, EndpointSnapshot, EntryError, PublicationRecord, RouteTable, StoreEvent,
-    StoreItem, StorePosition, SuspectKey, VmEntry, WeightTarget, short_digest,
+    StoreItem, StorePosition, StoredSoftware, SuspectKey, VmEntry, WeightTarget, short_digest,
 };
 use spanfold_entity::{MICROS_PER_MILLI, MICROS_PER_SECOND, Moment};
 use std::collections::HashMap;
@@ -292,10 +292,13 @@
         } else if let Some(service) = item.key.strip_prefix(keys.rollout_statuses) {
             self.gateway.rollouts().record_status(service, &item.value, item.position);
         } else if item.key == COMPLETE_KEY {
-            self.gateway.table().software_record().set_complete(true);
+            self.gateway.table().software_record_mut().set_complete(true);
         } else if let Some(key) = item.key.strip_prefix(SOFTWARE_PREFIX).and_then(parse_software_key) {
             match serde_json::from_slice::<StoredSoftware>(&item.value) {
-                Ok(stored) => self.gateway.table().software_record().record_stored(key, stored.is_ending),
+                Ok(stored) => {
+                    let now = self.gateway.now();
+                    self.gateway.table().software_record_mut().record_stored(key, stored, now);
+                }
                 Err(error) => log::error!(key = item.key.as_str(), cause:% = error; "software.unreadable"),
             }
         } else if item.key.starts_with(VM_PREFIX) {
@@ -549,11 +552,11 @@
                 PublicationKey::Record(model) => self.gateway.record_stored_versions(model, &[]),
             }
         } else if key == COMPLETE_KEY {
-            self.gateway.table().software_record().set_complete(false);
+            self.gateway.table().software_record_mut().set_complete(false);
         } else if let Some(key) = key.strip_prefix(SOFTWARE_PREFIX).and_then(parse_software_key) {
             // A version that a backup lacks is written again.
             if !is_missing_after_restore {
-                self.gateway.table().software_record().record_removed(key);
+                self.gateway.table().software_record_mut().record_removed(key);
             }
         } else if let Some(name) = key.strip_prefix(VM_PREFIX) {
             self.gateway.peers().unlist(name, now);
--- a/crates/gateway/src/streams/software_task.rs
+++ b/crates/gateway/src/streams/software_task.rs
@@ -8,8 +8,7 @@
 use crate::store::store_link::StoreLink;
 use crate::store::write_turn::WriteTurn;
 use crate::streams::resumption::RETURN_WINDOW_MILLIS;
-use crate::{SoftwareKey, StorePosition, StoreTransaction, UnstoredSoftware, short_digest};
-use serde::{Deserialize, Serialize};
+use crate::{SoftwareKey, StorePosition, StoreTransaction, StoredSoftware, UnstoredSoftware, short_digest};
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -35,13 +34,6 @@
 /// Most items that one transaction writes; a store takes 32.
 const MAX_WRITES: usize = 30;
 
-/// Value of a record.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct StoredSoftware {
-    /// Whether the record ends with its lease.
-    pub is_ending: bool,
-}
-
 /// Parses a record's key without its prefix; none if it is of another form.
 pub(crate) fn parse_software_key(text: &str) -> Option<SoftwareKey> {
     let (service, software) = text.split_once('/')?;
@@ -81,28 +73,36 @@
     /// Writes what is missing, if it is this VM's turn; false if a call failed.
     async fn write_missing(&mut self) -> bool {
         let now = self.gateway.now();
+        let lifetimes = self.stream_lifetimes();
+        {
+            let mut table = self.gateway.table();
+            for service in lifetimes.keys() {
+                table.settle_software(service, now);
+            }
+        }
         let is_current = self.gateway.list_membership().is_list_current(now);
         let is_listed = self.gateway.applied_position() != StorePosition::default();
         if !is_current || !is_listed || self.gateway.is_stopping() {
             self.gone_since.clear();
             return true;
         }
-        let lifetimes = self.stream_lifetimes();
         let (mut unstored, completes) = {
-            let mut table = self.gateway.table();
+            let table = self.gateway.table();
             let listed = table.listed_software(lifetimes.keys().map(String::as_str));
             let has_followed_long = table.has_followed_software_long(now);
             let record = table.software_record();
-            (record.unstored(&listed), has_followed_long && !record.is_complete())
+            (record.unstored(&listed, now), has_followed_long && !record.is_complete())
         };
         self.retain_long_gone(&mut unstored, now);
         let is_missing = completes || unstored != UnstoredSoftware::default();
         if !self.turn.is_due(&self.gateway, is_missing) {
             return true;
         }
-        let is_listed_written =
-            unstored.listed.is_empty() && !completes || self.write(&unstored.listed, 0, completes).await;
-        is_listed_written && self.write_gone(&unstored.gone, &lifetimes).await
+        let is_listed_written = unstored.listed.is_empty() && !completes
+            || self.write(&unstored.listed, 0, false, completes).await;
+        let is_settled_written =
+            unstored.settled.is_empty() || self.write(&unstored.settled, 0, true, false).await;
+        is_listed_written && is_settled_written && self.write_gone(&unstored.gone, &lifetimes).await
     }
 
     /// Returns how long a stream of each service with resumable streams may go on, in milliseconds.
@@ -141,20 +141,26 @@
                 return false;
             };
             let keys: Vec<_> = gone.iter().filter(|key| key.service == service).copied().collect();
-            if !self.write(&keys, grant.lease, false).await {
+            if !self.write(&keys, grant.lease, false, false).await {
                 return false;
             }
         }
         true
     }
 
-    /// Writes records, under a lease unless it is zero.
-    async fn write(&mut self, keys: &[SoftwareKey], lease: u64, completes: bool) -> bool {
+    /// Writes records, under a lease unless it is zero; `settles` if all VMs know the versions.
+    async fn write(&mut self, keys: &[SoftwareKey], lease: u64, settles: bool, completes: bool) -> bool {
         let is_ending = lease != 0;
         let keys = &keys[..keys.len().min(MAX_WRITES)];
-        let value = to_json(&StoredSoftware { is_ending });
+        let stored: Vec<_> = {
+            let table = self.gateway.table();
+            let is_settled = |key| settles || table.software_record().is_settled(key);
+            keys.iter()
+                .map(|key| (*key, StoredSoftware { is_ending, is_settled: is_settled(*key) }))
+                .collect()
+        };
         let mut writes: Vec<_> =
-            keys.iter().map(|key| (software_key_text(*key), value.clone(), lease)).collect();
+            stored.iter().map(|(key, stored)| (software_key_text(*key), to_json(stored), lease)).collect();
         if completes {
             writes.push((COMPLETE_KEY.to_owned(), to_json(&true), 0));
         }
@@ -164,11 +170,12 @@
         let Some(Ok(position)) = self.link.call("write", &call, dialect.decode_transact).await else {
             return false;
         };
-        log::info!(versions = keys.len(), is_ending, completes, position:%; "software.recorded");
+        log::info!(versions = keys.len(), is_ending, settles, completes, position:%; "software.recorded");
+        let now = self.gateway.now();
         let mut table = self.gateway.table();
-        let record = table.software_record();
-        for key in keys {
-            record.record_stored(*key, is_ending);
+        let record = table.software_record_mut();
+        for (key, stored) in stored {
+            record.record_stored(key, stored, now);
         }
         if completes {
             record.set_complete(true);
