--- a/crates/decide/src/fleet/endpoint_row.rs
+++ b/crates/decide/src/fleet/endpoint_row.rs
@@ -2,7 +2,10 @@
 
 use crate::fleet::peer_loads::PeerLoads;
 use crate::fleet::reported_health::{AvoidanceReport, ReportedHealth};
-use crate::{CachedSegments, EndpointBackoff, EndpointEntry, RecentSends, ReportedLimit, SendReport, VmKey};
+use crate::{
+    CachedSegments, EndpointBackoff, EndpointEntry, RecentSends, ReportedLimit, SendReport, SoftwareState,
+    VmKey,
+};
 use serde::{Deserialize, Serialize};
 use spanfold_entity::Moment;
 use std::collections::BTreeMap;
@@ -114,7 +117,7 @@
     /// Whether its last written entry cannot be parsed, and so gives no endpoint to use.
     pub is_unreadable: bool,
     /// Whether all VMs know its software version, as last checked.
-    pub is_software_settled: bool,
+    pub software_state: SoftwareState,
     /// End of its data centre's evacuation; it gets no new work until then, and running work finishes.
     pub evacuated_until: Moment,
     /// End of its warm-up; until then it takes only a few requests a second if its service has a reduced rate.
@@ -167,7 +170,7 @@
             grace_deadline: None,
             grace: GraceState::default(),
             is_unreadable: false,
-            is_software_settled: false,
+            software_state: SoftwareState::Unsettled,
             evacuated_until: Moment(0),
             cold_until: Moment(0),
             limit: ReportedLimit::default(),
--- a/crates/decide/src/fleet/fleet_entries.rs
+++ b/crates/decide/src/fleet/fleet_entries.rs
@@ -6,8 +6,8 @@
 use crate::fleet::endpoint_row::GraceState;
 use crate::fleet::fleet_table::{MAX_REMOVED_ENDPOINTS, NewestIncarnation};
 use crate::{
-    ContactChange, EndpointEntry, EndpointKey, EndpointRow, FleetTable, StoreOutage, StoreSilence,
-    short_digest,
+    ContactChange, EndpointEntry, EndpointKey, EndpointRow, FleetTable, SoftwareState, StoreOutage,
+    StoreSilence, short_digest,
 };
 use spanfold_entity::Moment;
 use std::sync::Arc;
@@ -72,7 +72,7 @@
             if entry.version != row.entry.version {
                 let software = short_digest(&row.entry.version);
                 self.settle_due.remove(&row.entry.service);
-                row.is_software_settled = false;
+                row.software_state = SoftwareState::Unsettled;
                 self.software_history.record_gone(&row.entry.service, software, now);
             }
             let changed = entry.draining != row.entry.draining;
--- a/crates/decide/src/fleet/fleet_versions.rs
+++ b/crates/decide/src/fleet/fleet_versions.rs
@@ -1,7 +1,8 @@
 //! Endpoints of a service by their software version.
 
 use crate::{
-    FleetTable, SoftwareKey, SoftwareRecord, SoleSoftware, StreamOrigin, VersionSplit, short_digest,
+    FleetTable, SoftwareKey, SoftwareRecord, SoftwareState, SoleSoftware, StreamOrigin, VersionSplit,
+    short_digest,
 };
 use spanfold_entity::Moment;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -122,7 +123,9 @@
         let due_at = settled.values().filter(|at| now < **at).min().copied();
         for key in self.keys_by_service.get(service).into_iter().flatten() {
             if let Some(row) = self.rows.get_mut(key) {
-                row.is_software_settled = settled.get(&row.entry.version).is_some_and(|at| now >= *at);
+                let is_settled = settled.get(&row.entry.version).is_some_and(|at| now >= *at);
+                row.software_state =
+                    if is_settled { SoftwareState::Settled } else { SoftwareState::Unsettled };
             }
         }
         // A version without a record gets one, which is a change.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -63,8 +63,8 @@
 pub(crate) use streams::SoftwareHistory;
 pub use streams::{
     CopyLedger, CopyTarget, DueCopies, DueCopy, RECORD_COPIES, RecordHolders, ShortRecord, SoftwareKey,
-    SoftwareRecord, SoleSoftware, StoredSoftware, StreamCopy, StreamKey, StreamOrigin, StreamRecords,
-    UnstoredSoftware,
+    SoftwareRecord, SoftwareState, SoleSoftware, StoredSoftware, StreamCopy, StreamKey, StreamOrigin,
+    StreamRecords, UnstoredSoftware,
 };
 pub use weights::{
     EngineState, LeaseHolder, LeaseOwnership, PublicationMark, PublicationRecord, PublicationSource,
--- a/crates/decide/src/rollout/version_split.rs
+++ b/crates/decide/src/rollout/version_split.rs
@@ -1,6 +1,6 @@
 //! Endpoints of a service that a request may go to during a rollout.
 
-use crate::{EndpointKey, EndpointRow, short_digest};
+use crate::{EndpointKey, EndpointRow, SoftwareState, short_digest};
 use std::sync::Arc;
 
 /// Set of endpoints that one request may go to, by version.
@@ -31,7 +31,7 @@
             Self::Any => true,
             Self::Except(version) => *row.entry.version != **version,
             Self::Only(version) => *row.entry.version == **version,
-            Self::Settled(split) => row.is_software_settled && split.allows(key, row),
+            Self::Settled(split) => row.software_state == SoftwareState::Settled && split.allows(key, row),
             Self::Began(software) => short_digest(&row.entry.version) == *software,
             Self::Tested(version, max) => *row.entry.version == **version && Self::canary_order(key) <= *max,
         }
--- a/crates/decide/src/streams/software_record.rs
+++ b/crates/decide/src/streams/software_record.rs
@@ -24,6 +24,15 @@
     pub software: u64,
 }
 
+/// Whether streams that callers may take up elsewhere begin on an endpoint's software version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoftwareState {
+    /// Some VMs may not know it.
+    Unsettled,
+    /// All VMs know it, or it is the only one of its service.
+    Settled,
+}
+
 /// Value of a version's record.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredSoftware {
--- a/crates/gateway/src/requests/answer_wait.rs
+++ b/crates/gateway/src/requests/answer_wait.rs
@@ -68,9 +68,7 @@
     /// Returns the next part of the answer, from whichever send brings it first.
     pub(crate) async fn next_part(&mut self, open: &mut OpenSends) -> Result<AnswerPart, AnswerFault> {
         // An endpoint that sends comments only is as silent as one that sends nothing.
-        if !std::mem::take(&mut open.awaits_event) {
-            open.offer_at = self.next_offer_at(open);
-        }
+        open.offer_at = open.stalled_offer_at.take().unwrap_or_else(|| self.next_offer_at(open));
         let mut is_peer_silent = false;
         loop {
             let now = self.gateway.now();
@@ -332,8 +330,11 @@
                 if open.has_begun() && !open.send_mut(index).has_brought_progress() =>
             {
                 // While another send may go on with the stream, they decide nothing.
-                open.awaits_event = open.count() == 1;
-                return Ok(open.awaits_event.then_some(AnswerPart::Events(Some(comments))));
+                if open.count() > 1 {
+                    return Ok(None);
+                }
+                open.stalled_offer_at = Some(open.offer_at);
+                return Ok(Some(AnswerPart::Events(Some(comments))));
             }
             SendStep::Events(Ok(events)) => {
                 self.select(open, index);
--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -235,6 +235,7 @@
         // Read at each attempt: a change of home regions or isolation applies to waiting requests, too.
         let routes = gateway.routes()?;
         self.isolation_scope = routes.isolation_scope(self.context.account.as_deref());
+        let (splits, is_settled) = self.usable_versions();
         let context = &self.context;
         let model = context.model.as_deref();
         // A request that was sent once has passed admission.
@@ -268,17 +269,6 @@
             shares,
             draw: rand::random,
         };
-        // A second send is no canary: it would be another request to a version that may be bad.
-        let mut draw = if self.tried.is_empty() { self.canary_draw } else { CanaryDraw::NONE };
-        let splits = match self.origin {
-            Some(origin) => vec![VersionSplit::Began(origin.software)],
-            None => gateway.version_splits(&context.service, &mut draw),
-        };
-        self.canary_draw.has_slack |= draw.has_slack;
-        // Its caller may take the stream up at a VM that does not know a new version yet.
-        let begins_resumable = self.origin.is_none() && context.route.resumable;
-        let is_settled =
-            !begins_resumable || gateway.table().settle_software(&context.service, gateway.now());
         let regions = request.homes.digest();
         // A prompt that resumes a stream goes first.
         // In small deployments, prompts wait as they did before.
@@ -295,10 +285,6 @@
                 _ => (verdict, false),
             }
         };
-        let splits: Vec<_> = match is_settled {
-            true => splits,
-            false => splits.into_iter().map(|split| VersionSplit::Settled(Box::new(split))).collect(),
-        };
         let placed = splits.iter().find_map(|versions| {
             let request = PlacementRequest { versions, ..request.clone() };
             let choice = gateway.place(&request).filter(|choice| self.is_next_for(choice));
@@ -346,6 +332,27 @@
         self.occupy(choice, &shares, is_ordered)
     }
 
+    /// Returns the endpoint versions that the request may use, in the order of preference, and whether all VMs know
+    /// them.
+    fn usable_versions(&mut self) -> (Vec<VersionSplit>, bool) {
+        let gateway = &self.gateway;
+        if let Some(origin) = self.origin {
+            return (vec![VersionSplit::Began(origin.software)], true);
+        }
+        let service = &self.context.service;
+        // A second send is no canary: it would be another request to a version that may be bad.
+        let mut draw = if self.tried.is_empty() { self.canary_draw } else { CanaryDraw::NONE };
+        let splits = gateway.version_splits(service, &mut draw);
+        self.canary_draw.has_slack |= draw.has_slack;
+        // Its caller may take the stream up at a VM that does not know a new version yet.
+        let is_settled =
+            !self.context.route.resumable || gateway.table().settle_software(service, gateway.now());
+        if is_settled {
+            return (splits, true);
+        }
+        (splits.into_iter().map(|split| VersionSplit::Settled(Box::new(split))).collect(), false)
+    }
+
     /// Reserves the capacity of the chosen endpoint for the request; none if the endpoint is gone.
     fn occupy(
         &mut self,
--- a/crates/gateway/src/requests/open_sends.rs
+++ b/crates/gateway/src/requests/open_sends.rs
@@ -21,8 +21,8 @@
     last_id: Option<Bytes>,
     /// Attempts at a further send since the answer last went on.
     pub offers: u32,
-    /// Whether the caller has got comments since the last event.
-    pub awaits_event: bool,
+    /// When the next send is due although comments have arrived; none after an event.
+    pub stalled_offer_at: Option<Moment>,
     /// No further send is made before.
     pub offer_at: Moment,
     /// Whether the next send may be made: the first one, or one that the retry budget has been charged for.
@@ -43,7 +43,7 @@
             has_begun: false,
             last_id: None,
             offers: 0,
-            awaits_event: false,
+            stalled_offer_at: None,
             offer_at: Moment(0),
             has_permit: true,
             cause: Cow::Borrowed(""),
