Streams: a version is its service's only one by a whole listing

A VM that had read a part of its first listing could take a version for the only one of its service, and begin resumable streams on it at once. Found by reading; the settlement is now asked for once the listing is whole.

--- a/crates/gateway/src/requests/dispatch.rs
+++ b/crates/gateway/src/requests/dispatch.rs
@@ -345,8 +345,7 @@
         let splits = gateway.version_splits(service, &mut draw);
         self.canary_draw.has_slack |= draw.has_slack;
         // Its caller may take the stream up at a VM that does not know a new version yet.
-        let is_settled =
-            !self.context.route.resumable || gateway.table().settle_software(service, gateway.now());
+        let is_settled = !self.context.route.resumable || gateway.settle_software(service);
         if is_settled {
             return (splits, true);
         }
--- a/crates/gateway/src/streams/software_task.rs
+++ b/crates/gateway/src/streams/software_task.rs
@@ -45,6 +45,15 @@
     format!("{SOFTWARE_PREFIX}{:016x}/{:016x}", key.service, key.software)
 }
 
+impl Gateway {
+    /// Whether all VMs know the software versions of a service's endpoints; false before the store was listed.
+    pub(crate) fn settle_software(&self, service: &str) -> bool {
+        // A part of a listing may lack versions.
+        let is_listed = self.applied_position() != StorePosition::default();
+        is_listed && self.table().settle_software(service, self.now())
+    }
+}
+
 /// Writes what the record lacks, until the process ends.
 pub(crate) async fn record_software(gateway: Arc<Gateway>) {
     let mut writer = SoftwareWriter {
@@ -74,11 +83,8 @@
     async fn write_missing(&mut self) -> bool {
         let now = self.gateway.now();
         let lifetimes = self.stream_lifetimes();
-        {
-            let mut table = self.gateway.table();
-            for service in lifetimes.keys() {
-                table.settle_software(service, now);
-            }
+        for service in lifetimes.keys() {
+            self.gateway.settle_software(service);
         }
         let is_current = self.gateway.list_membership().is_list_current(now);
         let is_listed = self.gateway.applied_position() != StorePosition::default();
