--- a/crates/decide/tests/fleet_table.rs
+++ b/crates/decide/tests/fleet_table.rs
@@ -198,3 +198,15 @@
     assert!(table.remote_loads(at(1_600)).is_empty());
     assert_eq!(table.row(key).unwrap().load(at(1_600)).running, 6);
 }
+
+/// Guards against a report or an order's answer about one model that erases what is known of an engine's others.
+#[test]
+fn a_report_of_one_model_keeps_the_versions_of_the_others() {
+    let mut table = FleetTable::default();
+    let weights = BTreeMap::from([("m".to_owned(), 7), ("m.v1.5".to_owned(), 2)]);
+    table.apply_entry(EndpointEntry { weights: weights.into(), ..entry("i-1", 1) }, at(0));
+    let key = EndpointKey::of("i-1");
+    table.set_weights(key, &BTreeMap::from([("m.v1.5".to_owned(), 3)]), at(1));
+    let recorded = table.row(key).unwrap().entry.weights.as_ref().clone();
+    assert_eq!(recorded, BTreeMap::from([("m".to_owned(), 7), ("m.v1.5".to_owned(), 3)]));
+}
