Tests: runs of weights have addresses of their own

no_request_begins_on_overdue_weights::all_killed_before failed once in a whole run: "0 starts", 2,043 callers served. Traced: its VMs could not listen (gateway.not_started), since another run of the process had the same address; both settings name 127.23.50.1:10000. The process id was a multiple of four, so the first run's last byte was zero and became the second one's. Runs are counted from one, as in hostile_clients.

--- a/crates/spanfoldd/tests/weight_runs/fleet.rs
+++ b/crates/spanfoldd/tests/weight_runs/fleet.rs
@@ -135,7 +135,8 @@
 
 /// Returns a loopback address for the VMs of one run, so that no other test takes their ports.
 fn run_address() -> Ipv4Addr {
-    let run = NEXT_RUN.fetch_add(1, Ordering::SeqCst) as u32 + std::process::id() * 64;
+    // A last byte of zero would become that of the next run.
+    let run = 1 + NEXT_RUN.fetch_add(1, Ordering::SeqCst) as u32 + std::process::id() * 64;
     let [_, high, middle, low] = run.to_be_bytes();
     Ipv4Addr::new(127, 1 + high % 254, middle, low.clamp(1, 254))
 }
